Land the thin whole path: stand-ins, gateways, operators' command, demo and tests

A forwarded completion reached the engine under its forwarding path; the first scenario with a remote region showed it (404), the prefix is dropped now.

--- /dev/null
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/clock/system.py
@@ -0,0 +1,18 @@
+"""The clock of the operating system."""
+
+import time
+from datetime import UTC, datetime, timedelta
+
+
+class SystemClock:
+    """Read the wall clock and the monotonic clock of this machine."""
+
+    __slots__ = ()
+
+    def read_instant(self) -> datetime:
+        """Return the current instant in UTC."""
+        return datetime.now(UTC)
+
+    def read_monotonic(self) -> timedelta:
+        """Return the monotonic time of this machine."""
+        return timedelta(seconds=time.monotonic())
--- /dev/null
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/store/protocol.py
@@ -0,0 +1,72 @@
+"""Calls that the project makes to the key-value service."""
+
+from datetime import timedelta
+from typing import Protocol
+
+import msgspec
+
+ABSENT_REVISION = 0
+
+
+class StoredValue(msgspec.Struct, frozen=True):
+    """One value with the revision at which it was last written.
+
+    Parameters
+    ----------
+    key : str
+        Full key.
+    body : bytes
+        Stored bytes; empty when the key is absent.
+    revision : int
+        Revision of the last write, ``0`` when the key is absent.
+    session : str, optional
+        Identifier of the lease that holds the key.
+    """
+
+    key: str
+    body: bytes
+    revision: int
+    session: str | None = None
+
+
+class KeyValueStore(Protocol):
+    """Compare-and-swap and watches.
+
+    Every call raises a `StoreError` when the service fails.
+    """
+
+    async def read(self, key: str) -> StoredValue:
+        """Return the value of ``key``, with revision 0 if it is absent."""
+
+    async def watch(
+        self,
+        key: str,
+        after: int,
+        patience: timedelta,
+    ) -> StoredValue:
+        """Return the value once its revision passes ``after``.
+
+        When ``patience`` ends first, the unchanged value is returned.
+        """
+
+    async def swap(self, key: str, body: bytes, expected: int) -> bool:
+        """Write ``body`` if the revision still is ``expected``."""
+
+
+class LeaseStore(Protocol):
+    """Leases, and keys held under them.
+
+    Every call raises a `StoreError` when the service fails.
+    """
+
+    async def grant(self, time_to_live: timedelta) -> str:
+        """Create a lease and return its identifier."""
+
+    async def renew(self, session: str) -> bool:
+        """Renew a lease; ``False`` means that it has lapsed."""
+
+    async def acquire(self, key: str, body: bytes, session: str) -> bool:
+        """Take ``key`` under a lease; ``False`` when another holds it."""
+
+    async def release(self, key: str, session: str) -> None:
+        """Give ``key`` back."""
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway daemon between callers and backend servers."""
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/__main__.py
@@ -0,0 +1,6 @@
+"""Run the daemon as ``python -m baobabhinge_gateway``."""
+
+from baobabhinge_gateway.cli import run
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/exchange.py
@@ -0,0 +1,91 @@
+"""One HTTP exchange, closed if it is abandoned."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import aiohttp
+import msgspec
+
+from baobabhinge_gateway.backends.answers import Answer
+from baobabhinge_gateway.calls.headers import REQUEST_ID, keep_end_to_end
+from baobabhinge_gateway.calls.model import Headers
+from baobabhinge_gateway.errors import AnswerBrokenError, NotReachedError
+
+CONNECT_TIMEOUT = timedelta(seconds=1)
+
+
+class Outbound(msgspec.Struct, frozen=True):
+    """A request to a backend server or to another gateway.
+
+    Parameters
+    ----------
+    method, url : str
+        HTTP method and full address.
+    headers : tuple of pairs
+        All headers to send.
+    body : bytes
+        Whole body.
+    patience : timedelta
+        Longest time for the whole exchange.
+    """
+
+    method: str
+    url: str
+    headers: Headers
+    body: bytes
+    patience: timedelta
+
+
+@asynccontextmanager
+async def open_exchange(
+    http: aiohttp.ClientSession,
+    outbound: Outbound,
+) -> AsyncIterator[Answer]:
+    """Send ``outbound`` and yield the answer.
+
+    Yields
+    ------
+    Answer
+        Its pieces are read while the context is open.
+
+    Raises
+    ------
+    NotReachedError
+        If the connection was refused before a byte was written.
+    AnswerBrokenError
+        If the exchange broke after that.
+    """
+    limit = aiohttp.ClientTimeout(
+        total=outbound.patience.total_seconds(),
+        sock_connect=CONNECT_TIMEOUT.total_seconds(),
+    )
+    try:
+        async with http.request(
+            outbound.method,
+            outbound.url,
+            headers=outbound.headers,
+            data=outbound.body,
+            timeout=limit,
+            allow_redirects=False,
+        ) as response:
+            yield Answer(
+                response.status,
+                keep_end_to_end(response.headers.items()),
+                _read_pieces(response),
+                response.headers.get(REQUEST_ID),
+            )
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+    ) as refused:
+        raise NotReachedError(outbound.url) from refused
+    except (aiohttp.ClientError, TimeoutError) as broken:
+        raise AnswerBrokenError('the exchange broke off') from broken
+
+
+async def _read_pieces(
+    response: aiohttp.ClientResponse,
+) -> AsyncIterator[bytes]:
+    async for piece in response.content.iter_any():
+        yield piece
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
@@ -0,0 +1,38 @@
+"""Putting together what serves callers."""
+
+from random import SystemRandom
+
+import aiohttp
+
+from baobabhinge_coordination.clock import SystemClock
+from baobabhinge_gateway.callers.service import CallServer
+from baobabhinge_gateway.calls import Hop
+from baobabhinge_gateway.configuration import ActiveConfiguration
+from baobabhinge_gateway.fleet import VmWatcher
+from baobabhinge_gateway.routing import (
+    Dispatcher,
+    InFlight,
+    Router,
+    create_policy,
+)
+
+DEFAULT_POLICY = 'least-in-flight'
+
+
+def build_call_server(
+    hop: Hop,
+    active: ActiveConfiguration,
+    fleet: VmWatcher,
+    http: aiohttp.ClientSession,
+) -> CallServer:
+    """Return the server of calls of one gateway."""
+    clock = SystemClock()
+    in_flight = InFlight()
+    policy = create_policy(DEFAULT_POLICY, SystemRandom())
+    return CallServer(
+        hop,
+        clock,
+        active,
+        Router(hop.region, fleet, policy, in_flight),
+        Dispatcher(http, clock, in_flight),
+    )
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/building.py
@@ -0,0 +1,89 @@
+"""Building calls from HTTP requests."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import msgspec
+from aiohttp import web
+
+from baobabhinge_gateway.calls import headers
+from baobabhinge_gateway.calls.hops import HopList
+from baobabhinge_gateway.calls.model import Call
+from baobabhinge_gateway.calls.parsing import (
+    find_service,
+    get_service_name,
+    parse_model_request,
+    parse_terms,
+)
+from baobabhinge_settings.model import ServiceKind, Settings
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """When and how a call came to this gateway.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifier of the call.
+    instant : timedelta
+        Monotonic time of the arrival.
+    hops : HopList
+        Gateways passed, this one included.
+    """
+
+    request_id: str
+    instant: timedelta
+    hops: HopList
+
+
+CallBuilder = Callable[[web.Request, Settings, Arrival], Awaitable[Call]]
+
+
+async def build_model_call(
+    request: web.Request,
+    settings: Settings,
+    arrival: Arrival,
+) -> Call:
+    """Return the call of a completion request."""
+    body = await request.read()
+    asked = parse_model_request(body)
+    service = find_service(
+        settings,
+        get_service_name(asked.model),
+        ServiceKind.model,
+    )
+    return Call(
+        request_id=arrival.request_id,
+        service=service,
+        method=request.method,
+        path=request.path.removeprefix(headers.FORWARD_PREFIX),
+        headers=headers.keep_end_to_end(request.headers.items()),
+        body=body,
+        terms=parse_terms(request, arrival.instant, service),
+        hops=arrival.hops,
+        streamed=asked.stream,
+    )
+
+
+async def build_plain_call(
+    request: web.Request,
+    settings: Settings,
+    arrival: Arrival,
+) -> Call:
+    """Return the call of a request to a plain service."""
+    service = find_service(
+        settings,
+        request.match_info['service'],
+        ServiceKind.plain,
+    )
+    query = f'?{request.query_string}' if request.query_string else ''
+    return Call(
+        request_id=arrival.request_id,
+        service=service,
+        method=request.method,
+        path=f'/{request.match_info["rest"]}{query}',
+        headers=headers.keep_end_to_end(request.headers.items()),
+        body=await request.read(),
+        terms=parse_terms(request, arrival.instant, service),
+        hops=arrival.hops,
+    )
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/headers.py
@@ -0,0 +1,55 @@
+"""Headers of the gateway's own, and those that end at each hop."""
+
+from collections.abc import Iterable
+
+DEADLINE = 'Baobabhinge-Deadline-Ms'
+REGION_BOUND = 'Baobabhinge-Region-Bound'
+WORKSPACE = 'Baobabhinge-Workspace'
+PATH = 'Baobabhinge-Path'
+RUN_ONCE_KEY = 'Baobabhinge-Key'
+IDEMPOTENCY_KEY = 'Idempotency-Key'
+REQUEST_ID = 'X-Request-Id'
+FORWARD_PREFIX = '/forward'
+GENERATION = 'Baobabhinge-Generation'
+
+HOP_BY_HOP = frozenset(
+    (
+        'connection',
+        'content-length',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    ),
+)
+OWN_PREFIX = 'baobabhinge-'
+
+
+def keep_end_to_end(
+    pairs: Iterable[tuple[str, str]],
+) -> tuple[tuple[str, str], ...]:
+    """Drop hop-by-hop headers and the gateway's own.
+
+    The headers that ``Connection`` names are hop-by-hop too.
+    """
+    listed = tuple(pairs)
+    dropped = HOP_BY_HOP | _list_named(listed) | {REQUEST_ID.lower()}
+    return tuple(
+        (name, text)
+        for name, text in listed
+        if name.lower() not in dropped
+        and not name.lower().startswith(OWN_PREFIX)
+    )
+
+
+def _list_named(pairs: Iterable[tuple[str, str]]) -> set[str]:
+    return {
+        token.strip().lower()
+        for name, text in pairs
+        if name.lower() == 'connection'
+        for token in text.split(',')
+    }
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/hops.py
@@ -0,0 +1,75 @@
+"""Gateways and regions that a call has passed."""
+
+import msgspec
+
+from baobabhinge_gateway.errors import MalformedCallError, PathLoopError
+
+HOP_SEPARATOR = ','
+REGION_SEPARATOR = '@'
+
+
+class Hop(msgspec.Struct, frozen=True):
+    """One gateway that a call has passed."""
+
+    gateway: str
+    region: str
+
+
+class HopList(msgspec.Struct, frozen=True):
+    """Every gateway that a call has passed, the first one first."""
+
+    hops: tuple[Hop, ...] = ()
+
+    def extend(self, hop: Hop) -> 'HopList':
+        """Return the list with ``hop`` at its end.
+
+        Raises
+        ------
+        PathLoopError
+            If the gateway is in the list, or if the call comes back to a
+            region that it has left.
+        """
+        if any(passed.gateway == hop.gateway for passed in self.hops):
+            raise PathLoopError('the call has passed this gateway before')
+        if hop.region in self._list_left_regions():
+            raise PathLoopError('the call has left this region before')
+        return HopList((*self.hops, hop))
+
+    def has_region(self, region: str) -> bool:
+        """Tell whether the call has passed ``region``."""
+        return any(hop.region == region for hop in self.hops)
+
+    def has_gateway(self, gateway: str) -> bool:
+        """Tell whether the call has passed ``gateway``."""
+        return any(hop.gateway == gateway for hop in self.hops)
+
+    def render(self) -> str:
+        """Return the list as a header's text."""
+        return HOP_SEPARATOR.join(
+            f'{hop.gateway}{REGION_SEPARATOR}{hop.region}' for hop in self.hops
+        )
+
+    @classmethod
+    def parse(cls, text: str) -> 'HopList':
+        """Read a header's text.
+
+        Raises
+        ------
+        MalformedCallError
+            If an entry is not ``gateway@region``.
+        """
+        entries = text.split(HOP_SEPARATOR) if text else []
+        return cls(tuple(_parse_hop(entry) for entry in entries))
+
+    def _list_left_regions(self) -> set[str]:
+        if not self.hops:
+            return set()
+        current = self.hops[-1].region
+        return {hop.region for hop in self.hops if hop.region != current}
+
+
+def _parse_hop(entry: str) -> Hop:
+    gateway, separator, region = entry.strip().partition(REGION_SEPARATOR)
+    if not (gateway and separator and region):
+        raise MalformedCallError('an entry of the path is not gateway@region')
+    return Hop(gateway, region)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/model.py
@@ -0,0 +1,62 @@
+"""A call from its arrival to its answer."""
+
+from datetime import timedelta
+
+import msgspec
+
+from baobabhinge_gateway.calls.hops import HopList
+from baobabhinge_settings.model import Service
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class Terms(msgspec.Struct, frozen=True):
+    """What the caller asked for beside the answer itself.
+
+    Parameters
+    ----------
+    deadline : timedelta
+        Monotonic time at which the caller stops waiting.
+    bound_region : str, optional
+        Region that the request may not leave.
+    workspace : str
+        Workspace on whose account the call runs.
+    """
+
+    deadline: timedelta
+    bound_region: str | None = None
+    workspace: str = ''
+
+
+class Call(msgspec.Struct, frozen=True):
+    """One call.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifier that the answer has to name.
+    service : Service
+        Service that the call is for.
+    method, path : str
+        Method, and path with its query, at the backend server.
+    headers : tuple of pairs
+        End-to-end headers.
+    body : bytes
+        Whole body.
+    terms : Terms
+        Deadline, region and workspace.
+    hops : HopList
+        Gateways passed, this one included.
+    streamed : bool
+        Whether the answer is a stream of events.
+    """
+
+    request_id: str
+    service: Service
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    terms: Terms
+    hops: HopList
+    streamed: bool = False
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/parsing.py
@@ -0,0 +1,93 @@
+"""Reading calls from HTTP requests."""
+
+from datetime import timedelta
+
+import msgspec
+from aiohttp import web
+
+from baobabhinge_gateway.calls import headers
+from baobabhinge_gateway.calls.model import Terms
+from baobabhinge_gateway.errors import (
+    MalformedCallError,
+    UnknownServiceError,
+)
+from baobabhinge_settings.model import Service, ServiceKind, Settings
+
+MODEL_SEPARATORS = ':@'
+
+
+class ModelRequest(msgspec.Struct):
+    """The part of a completion request that the gateway reads."""
+
+    model: str
+    stream: bool = False
+
+
+def parse_terms(
+    request: web.Request,
+    now: timedelta,
+    service: Service,
+) -> Terms:
+    """Read deadline, region and workspace from the headers.
+
+    Raises
+    ------
+    MalformedCallError
+        If the deadline is not a positive whole number of milliseconds.
+    """
+    text = request.headers.get(headers.DEADLINE)
+    patience = service.deadline
+    if text is not None:
+        patience = min(patience, _parse_patience(text))
+    return Terms(
+        now + patience,
+        request.headers.get(headers.REGION_BOUND),
+        request.headers.get(headers.WORKSPACE, ''),
+    )
+
+
+def _parse_patience(text: str) -> timedelta:
+    if not (text.isascii() and text.isdigit() and int(text)):
+        raise MalformedCallError(
+            f'{headers.DEADLINE} is a positive whole number of milliseconds',
+        )
+    return timedelta(milliseconds=int(text))
+
+
+def parse_model_request(body: bytes) -> ModelRequest:
+    """Read the model and the streaming flag of a completion request.
+
+    Raises
+    ------
+    MalformedCallError
+        If the body is not JSON or lacks the model.
+    """
+    try:
+        return msgspec.json.decode(body, type=ModelRequest)
+    except msgspec.MsgspecError as bad:
+        raise MalformedCallError(f'the body is malformed: {bad}') from bad
+
+
+def find_service(
+    settings: Settings,
+    name: str,
+    kind: ServiceKind,
+) -> Service:
+    """Return the service called ``name`` if it is of this kind.
+
+    Raises
+    ------
+    UnknownServiceError
+        If there is none.
+    """
+    service = settings.find_service(name)
+    if service is None or service.kind is not kind:
+        raise UnknownServiceError(f'no {kind} service has this name')
+    return service
+
+
+def get_service_name(model: str) -> str:
+    """Return the service in ``service[:adapter][@version]``."""
+    for separator in MODEL_SEPARATORS:
+        model = model.partition(separator)[0]
+    return model
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/cli.py
@@ -0,0 +1,46 @@
+"""Command line of the daemon."""
+
+import sys
+from pathlib import Path
+
+import defopt
+from mode import Worker
+
+from baobabhinge_gateway.daemon import Gateway
+from baobabhinge_gateway.process import (
+    ProcessSettingsError,
+    read_process_settings,
+)
+from baobabhinge_gateway.telemetry import set_up_logs
+
+EXIT_BAD_SETTINGS = 2
+
+
+def serve(*, settings: Path) -> None:
+    """Run one gateway until SIGTERM.
+
+    Exit codes: 0 after a graceful stop, 2 for unusable process settings.
+
+    Parameters
+    ----------
+    settings
+        INI file with the process settings of this gateway.
+    """
+    try:
+        checked = read_process_settings(settings)
+    except ProcessSettingsError as bad:
+        sys.stderr.write(f'{bad}\n')
+        sys.exit(EXIT_BAD_SETTINGS)
+    set_up_logs(checked.identity.name)
+    worker = Worker(
+        Gateway(checked),
+        override_logging=False,
+        daemon=True,
+        quiet=True,
+    )
+    worker.execute_from_commandline()
+
+
+def run() -> None:
+    """Read the command line and run the daemon."""
+    defopt.run(serve)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/__init__.py
@@ -0,0 +1,11 @@
+"""The configuration in force on this gateway."""
+
+from baobabhinge_gateway.configuration.active import (
+    ActiveConfiguration as ActiveConfiguration,
+)
+from baobabhinge_gateway.configuration.watcher import (
+    ConfigurationWatcher as ConfigurationWatcher,
+)
+from baobabhinge_gateway.configuration.watcher import (
+    build_release_reader as build_release_reader,
+)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
@@ -0,0 +1,32 @@
+"""Failures of the gateway, one tree with a common base."""
+
+from baobabhinge_gateway.errors.base import CallError as CallError
+from baobabhinge_gateway.errors.base import GatewayError as GatewayError
+from baobabhinge_gateway.errors.base import NotReachedError as NotReachedError
+from baobabhinge_gateway.errors.base import Outcome as Outcome
+from baobabhinge_gateway.errors.requests import (
+    MalformedCallError as MalformedCallError,
+)
+from baobabhinge_gateway.errors.requests import PathLoopError as PathLoopError
+from baobabhinge_gateway.errors.requests import (
+    UnknownServiceError as UnknownServiceError,
+)
+from baobabhinge_gateway.errors.serving import (
+    AnswerBrokenError as AnswerBrokenError,
+)
+from baobabhinge_gateway.errors.serving import (
+    DeadlinePassedError as DeadlinePassedError,
+)
+from baobabhinge_gateway.errors.serving import DrainingError as DrainingError
+from baobabhinge_gateway.errors.serving import (
+    NoBackendServerError as NoBackendServerError,
+)
+from baobabhinge_gateway.errors.serving import (
+    NotConfiguredError as NotConfiguredError,
+)
+from baobabhinge_gateway.errors.serving import (
+    OutcomeUnknownError as OutcomeUnknownError,
+)
+from baobabhinge_gateway.errors.serving import (
+    RegionBoundError as RegionBoundError,
+)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/serving.py
@@ -0,0 +1,54 @@
+"""Calls that could not be served now, or whose outcome is unknown."""
+
+from http import HTTPStatus
+
+from baobabhinge_gateway.errors.base import CallError, Outcome
+
+
+class NotConfiguredError(CallError):
+    """The gateway has no configuration yet."""
+
+    code = 'not-configured'
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+class RegionBoundError(CallError):
+    """The bound region can't serve the request now."""
+
+    code = 'region-bound'
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+class NoBackendServerError(CallError):
+    """No backend server could take the request."""
+
+    code = 'no-backend-server'
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+class DeadlinePassedError(CallError):
+    """The deadline passed before the request was run."""
+
+    code = 'deadline-passed'
+    status = HTTPStatus.GATEWAY_TIMEOUT
+
+
+class DrainingError(CallError):
+    """The gateway is leaving and takes no new calls."""
+
+    code = 'draining'
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+class OutcomeUnknownError(CallError):
+    """The request may have run."""
+
+    code = 'outcome-unknown'
+    status = HTTPStatus.BAD_GATEWAY
+    outcome = Outcome.unknown
+
+
+class AnswerBrokenError(OutcomeUnknownError):
+    """The backend server's answer broke off or was not for this request."""
+
+    code = 'answer-broken'
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/process/__init__.py
@@ -0,0 +1,11 @@
+"""Settings of one gateway process."""
+
+from baobabhinge_gateway.process.settings import (
+    ProcessSettings as ProcessSettings,
+)
+from baobabhinge_gateway.process.settings import (
+    ProcessSettingsError as ProcessSettingsError,
+)
+from baobabhinge_gateway.process.settings import (
+    read_process_settings as read_process_settings,
+)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/outbound.py
@@ -0,0 +1,64 @@
+"""Requests that carry a call to a backend server or to another gateway."""
+
+from datetime import timedelta
+
+from baobabhinge_gateway.backends import Outbound
+from baobabhinge_gateway.calls import Call, headers
+from baobabhinge_gateway.calls.model import Headers
+from baobabhinge_gateway.routing.targets import Target
+from baobabhinge_settings.model import ServiceKind
+
+MILLISECOND = timedelta(milliseconds=1)
+
+
+def build_outbound(
+    call: Call,
+    target: Target,
+    patience: timedelta,
+) -> Outbound:
+    """Return the request that carries ``call`` to ``target``.
+
+    Parameters
+    ----------
+    call : Call
+        The call.
+    target : Target
+        Where it goes.
+    patience : timedelta
+        Time left until its deadline.
+    """
+    pairs: Headers = (
+        *call.headers,
+        (headers.REQUEST_ID, call.request_id),
+    )
+    path = call.path
+    if target.is_remote:
+        pairs = (*pairs, *_list_forward_headers(call, patience))
+        path = _get_forward_path(call)
+    address = target.vm.address
+    return Outbound(
+        call.method,
+        f'http://{address}{path}',
+        pairs,
+        call.body,
+        patience,
+    )
+
+
+def _list_forward_headers(call: Call, patience: timedelta) -> Headers:
+    milliseconds = max(1, patience // MILLISECOND)
+    pairs = (
+        (headers.PATH, call.hops.render()),
+        (headers.DEADLINE, str(milliseconds)),
+        (headers.WORKSPACE, call.terms.workspace),
+    )
+    if call.terms.bound_region is None:
+        return pairs
+    return (*pairs, (headers.REGION_BOUND, call.terms.bound_region))
+
+
+def _get_forward_path(call: Call) -> str:
+    if call.service.kind is ServiceKind.model:
+        return f'{headers.FORWARD_PREFIX}{call.path}'
+    service = call.service.name
+    return f'{headers.FORWARD_PREFIX}/services/{service}{call.path}'
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/router.py
@@ -0,0 +1,84 @@
+"""Finding the targets of a call."""
+
+from collections.abc import Sequence
+
+from baobabhinge_gateway.calls import Call
+from baobabhinge_gateway.errors import NoBackendServerError, RegionBoundError
+from baobabhinge_gateway.fleet import VmWatcher
+from baobabhinge_gateway.routing.counters import InFlight
+from baobabhinge_gateway.routing.targets import RoutingPolicy, Target
+from baobabhinge_platform.machines import Vm
+
+
+class Router:
+    """Rank the targets of calls that arrive in one region.
+
+    Parameters
+    ----------
+    region : str
+        Region of this gateway.
+    fleet : VmWatcher
+        Known vms.
+    policy : RoutingPolicy
+        Order of the targets.
+    in_flight : InFlight
+        Calls open by vm.
+    """
+
+    __slots__ = ('_fleet', '_in_flight', '_policy', '_region')
+
+    def __init__(
+        self,
+        region: str,
+        fleet: VmWatcher,
+        policy: RoutingPolicy,
+        in_flight: InFlight,
+    ) -> None:
+        """Keep the parts."""
+        self._region = region
+        self._fleet = fleet
+        self._policy = policy
+        self._in_flight = in_flight
+
+    def rank_targets(self, call: Call) -> Sequence[Target]:
+        """Return the targets of ``call``, the best one first.
+
+        Raises
+        ------
+        RegionBoundError
+            If the call is bound to a region and can't be run there.
+        NoBackendServerError
+            If no backend server of the service is known.
+        """
+        targets = self._policy.rank(call, self._list_targets(call))
+        if targets:
+            return targets
+        if call.terms.bound_region:
+            raise RegionBoundError('the bound region has no backend server')
+        raise NoBackendServerError('no backend server of the service is known')
+
+    def _list_targets(self, call: Call) -> list[Target]:
+        bound = call.terms.bound_region
+        local = []
+        if bound in {None, self._region}:
+            local = self._list_local(call)
+        if len(call.hops.hops) > 1:
+            return local
+        return local + self._list_remote(call, bound)
+
+    def _list_local(self, call: Call) -> list[Target]:
+        vms = self._fleet.list_backends(call.service.name, self._region)
+        return [self._build_target(vm, is_remote=False) for vm in vms]
+
+    def _list_remote(self, call: Call, bound: str | None) -> list[Target]:
+        return [
+            self._build_target(vm, is_remote=True)
+            for vm in self._fleet.list_gateways()
+            if vm.region != self._region
+            and bound in {None, vm.region}
+            and call.service.is_placed_in(vm.region)
+            and not call.hops.has_region(vm.region)
+        ]
+
+    def _build_target(self, vm: Vm, *, is_remote: bool) -> Target:
+        return Target(vm, is_remote, self._in_flight.count(vm.name))
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/telemetry/logs.py
@@ -0,0 +1,26 @@
+"""Structured logs: one JSON object a line on standard error."""
+
+import sys
+
+import structlog
+
+
+def set_up_logs(vm: str) -> None:
+    """Write JSON lines that carry the name of this vm.
+
+    Parameters
+    ----------
+    vm : str
+        Name of the vm.
+    """
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(vm=vm)
--- /dev/null
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/baobabhinge-platform/src/baobabhinge_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the services of the platform, met by published formats."""
--- /dev/null
+++ b/packages/baobabhinge-platform/src/baobabhinge_platform/machines/listing.py
@@ -0,0 +1,94 @@
+"""Virtual machines as the platform lists them.
+
+References
+----------
+Prometheus HTTP service discovery: a JSON list of target groups, each with
+``targets`` and ``labels``.
+"""
+
+from datetime import timedelta
+from http import HTTPStatus
+
+import aiohttp
+import msgspec
+
+from baobabhinge_platform.machines.vm import Role, Vm, VmState
+
+READ_TIMEOUT = timedelta(seconds=2)
+
+
+class VmListError(Exception):
+    """The list could not be read."""
+
+
+class _Labels(msgspec.Struct):
+    vm: str
+    region: str
+    failure_domain: str
+    role: Role
+    service: str = ''
+    state: VmState = VmState.live
+    caller_address: str = ''
+
+
+class _TargetGroup(msgspec.Struct):
+    targets: list[str]
+    labels: _Labels
+
+
+class VmList:
+    """Reader of the list.
+
+    Parameters
+    ----------
+    http : aiohttp.ClientSession
+        Session that the caller owns and closes.
+    address : str
+        Address of the list, with its path.
+    """
+
+    __slots__ = ('_address', '_http')
+
+    def __init__(self, http: aiohttp.ClientSession, address: str) -> None:
+        """Keep the session; no call is made."""
+        self._http = http
+        self._address = address
+
+    async def read(self) -> tuple[Vm, ...]:
+        """Return every listed vm.
+
+        Raises
+        ------
+        VmListError
+            If the list can't be reached or is malformed.
+        """
+        limit = aiohttp.ClientTimeout(total=READ_TIMEOUT.total_seconds())
+        try:
+            async with self._http.get(self._address, timeout=limit) as answer:
+                return _decode(answer.status, await answer.read())
+        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as bad:
+            raise VmListError(str(bad)) from bad
+
+
+def _decode(status: int, body: bytes) -> tuple[Vm, ...]:
+    if status != HTTPStatus.OK:
+        raise VmListError(f'the list of vms answered with status {status}')
+    groups = msgspec.json.decode(body, type=list[_TargetGroup])
+    return tuple(
+        _convert(address, group.labels)
+        for group in groups
+        for address in group.targets
+    )
+
+
+def _convert(address: str, labels: _Labels) -> Vm:
+    return Vm(
+        name=labels.vm,
+        address=address,
+        region=labels.region,
+        failure_domain=labels.failure_domain,
+        role=labels.role,
+        service=labels.service,
+        state=labels.state,
+        caller_address=labels.caller_address,
+    )
--- /dev/null
+++ b/packages/baobabhinge-platform/src/baobabhinge_platform/store/transport.py
@@ -0,0 +1,107 @@
+"""Calls to a key-value service with the Consul HTTP interface.
+
+References
+----------
+Consul HTTP API, ``/v1/kv`` and ``/v1/session``.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from datetime import timedelta
+from http import HTTPStatus
+
+import aiohttp
+import msgspec
+
+from baobabhinge_coordination.store import (
+    StoreAnswerLostError,
+    StoreUnavailableError,
+)
+
+WRITE = 'PUT'
+CALL_TIMEOUT = timedelta(seconds=2)
+
+
+class StoreCall(msgspec.Struct, frozen=True):
+    """One call.
+
+    Parameters
+    ----------
+    method, path : str
+        HTTP method, and path below ``/v1/``.
+    query : dict of str to str
+        Query of the address.
+    body : bytes
+        Body of the request.
+    timeout : timedelta
+        Longest wait for the whole answer.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str] = {}
+    body: bytes = b''
+    timeout: timedelta = CALL_TIMEOUT
+
+
+class ConsulTransport:
+    """Send calls, count them and type their failures.
+
+    Parameters
+    ----------
+    http : aiohttp.ClientSession
+        Session that the caller owns and closes.
+    address : str
+        Base address of the service.
+    """
+
+    __slots__ = ('_address', '_http', 'calls')
+
+    def __init__(self, http: aiohttp.ClientSession, address: str) -> None:
+        """Keep the session; no call is made."""
+        self._http = http
+        self._address = address
+        self.calls = 0
+
+    @asynccontextmanager
+    async def open(
+        self,
+        call: StoreCall,
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Yield the answer of ``call``.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the call had no effect.
+        StoreAnswerLostError
+            If it may have had one.
+        """
+        self.calls += 1
+        limit = aiohttp.ClientTimeout(total=call.timeout.total_seconds())
+        try:
+            async with self._http.request(
+                call.method,
+                f'{self._address}/v1/{call.path}',
+                params=call.query,
+                data=call.body,
+                timeout=limit,
+            ) as answer:
+                _refuse_failure(answer.status)
+                yield answer
+        except aiohttp.ClientConnectorError as refused:
+            raise StoreUnavailableError(str(refused)) from refused
+        except (aiohttp.ClientError, TimeoutError) as lost:
+            raise StoreAnswerLostError(str(lost)) from lost
+
+    async def put_flag(self, call: StoreCall) -> bool:
+        """Send a write and return whether it was accepted."""
+        async with self.open(call) as answer:
+            return msgspec.json.decode(await answer.read(), type=bool)
+
+
+def _refuse_failure(status: int) -> None:
+    if status == HTTPStatus.TOO_MANY_REQUESTS:
+        raise StoreUnavailableError('the key-value service limits our rate')
+    if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        raise StoreAnswerLostError(f'the key-value service answered {status}')
--- /dev/null
+++ b/packages/baobabhinge-platform/src/baobabhinge_platform/store/values.py
@@ -0,0 +1,82 @@
+"""Values, compare-and-swap and watches."""
+
+import base64
+from datetime import timedelta
+from http import HTTPStatus
+
+import msgspec
+
+from baobabhinge_coordination.store import StoredValue
+from baobabhinge_platform.store.transport import (
+    WRITE,
+    ConsulTransport,
+    StoreCall,
+)
+
+WATCH_MARGIN = timedelta(seconds=2)
+ABSENT_BODY = b''
+
+
+class _KeyRow(msgspec.Struct, rename='pascal'):
+    key: str
+    modify_index: int
+    encoded: str | None = msgspec.field(default=None, name='Value')
+    session: str | None = None
+
+
+class ConsulStore:
+    """Values of the key-value service.
+
+    Parameters
+    ----------
+    transport : ConsulTransport
+        Sender of calls.
+    """
+
+    __slots__ = ('_transport',)
+
+    def __init__(self, transport: ConsulTransport) -> None:
+        """Keep the transport; no call is made."""
+        self._transport = transport
+
+    async def read(self, key: str) -> StoredValue:
+        """Return the value of ``key``, with revision 0 if it is absent."""
+        return await self._get(key, StoreCall('GET', f'kv/{key}'))
+
+    async def watch(
+        self,
+        key: str,
+        after: int,
+        patience: timedelta,
+    ) -> StoredValue:
+        """Wait for a revision past ``after``; one call for the whole wait."""
+        seconds = int(patience.total_seconds())
+        call = StoreCall(
+            'GET',
+            f'kv/{key}',
+            {'index': str(after), 'wait': f'{seconds}s'},
+            timeout=patience + WATCH_MARGIN,
+        )
+        return await self._get(key, call)
+
+    async def swap(self, key: str, body: bytes, expected: int) -> bool:
+        """Write ``body`` if the revision still is ``expected``."""
+        query = {'cas': str(expected)}
+        return await self._transport.put_flag(
+            StoreCall(WRITE, f'kv/{key}', query, body),
+        )
+
+    async def _get(self, key: str, call: StoreCall) -> StoredValue:
+        async with self._transport.open(call) as answer:
+            if answer.status == HTTPStatus.NOT_FOUND:
+                return StoredValue(key, ABSENT_BODY, 0)
+            rows = msgspec.json.decode(
+                await answer.read(),
+                type=list[_KeyRow],
+            )
+        return _convert_row(rows[0])
+
+
+def _convert_row(row: _KeyRow) -> StoredValue:
+    body = base64.b64decode(row.encoded or '')
+    return StoredValue(row.key, body, row.modify_index, row.session)
--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Development stand-ins for the platform and the backend servers."""
--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/application/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of an application worker."""
--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: one deployment under example load, and a table of outcomes."""
--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of a batching model engine."""
--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/__init__.py
@@ -0,0 +1,10 @@
+"""Starting a whole deployment as real processes on the loopback address."""
+
+from baobabhinge_standins.fleet.deployment import Deployment as Deployment
+from baobabhinge_standins.fleet.deployment import (
+    run_deployment as run_deployment,
+)
+from baobabhinge_standins.fleet.members import Member as Member
+from baobabhinge_standins.fleet.members import Role as Role
+from baobabhinge_standins.fleet.plans import PLANS as PLANS
+from baobabhinge_standins.fleet.plans import DeploymentPlan as DeploymentPlan
--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/members.py
@@ -0,0 +1,121 @@
+"""The vms of a deployment."""
+
+import enum
+
+import msgspec
+
+from baobabhinge_standins.fleet.ports import HOST, reserve_port
+
+
+class Role(enum.StrEnum):
+    """What a member runs."""
+
+    gateway = 'gateway'
+    engine = 'engine'
+    application = 'application'
+
+
+class Member(msgspec.Struct):
+    """One vm of the deployment.
+
+    Parameters
+    ----------
+    name : str
+        Name of the vm.
+    role : Role
+        What it runs.
+    region, service : str
+        Where it stands and what it serves.
+    port : int
+        Port for its peers or for the gateways.
+    caller_port : int
+        Port for callers; 0 unless it is a gateway.
+    state : str
+        ``live`` or ``leaving``.
+    """
+
+    name: str
+    role: Role
+    region: str
+    port: int
+    service: str = ''
+    caller_port: int = 0
+    state: str = 'live'
+
+    @property
+    def failure_domain(self) -> str:
+        """Return the failure domain; each region has one."""
+        return f'{self.region}-a'
+
+    @property
+    def address(self) -> str:
+        """Return ``host:port`` for peers or for the gateways."""
+        return f'{HOST}:{self.port}'
+
+    @property
+    def caller_address(self) -> str:
+        """Return ``host:port`` for callers."""
+        return f'{HOST}:{self.caller_port}'
+
+    def list_options(self) -> tuple[str, ...]:
+        """Return the options of the stand-in that runs on this vm."""
+        return (f'--port={self.port}', f'--name={self.name}')
+
+    def render_target(self) -> dict[str, object]:
+        """Return the target group of this vm for the list of vms."""
+        labels = {
+            'vm': self.name,
+            'region': self.region,
+            'failure_domain': self.failure_domain,
+            'role': self.role,
+            'service': self.service,
+            'state': self.state,
+        }
+        if self.caller_port:
+            labels['caller_address'] = self.caller_address
+        return {'targets': [self.address], 'labels': labels}
+
+
+class Roster:
+    """Members by name."""
+
+    __slots__ = ('_members',)
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._members: dict[str, Member] = {}
+
+    def get(self, name: str) -> Member:
+        """Return the member called ``name``."""
+        return self._members[name]
+
+    def list_all(self) -> list[Member]:
+        """Return every member."""
+        return list(self._members.values())
+
+    def list_by(self, role: Role, region: str = '') -> list[Member]:
+        """Return the members with a role, of one region or of all."""
+        return [
+            member
+            for member in self._members.values()
+            if member.role is role and region in {'', member.region}
+        ]
+
+    def add_backend(self, role: Role, region: str, service: str) -> Member:
+        """Add the next backend server of ``service`` in ``region``."""
+        prefix = f'{region}-{service}'
+        known = [name for name in self._members if name.startswith(prefix)]
+        number = len(known) + 1
+        name = f'{prefix}-{number}'
+        member = Member(name, role, region, reserve_port(), service)
+        self._members[name] = member
+        return member
+
+    def add_gateway(self, region: str) -> Member:
+        """Add the next gateway of ``region``."""
+        number = len(self.list_by(Role.gateway, region)) + 1
+        name = f'{region}-gateway-{number}'
+        member = Member(name, Role.gateway, region, reserve_port())
+        member.caller_port = reserve_port()
+        self._members[name] = member
+        return member
--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/plans.py
@@ -0,0 +1,97 @@
+"""Sizes of the deployments that the brief describes."""
+
+from datetime import timedelta
+
+import msgspec
+
+from baobabhinge_standins.fleet.members import Role
+
+
+class BackendPlan(msgspec.Struct, frozen=True):
+    """Backend servers of one service in one region."""
+
+    service: str
+    role: Role
+    region: str
+    count: int
+
+
+class DeploymentPlan(msgspec.Struct, frozen=True):
+    """A deployment.
+
+    Parameters
+    ----------
+    name : str
+        Name of the folder under ``examples``.
+    gateways : dict of str to int
+        Number of gateways by region.
+    backends : tuple of BackendPlan
+        Backend servers.
+    wan_latency : timedelta
+        One-way latency between regions.
+    link_bits_per_second : int
+        Bandwidth of each link between two regions.
+    """
+
+    name: str
+    gateways: dict[str, int]
+    backends: tuple[BackendPlan, ...]
+    wan_latency: timedelta
+    link_bits_per_second: int
+
+
+WAN_LATENCY = timedelta(milliseconds=80)
+
+GIGABIT = 1_000_000_000
+MEGABIT = 1_000_000
+
+
+def _plan_backends(
+    service: str,
+    role: Role,
+    counts: dict[str, int],
+) -> tuple[BackendPlan, ...]:
+    return tuple(
+        BackendPlan(service, role, region, count)
+        for region, count in counts.items()
+    )
+
+
+PLANS = {
+    'tsukushi': DeploymentPlan(
+        name='tsukushi',
+        gateways={'fukuoka': 3, 'kumamoto': 3, 'kagoshima': 3},
+        backends=(
+            *_plan_backends(
+                'appraiser-llm',
+                Role.engine,
+                {'fukuoka': 4, 'kumamoto': 3, 'kagoshima': 2},
+            ),
+            *_plan_backends(
+                'trade-ledger',
+                Role.application,
+                {'fukuoka': 1, 'kumamoto': 1, 'kagoshima': 1},
+            ),
+        ),
+        wan_latency=WAN_LATENCY,
+        link_bits_per_second=GIGABIT,
+    ),
+    'kranfelder': DeploymentPlan(
+        name='kranfelder',
+        gateways={'bayern': 3, 'nordsee': 3, 'adria': 2},
+        backends=(
+            *_plan_backends(
+                'planner-llm',
+                Role.engine,
+                {'bayern': 2, 'nordsee': 2, 'adria': 1},
+            ),
+            *_plan_backends(
+                'quay-app',
+                Role.application,
+                {'bayern': 1, 'nordsee': 1, 'adria': 1},
+            ),
+        ),
+        wan_latency=WAN_LATENCY,
+        link_bits_per_second=70 * MEGABIT,
+    ),
+}
--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/keyvalue/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of the key-value service."""
--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/machines/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the VM list and of the client directory."""
