--- /dev/null
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/__init__.py
@@ -0,0 +1,1 @@
+"""Async library for programs that call the gateway."""
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/__init__.py
@@ -1,4 +1,8 @@
 """The HTTP interface towards callers."""
 
+from baobabhinge_gateway.callers.assembly import (
+    build_call_server as build_call_server,
+)
+from baobabhinge_gateway.callers.callroutes import CallRoutes as CallRoutes
 from baobabhinge_gateway.callers.entries import EntryReport as EntryReport
 from baobabhinge_gateway.callers.status import StatusReport as StatusReport
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
@@ -2,13 +2,13 @@
 
 from random import SystemRandom
 
-import aiohttp
-
 from baobabhinge_coordination.clock import SystemClock
 from baobabhinge_gateway.callers.service import CallServer
 from baobabhinge_gateway.calls import Hop
 from baobabhinge_gateway.configuration import ActiveConfiguration
+from baobabhinge_gateway.execution import Executors, RepeatableExecutor
 from baobabhinge_gateway.fleet import VmWatcher
+from baobabhinge_gateway.platform import Platform
 from baobabhinge_gateway.routing import (
     Dispatcher,
     InFlight,
@@ -23,16 +23,19 @@
     hop: Hop,
     active: ActiveConfiguration,
     fleet: VmWatcher,
-    http: aiohttp.ClientSession,
+    platform: Platform,
 ) -> CallServer:
     """Return the server of calls of one gateway."""
     clock = SystemClock()
     in_flight = InFlight()
     policy = create_policy(DEFAULT_POLICY, SystemRandom())
-    return CallServer(
-        hop,
-        clock,
-        active,
+    repeatable = RepeatableExecutor(
         Router(hop.region, fleet, policy, in_flight),
-        Dispatcher(http, clock, in_flight),
+        Dispatcher(platform.http, clock, in_flight),
+    )
+    executors = Executors(
+        model=repeatable,
+        plain=repeatable,
+        run_once=repeatable,
     )
+    return CallServer(hop, clock, active, executors)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/callroutes.py
@@ -0,0 +1,40 @@
+"""Paths by which calls come in."""
+
+from aiohttp import web
+
+from baobabhinge_gateway.callers.service import CallServer
+
+PLAIN_PATH = '/services/{service}/{rest:.*}'
+MODEL_PATHS = ('/v1/chat/completions', '/v1/completions')
+
+
+class CallRoutes:
+    """Paths of completions and of plain services.
+
+    Parameters
+    ----------
+    calls : CallServer
+        Server of calls.
+    prefix : str, optional
+        Prefix of the paths; empty towards callers.
+    """
+
+    __slots__ = ('_calls', '_prefix')
+
+    def __init__(self, calls: CallServer, prefix: str = '') -> None:
+        """Keep the parts."""
+        self._calls = calls
+        self._prefix = prefix
+
+    def add_to(self, app: web.Application) -> None:
+        """Add the paths."""
+        for path in MODEL_PATHS:
+            app.router.add_post(
+                f'{self._prefix}{path}',
+                self._calls.serve_model,
+            )
+        app.router.add_route(
+            '*',
+            f'{self._prefix}{PLAIN_PATH}',
+            self._calls.serve_plain,
+        )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/entries.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/entries.py
@@ -51,6 +51,10 @@
         self._region = region
         self._fleet = fleet
 
+    def add_to(self, app: web.Application) -> None:
+        """Add the path."""
+        app.router.add_get('/v1/entries', self.report)
+
     async def report(self, request: web.Request) -> web.Response:
         """Answer with the ranked list."""
         ranked = sorted(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
@@ -1,13 +1,11 @@
 """Serving one call from its arrival to its answer."""
 
 import uuid
-from http import HTTPStatus
 
 from aiohttp import web
 
 from baobabhinge_coordination.clock import Clock
-from baobabhinge_gateway.callers.relay import write_stream, write_whole
-from baobabhinge_gateway.calls import Call, Hop, HopList, headers
+from baobabhinge_gateway.calls import Hop, HopList, headers
 from baobabhinge_gateway.calls.building import (
     Arrival,
     CallBuilder,
@@ -15,7 +13,7 @@
     build_plain_call,
 )
 from baobabhinge_gateway.configuration import ActiveConfiguration
-from baobabhinge_gateway.routing import Dispatcher, Router
+from baobabhinge_gateway.execution import Executors
 from baobabhinge_gateway.telemetry import Measures
 
 
@@ -30,35 +28,24 @@
         Clock of the deadlines.
     active : ActiveConfiguration
         Configuration in force.
-    router : Router
-        Finder of targets.
-    dispatcher : Dispatcher
-        Sender of calls.
+    executors : Executors
+        Runners of calls.
     """
 
-    __slots__ = (
-        '_active',
-        '_clock',
-        '_dispatcher',
-        '_hop',
-        '_router',
-        'measures',
-    )
+    __slots__ = ('_active', '_clock', '_executors', '_hop', 'measures')
 
     def __init__(
         self,
         hop: Hop,
         clock: Clock,
         active: ActiveConfiguration,
-        router: Router,
-        dispatcher: Dispatcher,
+        executors: Executors,
     ) -> None:
         """Keep the parts."""
         self._hop = hop
         self._clock = clock
         self._active = active
-        self._router = router
-        self._dispatcher = dispatcher
+        self._executors = executors
         self.measures = Measures()
 
     async def serve_model(self, request: web.Request) -> web.StreamResponse:
@@ -76,23 +63,13 @@
     ) -> web.StreamResponse:
         arrival = self._register(request)
         call = await build(request, self._active.require_settings(), arrival)
-        response = await self._answer(request, call)
+        executor = self._executors.select(call)
+        response = await executor.execute(request, call)
         elapsed = self._clock.read_monotonic() - arrival.instant
         self.measures.record_latency('answer', elapsed)
         self.measures.outcomes['answered'] += 1
         return response
 
-    async def _answer(
-        self,
-        request: web.Request,
-        call: Call,
-    ) -> web.StreamResponse:
-        targets = self._router.rank_targets(call)
-        async with self._dispatcher.open_answer(call, targets) as answer:
-            if call.streamed and answer.status == HTTPStatus.OK:
-                return await write_stream(request, call, answer)
-            return await write_whole(call, answer)
-
     def _register(self, request: web.Request) -> Arrival:
         passed = HopList.parse(request.headers.get(headers.PATH, ''))
         request_id = request.headers.get(headers.REQUEST_ID)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/status.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/status.py
@@ -47,6 +47,12 @@
         self._active = active
         self._measures = measures
 
+    def add_to(self, app: web.Application) -> None:
+        """Add the paths."""
+        app.router.add_get('/v1/status', self.report_status)
+        app.router.add_get('/healthz', self.report_health)
+        app.router.add_get('/readyz', self.report_readiness)
+
     async def report_health(self, request: web.Request) -> web.Response:
         """Answer that the process runs."""
         return web.Response(text='ok\n')
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/model.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/model.py
@@ -60,3 +60,9 @@
     terms: Terms
     hops: HopList
     streamed: bool = False
+
+    @property
+    def is_run_once(self) -> bool:
+        """Tell whether the call may not be repeated."""
+        path = self.path.partition('?')[0]
+        return self.service.is_run_once(self.method, path)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/__init__.py
@@ -6,6 +6,3 @@
 from baobabhinge_gateway.configuration.watcher import (
     ConfigurationWatcher as ConfigurationWatcher,
 )
-from baobabhinge_gateway.configuration.watcher import (
-    build_release_reader as build_release_reader,
-)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/watcher.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/watcher.py
@@ -2,14 +2,12 @@
 
 from datetime import timedelta
 
-import aiohttp
 import structlog
 from mode import Service
 
 from baobabhinge_coordination.generations import ReleaseReader
 from baobabhinge_coordination.store import StoreError
 from baobabhinge_gateway.configuration.active import ActiveConfiguration
-from baobabhinge_platform.store import ConsulStore, ConsulTransport
 
 RETRY_INTERVAL = timedelta(milliseconds=500)
 WATCH_PATIENCE = timedelta(seconds=20)
@@ -51,11 +49,3 @@
         release = await self._reader.wait_newer(WATCH_PATIENCE)
         if release is not None and self._active.adopt(release):
             log.info('configuration-adopted', generation=release.generation)
-
-
-def build_release_reader(
-    http: aiohttp.ClientSession,
-    key_value: str,
-) -> ReleaseReader:
-    """Return a reader of the key-value service at ``key_value``."""
-    return ReleaseReader(ConsulStore(ConsulTransport(http, key_value)))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -3,18 +3,24 @@
 import aiohttp
 from mode import Service
 
-from baobabhinge_gateway.callers import EntryReport, StatusReport
-from baobabhinge_gateway.callers.app import build_caller_app, build_peer_app
-from baobabhinge_gateway.callers.assembly import build_call_server
-from baobabhinge_gateway.calls import Hop
+from baobabhinge_coordination.generations import ReleaseReader
+from baobabhinge_gateway.callers import (
+    CallRoutes,
+    EntryReport,
+    StatusReport,
+    build_call_server,
+)
+from baobabhinge_gateway.calls import Hop, headers
 from baobabhinge_gateway.configuration import (
     ActiveConfiguration,
     ConfigurationWatcher,
-    build_release_reader,
 )
-from baobabhinge_gateway.fleet import VmWatcher, build_vm_watcher
+from baobabhinge_gateway.fleet import VmWatcher
+from baobabhinge_gateway.lifecycle import Lifecycle
 from baobabhinge_gateway.listening import Listener
+from baobabhinge_gateway.platform import Platform
 from baobabhinge_gateway.process import ProcessSettings
+from baobabhinge_gateway.routes import build_app
 
 
 class Gateway(Service):
@@ -31,6 +37,7 @@
         super().__init__()
         self._settings = settings
         self._active = ActiveConfiguration()
+        self._lifecycle = Lifecycle()
 
     async def on_start(self) -> None:
         """Start the parts, listeners last."""
@@ -40,35 +47,37 @@
                 connector=aiohttp.TCPConnector(limit=0),
             ),
         )
-        fleet = await self._start_watchers(http)
-        await self._start_listeners(http, fleet)
+        platform = Platform(http, self._settings.platform)
+        fleet = await self._start_watchers(platform)
+        await self._start_listeners(platform, fleet)
 
-    async def _start_watchers(self, http: aiohttp.ClientSession) -> VmWatcher:
-        platform = self._settings.platform
-        fleet = build_vm_watcher(http, platform.vm_list)
-        reader = build_release_reader(http, platform.key_value)
+    async def _start_watchers(self, platform: Platform) -> VmWatcher:
+        fleet = VmWatcher(platform.vm_list)
         await self.add_runtime_dependency(fleet)
         await self.add_runtime_dependency(
-            ConfigurationWatcher(self._active, reader),
+            ConfigurationWatcher(self._active, ReleaseReader(platform.store)),
         )
         return fleet
 
     async def _start_listeners(
         self,
-        http: aiohttp.ClientSession,
+        platform: Platform,
         fleet: VmWatcher,
     ) -> None:
         identity = self._settings.identity
         hop = Hop(identity.name, identity.region)
-        calls = build_call_server(hop, self._active, fleet, http)
-        entries = EntryReport(identity.region, fleet)
-        status = StatusReport(hop, self._active, calls.measures)
+        calls = build_call_server(hop, self._active, fleet, platform)
+        peer_app = build_app([CallRoutes(calls, headers.FORWARD_PREFIX)])
+        caller_app = build_app(
+            [
+                CallRoutes(calls),
+                EntryReport(identity.region, fleet),
+                StatusReport(hop, self._active, calls.measures),
+            ],
+        )
         await self.add_runtime_dependency(
-            Listener(build_peer_app(calls), identity.peer_address),
+            Listener(peer_app, identity.peer_address),
         )
         await self.add_runtime_dependency(
-            Listener(
-                build_caller_app(calls, entries, status),
-                identity.caller_address,
-            ),
+            Listener(caller_app, identity.caller_address),
         )
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/__init__.py
@@ -0,0 +1,7 @@
+"""Running calls: one executor for each kind of call."""
+
+from baobabhinge_gateway.execution.protocol import Executor as Executor
+from baobabhinge_gateway.execution.protocol import Executors as Executors
+from baobabhinge_gateway.execution.repeatable import (
+    RepeatableExecutor as RepeatableExecutor,
+)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/__init__.py
@@ -1,6 +1,3 @@
 """What this gateway knows about the vms around it."""
 
 from baobabhinge_gateway.fleet.watcher import VmWatcher as VmWatcher
-from baobabhinge_gateway.fleet.watcher import (
-    build_vm_watcher as build_vm_watcher,
-)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/watcher.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/watcher.py
@@ -3,7 +3,6 @@
 from collections.abc import Sequence
 from datetime import timedelta
 
-import aiohttp
 import structlog
 from mode import Service
 
@@ -65,8 +64,3 @@
             self._vms = await self._vm_list.read()
         except VmListError as bad:
             log.warning('vm-list-unreadable', reason=type(bad).__name__)
-
-
-def build_vm_watcher(http: aiohttp.ClientSession, address: str) -> VmWatcher:
-    """Return a watcher of the list at ``address``."""
-    return VmWatcher(VmList(http, address))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/process/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/process/__init__.py
@@ -1,5 +1,9 @@
 """Settings of one gateway process."""
 
+from baobabhinge_gateway.process.settings import Identity as Identity
+from baobabhinge_gateway.process.settings import (
+    PlatformAddresses as PlatformAddresses,
+)
 from baobabhinge_gateway.process.settings import (
     ProcessSettings as ProcessSettings,
 )
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routes.py
@@ -0,0 +1,28 @@
+"""Applications put together from parts that add their own paths."""
+
+from collections.abc import Iterable
+from typing import Protocol
+
+from aiohttp import web
+
+from baobabhinge_gateway.callers.problems import answer_problems
+
+MAX_BODY_BYTES = 4 << 20
+
+
+class Routes(Protocol):
+    """A part that serves some paths."""
+
+    def add_to(self, app: web.Application) -> None:
+        """Add the paths to ``app``."""
+
+
+def build_app(parts: Iterable[Routes]) -> web.Application:
+    """Return an application with the paths of all ``parts``."""
+    app = web.Application(
+        middlewares=[answer_problems],
+        client_max_size=MAX_BODY_BYTES,
+    )
+    for part in parts:
+        part.add_to(app)
+    return app
