--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/conftest.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/conftest.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 
 import pytest
+
 from baobabhinge_standins.fleet import DeploymentPlan, Role, run_deployment
 from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
 
