Put links between regions and to the store, and let tests fail one member

Each gateway sees its own list of vms; members of other regions and the store stand behind links with the plan's latency and bandwidth, members of its own region too if the plan says so.

--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/backends.py
@@ -0,0 +1,42 @@
+"""Journals and faults of the backend servers of a deployment."""
+
+import aiohttp
+import msgspec
+
+from baobabhinge_standins.application.messages import Run
+from baobabhinge_standins.control import ControlClient
+from baobabhinge_standins.engine.journal import EngineRun
+from baobabhinge_standins.fleet.members import Member
+
+
+class Backends:
+    """Control of backend servers past every link.
+
+    Parameters
+    ----------
+    http : aiohttp.ClientSession
+        Session that the caller owns and closes.
+    """
+
+    __slots__ = ('_http',)
+
+    def __init__(self, http: aiohttp.ClientSession) -> None:
+        """Keep the session."""
+        self._http = http
+
+    async def read_engine_runs(self, member: Member) -> list[EngineRun]:
+        """Return what an engine has run since its start."""
+        body = await self._control(member).send('GET', '-/runs', None)
+        return msgspec.json.decode(body, type=list[EngineRun])
+
+    async def read_runs(self, member: Member) -> list[Run]:
+        """Return what an application worker has run since its start."""
+        body = await self._control(member).send('GET', '-/runs', None)
+        return msgspec.json.decode(body, type=list[Run])
+
+    async def set_faults(self, member: Member, faults: msgspec.Struct) -> None:
+        """Set the faults of a backend server, in place of the present ones."""
+        await self._control(member).send('PUT', '-/faults', faults)
+
+    def _control(self, member: Member) -> ControlClient:
+        return ControlClient(self._http, f'http://{member.address}')
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
@@ -1,16 +1,19 @@
 """A deployment of stand-ins and gateways."""
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+import asyncio
 from pathlib import Path
 
 import aiohttp
 
+from baobabhinge_standins.fleet.backends import Backends
 from baobabhinge_standins.fleet.members import Role, Roster
 from baobabhinge_standins.fleet.plans import BackendPlan, DeploymentPlan
 from baobabhinge_standins.fleet.platform import Platform
-from baobabhinge_standins.fleet.processes import ProcessGroup, own_processes
+from baobabhinge_standins.fleet.processes import ProcessGroup
 from baobabhinge_standins.fleet.readiness import wait_url
+from baobabhinge_standins.fleet.views import Views
+from baobabhinge_standins.fleet.vmlists import VmLists
+from baobabhinge_standins.links import Links
 
 GATEWAY_MODULE = 'baobabhinge_gateway'
 STAND_IN_MODULES = {
@@ -19,13 +22,44 @@
 }
 
 
-class Deployment:
-    """Processes of one deployment and their addresses."""
+class PublishFailedError(Exception):
+    """The operators' command did not publish a folder."""
+
 
-    __slots__ = ('_folder', '_http', 'platform', 'processes', 'roster')
+class Deployment:
+    """Processes of one deployment and their addresses.
+
+    Attributes
+    ----------
+    backends : Backends
+        Journals and faults of the backend servers.
+    links : Links
+        Faults between processes.
+    platform : Platform
+        Addresses and control of the platform's stand-ins.
+    processes : ProcessGroup
+        Every process by the name of its member, and signals to them.
+    roster : Roster
+        Members by name.
+    vm_lists : VmLists
+        Changes of the list of vms.
+    """
+
+    __slots__ = (
+        '_folder',
+        '_http',
+        '_views',
+        'backends',
+        'links',
+        'platform',
+        'processes',
+        'roster',
+        'vm_lists',
+    )
 
     def __init__(
         self,
+        plan: DeploymentPlan,
         folder: Path,
         processes: ProcessGroup,
         http: aiohttp.ClientSession,
@@ -33,37 +67,64 @@
         """Start nothing yet."""
         self._folder = folder
         self._http = http
+        self.backends = Backends(http)
         self.platform = Platform(http)
         self.processes = processes
         self.roster = Roster()
+        self.links = Links(http, self.platform.links_address)
+        self._views = Views(plan, self.links)
+        self.vm_lists = VmLists(
+            self.roster,
+            self._views,
+            self.platform.lists,
+        )
 
     async def start_backends(self, plan: BackendPlan) -> None:
         """Start the backend servers of one service in one region."""
-        for _ in range(plan.count):
-            member = self.roster.add_backend(
-                plan.role,
-                plan.region,
-                plan.service,
-            )
-            await self.processes.start(
-                member.name,
-                STAND_IN_MODULES[plan.role],
-                *member.list_options(),
-            )
+        members = [
+            self.roster.add_backend(plan.role, plan.region, plan.service)
+            for _ in range(plan.count)
+        ]
+        await asyncio.gather(
+            *(
+                self.processes.start(
+                    member.name,
+                    STAND_IN_MODULES[plan.role],
+                    *member.list_options(),
+                    *plan.options,
+                )
+                for member in members
+            ),
+        )
+
+    async def prepare_gateways(self) -> None:
+        """Open the links of every gateway and write the lists of vms."""
+        await self._views.open_store_links(
+            self.roster.list_by(Role.gateway),
+            self.platform.store_address,
+        )
+        await self.vm_lists.publish()
 
     async def start_gateway(self, name: str) -> None:
         """Start one planned gateway."""
         member = self.roster.get(name)
         path = self._folder / f'{name}.ini'
-        path.write_text(self.platform.render_process_settings(member))
+        store = self._views.get_store_address(member)
+        path.write_text(self.platform.render_process_settings(member, store))
         await self.processes.start(name, GATEWAY_MODULE, f'--settings={path}')
 
     async def publish_vm_list(self) -> None:
         """Write the list of vms as the roster stands."""
-        await self.platform.write_vm_list(self.roster.list_all())
+        await self.vm_lists.publish()
 
     async def publish_folder(self, folder: Path) -> None:
-        """Publish ``folder`` with the operators' command."""
+        """Publish ``folder`` with the operators' command.
+
+        Raises
+        ------
+        PublishFailedError
+            If the command ends with another exit code than 0.
+        """
         store = self.platform.store_address
         command = await self.processes.start(
             'operator',
@@ -72,37 +133,13 @@
             str(folder),
             f'--key-value={store}',
         )
-        await command.wait()
+        if await command.process.wait():
+            raise PublishFailedError(str(folder))
 
     async def wait_ready(self) -> None:
         """Wait until every gateway serves with a configuration."""
-        for member in self.roster.list_by(Role.gateway):
-            address = member.caller_address
-            await wait_url(self._http, f'http://{address}/readyz')
-
-
-@asynccontextmanager
-async def run_deployment(
-    plan: DeploymentPlan,
-    folder: Path,
-) -> AsyncIterator[Deployment]:
-    """Yield a started deployment without a configuration."""
-    async with (
-        aiohttp.ClientSession() as http,
-        own_processes(folder) as processes,
-    ):
-        deployment = Deployment(folder, processes, http)
-        await _start_all(deployment, plan)
-        yield deployment
-
-
-async def _start_all(deployment: Deployment, plan: DeploymentPlan) -> None:
-    await deployment.platform.start(deployment.processes)
-    for backend in plan.backends:
-        await deployment.start_backends(backend)
-    for region, count in plan.gateways.items():
-        for _ in range(count):
-            deployment.roster.add_gateway(region)
-    await deployment.publish_vm_list()
-    for member in deployment.roster.list_by(Role.gateway):
-        await deployment.start_gateway(member.name)
+        urls = [
+            f'http://{member.caller_address}/readyz'
+            for member in self.roster.list_by(Role.gateway)
+        ]
+        await asyncio.gather(*(wait_url(self._http, url) for url in urls))
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/members.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/members.py
@@ -61,8 +61,14 @@
         """Return the options of the stand-in that runs on this vm."""
         return (f'--port={self.port}', f'--name={self.name}')
 
-    def render_target(self) -> dict[str, object]:
-        """Return the target group of this vm for the list of vms."""
+    def render_target(self, address: str) -> dict[str, object]:
+        """Return the target group of this vm for the list of vms.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port`` at which the reader of the list reaches this vm.
+        """
         labels = {
             'vm': self.name,
             'region': self.region,
@@ -73,7 +79,7 @@
         }
         if self.caller_port:
             labels['caller_address'] = self.caller_address
-        return {'targets': [self.address], 'labels': labels}
+        return {'targets': [address], 'labels': labels}
 
 
 class Roster:
@@ -89,6 +95,10 @@
         """Return the member called ``name``."""
         return self._members[name]
 
+    def remove(self, name: str) -> None:
+        """Forget the member called ``name``."""
+        self._members.pop(name)
+
     def list_all(self) -> list[Member]:
         """Return every member."""
         return list(self._members.values())
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/plans.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/plans.py
@@ -8,12 +8,27 @@
 
 
 class BackendPlan(msgspec.Struct, frozen=True):
-    """Backend servers of one service in one region."""
+    """Backend servers of one service in one region.
+
+    Parameters
+    ----------
+    service : str
+        Service that they serve.
+    role : Role
+        What runs there.
+    region : str
+        Where they stand.
+    count : int
+        Number of vms.
+    options : tuple of str
+        More options of the stand-in, such as ``--fencing=refuse``.
+    """
 
     service: str
     role: Role
     region: str
     count: int
+    options: tuple[str, ...] = ()
 
 
 class DeploymentPlan(msgspec.Struct, frozen=True):
@@ -31,6 +46,11 @@
         One-way latency between regions.
     link_bits_per_second : int
         Bandwidth of each link between two regions.
+    store_region : str
+        Region of the key-value service; the first one if empty.
+    faulty_backends, faulty_peers : bool
+        Whether backend servers and gateways of the own region are reached
+        through links too, so that each of these can fail by itself.
     """
 
     name: str
@@ -38,6 +58,14 @@
     backends: tuple[BackendPlan, ...]
     wan_latency: timedelta
     link_bits_per_second: int
+    store_region: str = ''
+    faulty_backends: bool = False
+    faulty_peers: bool = False
+
+    @property
+    def home_of_store(self) -> str:
+        """Return the region of the key-value service."""
+        return self.store_region or next(iter(self.gateways))
 
 
 WAN_LATENCY = timedelta(milliseconds=80)
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/platform.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/platform.py
@@ -1,60 +1,95 @@
 """The platform's stand-ins of one deployment."""
 
-from collections.abc import Iterable
+import asyncio
 
 import aiohttp
 import msgspec
 
+from baobabhinge_standins.control import ControlClient
 from baobabhinge_standins.fleet.members import Member
 from baobabhinge_standins.fleet.ports import HOST, reserve_port
 from baobabhinge_standins.fleet.processes import ProcessGroup
 from baobabhinge_standins.fleet.readiness import wait_port
 
+PACKAGE = 'baobabhinge_standins'
+STORE = 'keyvalue'
+LISTS = 'lists'
+LINKS = 'links'
+
+
+class StandInPort(msgspec.Struct, frozen=True):
+    """Port of one stand-in of the platform."""
+
+    name: str
+    module: str
+    port: int
+
+    @property
+    def address(self) -> str:
+        """Return the base URL."""
+        return f'http://{HOST}:{self.port}'
+
+
+def choose_ports() -> dict[str, StandInPort]:
+    """Return the stand-ins of the platform by name, with free ports."""
+    modules = {STORE: 'keyvalue', LISTS: 'machines', LINKS: 'links'}
+    return {
+        name: StandInPort(name, f'{PACKAGE}.{module}', reserve_port())
+        for name, module in modules.items()
+    }
+
 
 class Platform:
-    """Key-value service, list of vms and client directory."""
+    """Key-value service, list of vms, client directory and links.
 
-    __slots__ = ('_http', '_lists_port', '_store_port')
+    Attributes
+    ----------
+    lists : ControlClient
+        Stand-in of the list of vms and of the client directory.
+    store : ControlClient
+        Key-value service: faults (``-/faults``) and calls (``-/calls``).
+    """
+
+    __slots__ = ('_ports', 'lists', 'store')
 
     def __init__(self, http: aiohttp.ClientSession) -> None:
         """Choose ports; start nothing yet."""
-        self._http = http
-        self._store_port = reserve_port()
-        self._lists_port = reserve_port()
+        self._ports = choose_ports()
+        self.lists = ControlClient(http, self._ports[LISTS].address)
+        self.store = ControlClient(http, self.store_address)
 
     @property
     def store_address(self) -> str:
-        """Return the address of the key-value service."""
-        return f'http://{HOST}:{self._store_port}'
+        """Return the address of the key-value service, behind no link."""
+        return self._ports[STORE].address
+
+    @property
+    def links_address(self) -> str:
+        """Return the address of the control interface of the links."""
+        return self._ports[LINKS].address
 
     async def start(self, processes: ProcessGroup) -> None:
         """Start the stand-ins and wait until they listen."""
-        await processes.start(
-            'keyvalue',
-            'baobabhinge_standins.keyvalue',
-            f'--port={self._store_port}',
-        )
-        await processes.start(
-            'lists',
-            'baobabhinge_standins.machines',
-            f'--port={self._lists_port}',
-        )
-        await wait_port(self._store_port)
-        await wait_port(self._lists_port)
-
-    async def write_vm_list(self, members: Iterable[Member]) -> None:
-        """Write the list of vms for every region."""
-        listed = list(members)
-        body = msgspec.json.encode(
-            [member.render_target() for member in listed],
+        ports = self._ports.values()
+        await asyncio.gather(
+            *(
+                processes.start(one.name, one.module, f'--port={one.port}')
+                for one in ports
+            ),
         )
-        regions = {member.region for member in listed}
-        for region in regions:
-            await self._put(f'vms/{region}', body)
+        await asyncio.gather(*(wait_port(one.port) for one in ports))
 
-    def render_process_settings(self, member: Member) -> str:
-        """Return the process settings of a gateway."""
-        lists = f'http://{HOST}:{self._lists_port}'
+    def render_process_settings(self, member: Member, store: str) -> str:
+        """Return the process settings of a gateway.
+
+        Parameters
+        ----------
+        member : Member
+            The gateway.
+        store : str
+            URL at which it reaches the key-value service.
+        """
+        lists = self._ports[LISTS].address
         return '\n'.join(
             (
                 '[process]',
@@ -64,13 +99,8 @@
                 f'caller-address = {member.caller_address}',
                 f'peer-address = {member.address}',
                 '[platform]',
-                f'key-value = {self.store_address}',
-                f'vm-list = {lists}/vms/{member.region}',
+                f'key-value = {store}',
+                f'vm-list = {lists}/vms/{member.name}',
                 f'client-directory = {lists}/directory',
             ),
         )
-
-    async def _put(self, path: str, body: bytes) -> None:
-        url = f'http://{HOST}:{self._lists_port}/{path}'
-        async with self._http.put(url, data=body) as answer:
-            answer.raise_for_status()
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/processes.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/processes.py
@@ -3,13 +3,11 @@
 import asyncio
 import os
 import sys
-from asyncio.subprocess import Process
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from datetime import timedelta
 from pathlib import Path
 
-STOP_PATIENCE = timedelta(seconds=10)
+from baobabhinge_standins.fleet.children import Child, CommandLine
 
 
 class ProcessGroup:
@@ -18,7 +16,7 @@
     Parameters
     ----------
     folder : Path
-        Folder of the output files.
+        Folder of the output files, ``<name>.log``.
     """
 
     __slots__ = ('_children', '_folder')
@@ -26,12 +24,13 @@
     def __init__(self, folder: Path) -> None:
         """Start without children."""
         self._folder = folder
-        self._children: dict[str, Process] = {}
+        self._children: dict[str, Child] = {}
 
-    async def start(self, name: str, module: str, *options: str) -> Process:
+    async def start(self, name: str, module: str, *options: str) -> Child:
         """Run ``python -m module options`` as the child called ``name``."""
+        line = CommandLine(module, options)
         with (self._folder / f'{name}.log').open('ab') as output:
-            self._children[name] = await asyncio.create_subprocess_exec(
+            process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
                 module,
@@ -39,31 +38,25 @@
                 stdout=output,
                 stderr=output,
                 env=os.environ | {'PYTHONUNBUFFERED': '1'},
+                start_new_session=True,
             )
+        self._children[name] = Child(process, line)
         return self._children[name]
 
-    def get(self, name: str) -> Process:
+    def get(self, name: str) -> Child:
         """Return the child called ``name``."""
         return self._children[name]
 
+    async def restart(self, name: str) -> Child:
+        """Start the ended child called ``name`` again, the same way."""
+        line = self.get(name).line
+        return await self.start(name, line.module, *line.options)
+
     async def stop_all(self) -> None:
         """Ask every child to stop, then kill those that remain."""
-        running = [
-            process
-            for process in self._children.values()
-            if process.returncode is None
-        ]
-        for process in running:
-            process.terminate()
-        await asyncio.gather(*map(_wait_or_kill, running))
-
-
-async def _wait_or_kill(child: Process) -> None:
-    try:
-        await asyncio.wait_for(child.wait(), STOP_PATIENCE.total_seconds())
-    except TimeoutError:
-        child.kill()
-        await child.wait()
+        await asyncio.gather(
+            *(child.end() for child in self._children.values()),
+        )
 
 
 @asynccontextmanager
--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/views.py
@@ -0,0 +1,102 @@
+"""The list of vms as each gateway sees it: others behind links."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from baobabhinge_standins.fleet.members import Member, Role
+from baobabhinge_standins.fleet.plans import DeploymentPlan
+from baobabhinge_standins.fleet.ports import HOST
+from baobabhinge_standins.links import LinkOrder, Links
+
+STORE = 'store'
+MILLISECOND = timedelta(milliseconds=1)
+
+
+class Views:
+    """Links between the members of a deployment.
+
+    Parameters
+    ----------
+    plan : DeploymentPlan
+        Latency and bandwidth, and which links inside a region there are.
+    links : Links
+        Where the links are opened.
+    """
+
+    __slots__ = ('_links', '_plan', '_ports')
+
+    def __init__(self, plan: DeploymentPlan, links: Links) -> None:
+        """Open nothing yet."""
+        self._plan = plan
+        self._links = links
+        self._ports: dict[str, int] = {}
+
+    async def open_store_links(
+        self,
+        gateways: Iterable[Member],
+        address: str,
+    ) -> None:
+        """Open a link from each gateway to the key-value service."""
+        region = self._plan.home_of_store
+        self._ports |= await self._links.add(
+            self._order(gateway, STORE, region, address.removeprefix('http://'))
+            for gateway in gateways
+        )
+
+    async def open_links(
+        self,
+        viewer: Member,
+        members: Iterable[Member],
+    ) -> None:
+        """Open the missing links from a gateway to ``members``."""
+        orders = [
+            self._order(viewer, member.name, member.region, member.address)
+            for member in members
+            if self._is_linked(viewer, member)
+        ]
+        missing = [order for order in orders if order.name not in self._ports]
+        if missing:
+            self._ports |= await self._links.add(missing)
+
+    def get_address(self, viewer: Member, member: Member) -> str:
+        """Return the address at which ``viewer`` reaches ``member``."""
+        port = self._ports.get(name_link(viewer.name, member.name))
+        return f'{HOST}:{port}' if port else member.address
+
+    def get_store_address(self, viewer: Member) -> str:
+        """Return the URL at which ``viewer`` reaches the key-value service."""
+        port = self._ports[name_link(viewer.name, STORE)]
+        return f'http://{HOST}:{port}'
+
+    def _is_linked(self, viewer: Member, member: Member) -> bool:
+        if viewer.name == member.name:
+            return False
+        if viewer.region != member.region:
+            return True
+        if member.role is Role.gateway:
+            return self._plan.faulty_peers
+        return self._plan.faulty_backends
+
+    def _order(
+        self,
+        viewer: Member,
+        name: str,
+        region: str,
+        address: str,
+    ) -> LinkOrder:
+        link = name_link(viewer.name, name)
+        if viewer.region == region:
+            return LinkOrder(link, address, region, region)
+        return LinkOrder(
+            link,
+            address,
+            viewer.region,
+            region,
+            self._plan.wan_latency / MILLISECOND,
+            self._plan.link_bits_per_second,
+        )
+
+
+def name_link(source: str, destination: str) -> str:
+    """Return the name of the link between two members."""
+    return f'{source}>{destination}'
--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Steps that the scenarios of this folder share."""
