--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
@@ -9,14 +9,9 @@
 from baobabhinge_gateway.execution import Executors, RepeatableExecutor
 from baobabhinge_gateway.fleet import VmWatcher
 from baobabhinge_gateway.platform import Platform
-from baobabhinge_gateway.routing import (
-    Dispatcher,
-    InFlight,
-    Router,
-    create_policy,
-)
+from baobabhinge_gateway.routing import RoutingBuilder
 
-DEFAULT_POLICY = 'least-in-flight'
+DEFAULT_POLICY = 'estimated-latency'
 
 
 def build_call_server(
@@ -27,12 +22,9 @@
 ) -> CallServer:
     """Return the server of calls of one gateway."""
     clock = SystemClock()
-    in_flight = InFlight()
-    policy = create_policy(DEFAULT_POLICY, SystemRandom())
-    repeatable = RepeatableExecutor(
-        Router(hop.region, fleet, policy, in_flight),
-        Dispatcher(platform.http, clock, in_flight),
-    )
+    builder = RoutingBuilder(clock, SystemRandom(), fleet, fleet)
+    routing = builder.build(hop.region, DEFAULT_POLICY, platform.http)
+    repeatable = RepeatableExecutor(routing.router, routing.dispatcher)
     executors = Executors(
         model=repeatable,
         plain=repeatable,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/repeatable.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/repeatable.py
@@ -33,8 +33,8 @@
         call: Call,
     ) -> web.StreamResponse:
         """Run ``call`` and answer ``request``."""
-        targets = self._router.rank_targets(call)
-        async with self._dispatcher.open_answer(call, targets) as answer:
+        decision = self._router.decide(call)
+        async with self._dispatcher.open_answer(call, decision) as answer:
             if call.streamed and answer.status == HTTPStatus.OK:
                 return await write_stream(request, call, answer)
             return await write_whole(call, answer)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/watcher.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/watcher.py
@@ -49,6 +49,9 @@
             and vm.state is VmState.live
         ]
 
+    def find_report(self, vm: str) -> None:
+        """Return the newest load report of ``vm``; none is read yet."""
+
     async def on_start(self) -> None:
         """Read the list once before the gateway serves."""
         await self._refresh()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/counters.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/counters.py
@@ -1,28 +1,69 @@
-"""Calls in flight by vm."""
+"""Calls in flight by vm, with their recent past."""
 
-from collections import Counter
+from collections import Counter, defaultdict, deque
 from collections.abc import Iterator
 from contextlib import contextmanager
+from datetime import timedelta
+
+import msgspec
+
+from baobabhinge_coordination.clock import Clock
+
+HORIZON = timedelta(seconds=5)
+
+
+class _Change(msgspec.Struct, frozen=True):
+    instant: timedelta
+    step: int
 
 
 class InFlight:
-    """Count the calls that this gateway has open at each vm."""
+    """Count the calls that this gateway has open at each vm.
 
-    __slots__ = ('_counts',)
+    Parameters
+    ----------
+    clock : Clock
+        Clock of the recent past.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ('_changes', '_clock', '_counts')
+
+    def __init__(self, clock: Clock) -> None:
         """Start with none."""
+        self._clock = clock
         self._counts: Counter[str] = Counter()
+        self._changes: defaultdict[str, deque[_Change]] = defaultdict(deque)
 
     def count(self, vm: str) -> int:
         """Return the number of calls open at ``vm``."""
         return self._counts[vm]
 
+    def count_before(self, vm: str, age: timedelta) -> int:
+        """Return the number of calls that were open at ``vm`` before ``age``.
+
+        Ages beyond a few seconds count as a few seconds.
+        """
+        since = self._clock.read_monotonic() - age
+        steps = [
+            change.step
+            for change in self._changes[vm]
+            if change.instant > since
+        ]
+        return self._counts[vm] - sum(steps)
+
     @contextmanager
     def track(self, vm: str) -> Iterator[None]:
         """Count one call at ``vm`` while the context is open."""
-        self._counts[vm] += 1
+        self._record(vm, 1)
         try:
             yield
         finally:
-            self._counts[vm] -= 1
+            self._record(vm, -1)
+
+    def _record(self, vm: str, step: int) -> None:
+        now = self._clock.read_monotonic()
+        changes = self._changes[vm]
+        changes.append(_Change(now, step))
+        while changes[0].instant < now - HORIZON:
+            changes.popleft()
+        self._counts[vm] += step
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/dispatch.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/dispatch.py
@@ -1,6 +1,6 @@
-"""Trying targets until one answers."""
+"""Trying candidates until one answers."""
 
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from datetime import timedelta
 
@@ -14,15 +14,15 @@
     NoBackendServerError,
     NotReachedError,
 )
-from baobabhinge_gateway.routing.counters import InFlight
+from baobabhinge_gateway.routing.decisions import Candidate, Decision
 from baobabhinge_gateway.routing.outbound import build_outbound
-from baobabhinge_gateway.routing.targets import Target
+from baobabhinge_gateway.routing.tracking import TargetTracker
 
 NO_TIME = timedelta()
 
 
 class Dispatcher:
-    """Send calls to targets over one client session.
+    """Send calls to candidates over one client session.
 
     Parameters
     ----------
@@ -30,53 +30,58 @@
         Session that the caller owns and closes.
     clock : Clock
         Clock of the deadlines.
-    in_flight : InFlight
-        Calls open by vm.
+    tracker : TargetTracker
+        Bookkeeping by target.
     """
 
-    __slots__ = ('_clock', '_http', '_in_flight')
+    __slots__ = ('_clock', '_http', '_tracker')
 
     def __init__(
         self,
         http: aiohttp.ClientSession,
         clock: Clock,
-        in_flight: InFlight,
+        tracker: TargetTracker,
     ) -> None:
         """Keep the parts."""
         self._http = http
         self._clock = clock
-        self._in_flight = in_flight
+        self._tracker = tracker
 
     @asynccontextmanager
     async def open_answer(
         self,
         call: Call,
-        targets: Sequence[Target],
+        decision: Decision,
     ) -> AsyncIterator[Answer]:
-        """Yield the answer of the first target that could be reached.
+        """Yield the answer of the first candidate that could be reached.
 
         Raises
         ------
         NoBackendServerError
-            If no target could be reached; the call was not run.
+            If no candidate could be reached; the call was not run.
         DeadlinePassedError
-            If the deadline passed before a target was reached.
+            If the deadline passed before a candidate was reached.
         OutcomeUnknownError
-            If a target was reached and its answer broke.
+            If a candidate was reached and its answer broke.
         """
         async with AsyncExitStack() as stack:
-            yield await self._reach_first(stack, call, targets)
+            stack.enter_context(self._tracker.shares.track(call))
+            yield await self._reach_first(stack, call, decision)
 
     async def _reach_first(
         self,
         stack: AsyncExitStack,
         call: Call,
-        targets: Sequence[Target],
+        decision: Decision,
     ) -> Answer:
-        for target in targets:
-            outbound = build_outbound(call, target, self._measure_rest(call))
+        for candidate in decision.candidates:
+            outbound = build_outbound(
+                call,
+                candidate.target,
+                self._measure_rest(call),
+            )
             with suppress(NotReachedError):
-                return await self._reach(stack, target, outbound)
+                return await self._reach(stack, candidate, outbound)
         raise NoBackendServerError('no backend server could be reached')
 
     def _measure_rest(self, call: Call) -> timedelta:
@@ -88,13 +93,14 @@
     async def _reach(
         self,
         stack: AsyncExitStack,
-        target: Target,
+        candidate: Candidate,
         outbound: Outbound,
     ) -> Answer:
         attempt = AsyncExitStack()
-        attempt.enter_context(self._in_flight.track(target.vm.name))
+        timer = attempt.enter_context(self._tracker.track(candidate, outbound))
         exchange = open_exchange(self._http, outbound)
         async with attempt:
             answer = await attempt.enter_async_context(exchange)
+            answer.pieces = timer.observe(answer.pieces)
             stack.push_async_exit(attempt.pop_all())
         return answer
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/estimated.py
@@ -0,0 +1,110 @@
+"""Home first; away only what home would answer late."""
+
+from collections import defaultdict
+from collections.abc import Sequence
+from datetime import timedelta
+
+from baobabhinge_gateway.calls import Call
+from baobabhinge_gateway.routing.affinity import compute_prefix, prefer_cached
+from baobabhinge_gateway.routing.decisions import Candidate, Decision
+from baobabhinge_gateway.routing.hysteresis import AwaySwitch
+from baobabhinge_gateway.routing.limits import CandidateLimits
+from baobabhinge_gateway.routing.objective import Objective, get_objective
+from baobabhinge_gateway.routing.registry import PolicyParts, register_policy
+from baobabhinge_gateway.routing.targets import Target
+
+NEVER = timedelta(days=1)
+
+
+@register_policy('estimated-latency')
+class EstimatedLatency:
+    """Rank by the weighted objective of the expected first piece.
+
+    Parameters
+    ----------
+    parts : PolicyParts
+        What the policy decides from.
+    """
+
+    __slots__ = ('_limits', '_parts', '_switches')
+
+    def __init__(self, parts: PolicyParts) -> None:
+        """Start with every service at home."""
+        self._parts = parts
+        self._limits = CandidateLimits(parts.circuits, parts.links)
+        self._switches: defaultdict[str, AwaySwitch] = defaultdict(
+            lambda: AwaySwitch(parts.clock),
+        )
+
+    def rank(self, call: Call, targets: Sequence[Target]) -> Decision:
+        """Return the candidates, those that a limit blocks apart."""
+        judged = self._judge(call, targets)
+        home = self._rank_home(call, judged)
+        away = _select(judged, is_remote=True)
+        if self._may_leave(call, home, away):
+            ranked = (away[0], *home, *away[1:])
+        else:
+            ranked = (*home, *away)
+        blocked = [candidate for candidate in judged if candidate.blocked]
+        return Decision(ranked, tuple(blocked))
+
+    def _judge(
+        self,
+        call: Call,
+        targets: Sequence[Target],
+    ) -> list[Candidate]:
+        objective = get_objective(call.service)
+        return [
+            self._limits.judge(call, self._estimate(target, objective))
+            for target in self._parts.random.sample(targets, len(targets))
+        ]
+
+    def _rank_home(
+        self,
+        call: Call,
+        judged: Sequence[Candidate],
+    ) -> list[Candidate]:
+        home = _select(judged, is_remote=False)
+        prefix = compute_prefix(call)
+        if prefix is None:
+            return home
+        return prefer_cached(prefix, home)
+
+    def _may_leave(
+        self,
+        call: Call,
+        home: Sequence[Candidate],
+        away: Sequence[Candidate],
+    ) -> bool:
+        first = min((candidate.first for candidate in home), default=NEVER)
+        goal = get_objective(call.service).first_token
+        is_late = self._switches[call.service.name].update(first, goal)
+        if not (home and away):
+            return bool(away)
+        return is_late and away[0].score < home[0].score
+
+    def _estimate(self, target: Target, objective: Objective) -> Candidate:
+        estimate = self._parts.estimator.estimate(target)
+        return Candidate(
+            target,
+            estimate.wait,
+            estimate.first,
+            objective.score(estimate.first, is_remote=target.is_remote),
+        )
+
+
+def _select(
+    judged: Sequence[Candidate],
+    *,
+    is_remote: bool,
+) -> list[Candidate]:
+    fitting = [
+        candidate
+        for candidate in judged
+        if candidate.target.is_remote is is_remote and not candidate.blocked
+    ]
+    return sorted(fitting, key=_order)
+
+
+def _order(candidate: Candidate) -> tuple[timedelta, int]:
+    return (candidate.first, candidate.target.in_flight)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/limits.py
@@ -0,0 +1,46 @@
+"""Limits that keep calls from a target."""
+
+import msgspec
+
+from baobabhinge_gateway.calls import Call
+from baobabhinge_gateway.routing.circuits import Circuits
+from baobabhinge_gateway.routing.decisions import Candidate
+from baobabhinge_gateway.routing.links import LinkBudget
+
+CIRCUIT = 'circuit'
+LINK = 'link'
+
+
+class CandidateLimits:
+    """Check candidates against circuits and link budgets.
+
+    Parameters
+    ----------
+    circuits : Circuits
+        Places that rest after failures.
+    links : LinkBudget
+        Bytes that may leave the region.
+    """
+
+    __slots__ = ('_circuits', '_links')
+
+    def __init__(self, circuits: Circuits, links: LinkBudget) -> None:
+        """Keep the parts."""
+        self._circuits = circuits
+        self._links = links
+
+    def judge(self, call: Call, candidate: Candidate) -> Candidate:
+        """Return the candidate, marked with the limit that blocks it."""
+        limit = self._find_limit(call, candidate)
+        if limit:
+            return msgspec.structs.replace(candidate, blocked=limit)
+        return candidate
+
+    def _find_limit(self, call: Call, candidate: Candidate) -> str:
+        target = candidate.target
+        if not self._circuits.allows(target.place, target.in_flight):
+            return CIRCUIT
+        if not target.is_remote:
+            return ''
+        region = target.vm.region
+        return '' if self._links.allows(region, len(call.body)) else LINK
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/router.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/router.py
@@ -1,12 +1,13 @@
 """Finding the targets of a call."""
 
-from collections.abc import Sequence
-
+from baobabhinge_gateway.admission import Shedder
 from baobabhinge_gateway.calls import Call
 from baobabhinge_gateway.errors import NoBackendServerError, RegionBoundError
 from baobabhinge_gateway.fleet import VmWatcher
 from baobabhinge_gateway.routing.counters import InFlight
-from baobabhinge_gateway.routing.targets import RoutingPolicy, Target
+from baobabhinge_gateway.routing.decisions import Decision, DecisionLog
+from baobabhinge_gateway.routing.registry import RoutingPolicy
+from baobabhinge_gateway.routing.targets import Target
 from baobabhinge_platform.machines import Vm
 
 
@@ -23,9 +24,18 @@
         Order of the targets.
     in_flight : InFlight
         Calls open by vm.
+    shedder : Shedder
+        Refuses what would be answered late.
     """
 
-    __slots__ = ('_fleet', '_in_flight', '_policy', '_region')
+    __slots__ = (
+        '_fleet',
+        '_in_flight',
+        '_policy',
+        '_region',
+        '_shedder',
+        'decisions',
+    )
 
     def __init__(
         self,
@@ -33,29 +43,38 @@
         fleet: VmWatcher,
         policy: RoutingPolicy,
         in_flight: InFlight,
+        shedder: Shedder,
     ) -> None:
         """Keep the parts."""
+        self._shedder = shedder
         self._region = region
         self._fleet = fleet
         self._policy = policy
         self._in_flight = in_flight
+        self.decisions = DecisionLog()
 
-    def rank_targets(self, call: Call) -> Sequence[Target]:
-        """Return the targets of ``call``, the best one first.
+    def decide(self, call: Call) -> Decision:
+        """Return the ranked candidates of ``call``.
 
         Raises
         ------
         RegionBoundError
             If the call is bound to a region and can't be run there.
         NoBackendServerError
-            If no backend server of the service is known.
+            If no backend server of the service may take it.
+        OverloadedError
+            If it would be answered too late.
+        WorkspaceShareError
+            If its workspace has more than its share of a full service.
         """
-        targets = self._policy.rank(call, self._list_targets(call))
-        if targets:
-            return targets
+        decision = self._policy.rank(call, self._list_targets(call))
+        self.decisions.add(call.request_id, call.service.name, decision)
+        if decision.candidates:
+            self._shedder.check(call, decision)
+            return decision
         if call.terms.bound_region:
             raise RegionBoundError('the bound region has no backend server')
-        raise NoBackendServerError('no backend server of the service is known')
+        raise NoBackendServerError('no backend server may take the call now')
 
     def _list_targets(self, call: Call) -> list[Target]:
         bound = call.terms.bound_region
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/targets.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/targets.py
@@ -1,11 +1,7 @@
 """Places that can take a call."""
 
-from collections.abc import Sequence
-from typing import Protocol
-
 import msgspec
 
-from baobabhinge_gateway.calls import Call
 from baobabhinge_platform.machines import Vm
 
 
@@ -26,9 +22,7 @@
     is_remote: bool
     in_flight: int
 
-
-class RoutingPolicy(Protocol):
-    """Order in which targets are tried."""
-
-    def rank(self, call: Call, targets: Sequence[Target]) -> list[Target]:
-        """Return the targets worth trying, the best one first."""
+    @property
+    def place(self) -> str:
+        """Return the vm, or the region of a remote target."""
+        return self.vm.region if self.is_remote else self.vm.name
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/tracking.py
@@ -0,0 +1,79 @@
+"""Bookkeeping of the exchanges with targets."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from baobabhinge_coordination.clock import Clock
+from baobabhinge_gateway.admission import WorkspaceShares
+from baobabhinge_gateway.backends import Outbound
+from baobabhinge_gateway.errors import NotReachedError, OutcomeUnknownError
+from baobabhinge_gateway.routing.circuits import Circuits
+from baobabhinge_gateway.routing.counters import InFlight
+from baobabhinge_gateway.routing.decisions import Candidate
+from baobabhinge_gateway.routing.links import LinkBudget
+from baobabhinge_gateway.routing.observations import Observations
+from baobabhinge_gateway.routing.timing import ExchangeTimer
+
+
+class TargetTracker:
+    """Keep counts, circuits, link budgets and observations up to date.
+
+    Attributes
+    ----------
+    in_flight : InFlight
+        Calls open by vm.
+    circuits : Circuits
+        Places that rest after failures.
+    links : LinkBudget
+        Bytes that may leave the region.
+    observations : Observations
+        Finished exchanges.
+    shares : WorkspaceShares
+        Calls open by workspace.
+    """
+
+    __slots__ = (
+        '_clock',
+        'circuits',
+        'in_flight',
+        'links',
+        'observations',
+        'shares',
+    )
+
+    def __init__(self, clock: Clock, link_bytes_per_second: int) -> None:
+        """Start without exchanges."""
+        self._clock = clock
+        self.in_flight = InFlight(clock)
+        self.circuits = Circuits(clock)
+        self.links = LinkBudget(clock, link_bytes_per_second)
+        self.observations = Observations(clock)
+        self.shares = WorkspaceShares()
+
+    @contextmanager
+    def track(
+        self,
+        candidate: Candidate,
+        outbound: Outbound,
+    ) -> Iterator[ExchangeTimer]:
+        """Yield a timer while the exchange with ``candidate`` is open."""
+        target = candidate.target
+        if target.is_remote:
+            self.links.spend(target.vm.region, len(outbound.body))
+        timer = ExchangeTimer(
+            self._clock,
+            self.observations,
+            target.place,
+            candidate.wait,
+        )
+        with self.in_flight.track(target.vm.name), self._judge(target.place):
+            yield timer
+
+    @contextmanager
+    def _judge(self, place: str) -> Iterator[None]:
+        try:
+            yield
+        except (NotReachedError, OutcomeUnknownError):
+            self.circuits.record_failure(place)
+            raise
+        self.circuits.record_success(place)
