Poll the load of backend servers by shares of the region gateways

Cause: routing had no load of the backend servers but its own calls in flight. FleetView combines the list of vms and the load reports; each backend server is polled by the one gateway that rendezvous hashing picks for it. list_backends leaves out leaving and draining ones.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
@@ -7,7 +7,7 @@
 from baobabhinge_gateway.calls import Hop
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.execution import Executors, RepeatableExecutor
-from baobabhinge_gateway.fleet import VmWatcher
+from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.platform import Platform
 from baobabhinge_gateway.routing import (
     Dispatcher,
@@ -22,7 +22,7 @@
 def build_call_server(
     hop: Hop,
     active: ActiveConfiguration,
-    fleet: VmWatcher,
+    fleet: FleetView,
     platform: Platform,
 ) -> CallServer:
     """Return the server of calls of one gateway."""
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/entries.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/entries.py
@@ -5,7 +5,7 @@
 import msgspec
 from aiohttp import web
 
-from baobabhinge_gateway.fleet import VmWatcher
+from baobabhinge_gateway.fleet import FleetView
 
 TIME_TO_LIVE = timedelta(seconds=5)
 
@@ -40,13 +40,13 @@
     ----------
     region : str
         Region of this gateway; its gateways come first.
-    fleet : VmWatcher
+    fleet : FleetView
         Known vms.
     """
 
     __slots__ = ('_fleet', '_region')
 
-    def __init__(self, region: str, fleet: VmWatcher) -> None:
+    def __init__(self, region: str, fleet: FleetView) -> None:
         """Keep the parts."""
         self._region = region
         self._fleet = fleet
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -15,7 +15,7 @@
     ActiveConfiguration,
     ConfigurationWatcher,
 )
-from baobabhinge_gateway.fleet import VmWatcher
+from baobabhinge_gateway.fleet import FleetService, FleetView
 from baobabhinge_gateway.lifecycle import Lifecycle
 from baobabhinge_gateway.listening import Listener
 from baobabhinge_gateway.platform import Platform
@@ -51,18 +51,19 @@
         fleet = await self._start_watchers(platform)
         await self._start_listeners(platform, fleet)
 
-    async def _start_watchers(self, platform: Platform) -> VmWatcher:
-        fleet = VmWatcher(platform.vm_list)
+    async def _start_watchers(self, platform: Platform) -> FleetView:
+        identity = self._settings.identity
+        fleet = FleetService(Hop(identity.name, identity.region), platform)
         await self.add_runtime_dependency(fleet)
         await self.add_runtime_dependency(
             ConfigurationWatcher(self._active, ReleaseReader(platform.store)),
         )
-        return fleet
+        return fleet.view
 
     async def _start_listeners(
         self,
         platform: Platform,
-        fleet: VmWatcher,
+        fleet: FleetView,
     ) -> None:
         identity = self._settings.identity
         hop = Hop(identity.name, identity.region)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/polling.py
@@ -0,0 +1,109 @@
+"""Polling the load of this gateway's share of the backend servers."""
+
+import asyncio
+from collections.abc import Sequence
+from datetime import timedelta
+from http import HTTPStatus
+
+import aiohttp
+import msgspec
+import structlog
+from mode import Service
+
+from baobabhinge_gateway.fleet.reports import LoadReport, LoadReports
+from baobabhinge_gateway.fleet.shares import pick_owner
+from baobabhinge_gateway.fleet.view import FleetView
+from baobabhinge_platform.machines import Vm
+
+POLL_INTERVAL = timedelta(seconds=1)
+POLL_TIMEOUT = timedelta(milliseconds=500)
+LOAD_PATH = '/load'
+
+log = structlog.get_logger(__name__)
+
+
+class _LoadAnswer(msgspec.Struct):
+    running: int
+    waiting: int
+    slots: int
+    draining: bool = False
+    age_ms: int = 0
+
+
+class LoadPoller(Service):
+    """Ask each backend server of the share for its load.
+
+    Parameters
+    ----------
+    http : aiohttp.ClientSession
+        Session that the caller owns and closes.
+    fleet : FleetView
+        Known vms.
+    reports : LoadReports
+        Where the reports go.
+    """
+
+    def __init__(
+        self,
+        http: aiohttp.ClientSession,
+        fleet: FleetView,
+        reports: LoadReports,
+    ) -> None:
+        """Ask nothing yet."""
+        super().__init__()
+        self._http = http
+        self._fleet = fleet
+        self._reports = reports
+
+    @Service.task
+    async def _poll(self) -> None:
+        while not self.should_stop:
+            share = list_share(self._fleet)
+            await asyncio.gather(*[self._ask(vm) for vm in share])
+            await self.sleep(POLL_INTERVAL)
+
+    async def _ask(self, vm: Vm) -> None:
+        try:
+            report = await self._fetch(vm.address)
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            msgspec.MsgspecError,
+        ) as bad:
+            log.info('load-unread', vm=vm.name, reason=type(bad).__name__)
+            return
+        if report is not None:
+            self._reports.put(vm.name, report)
+
+    async def _fetch(self, address: str) -> LoadReport | None:
+        limit = aiohttp.ClientTimeout(total=POLL_TIMEOUT.total_seconds())
+        async with self._http.get(
+            f'http://{address}{LOAD_PATH}',
+            timeout=limit,
+        ) as answer:
+            if answer.status != HTTPStatus.OK:
+                return None
+            return decode_load(await answer.read())
+
+
+def list_share(fleet: FleetView) -> Sequence[Vm]:
+    """Return the backend servers that this gateway is to poll."""
+    names = [vm.name for vm in fleet.list_gateways(fleet.home.region)]
+    candidates = {*names, fleet.home.gateway}
+    return [
+        vm
+        for vm in fleet.list_polled()
+        if pick_owner(vm.name, candidates) == fleet.home.gateway
+    ]
+
+
+def decode_load(body: bytes) -> LoadReport:
+    """Return the report that a backend server sent as ``body``."""
+    answer = msgspec.json.decode(body, type=_LoadAnswer)
+    return LoadReport(
+        answer.running,
+        answer.waiting,
+        answer.slots,
+        answer.draining,
+        timedelta(milliseconds=answer.age_ms),
+    )
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/reports.py
@@ -0,0 +1,75 @@
+"""Load reports of the backend servers of this region, with their age."""
+
+from datetime import timedelta
+
+import msgspec
+
+from baobabhinge_coordination.clock import Clock
+from baobabhinge_platform.machines import Vm
+
+REPORT_LIFETIME = timedelta(seconds=15)
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """Load of one backend server.
+
+    Parameters
+    ----------
+    running, waiting : int
+        Requests being run, and requests queued behind them.
+    slots : int
+        Requests that it can run at once.
+    draining : bool
+        Whether it takes no new work.
+    age : timedelta
+        Time since the load was measured.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    draining: bool
+    age: timedelta
+
+
+class LoadReports:
+    """Newest report by vm; a report past its lifetime is not offered.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock by which reports age.
+    """
+
+    __slots__ = ('_clock', '_measured', '_reports')
+
+    def __init__(self, clock: Clock) -> None:
+        """Start without reports."""
+        self._clock = clock
+        self._reports: dict[str, LoadReport] = {}
+        self._measured: dict[str, timedelta] = {}
+
+    def find(self, vm: Vm) -> LoadReport | None:
+        """Return the report of ``vm`` with its present age."""
+        report = self._reports.get(vm.name)
+        if report is None:
+            return None
+        age = self._clock.read_monotonic() - self._measured[vm.name]
+        if age > REPORT_LIFETIME:
+            return None
+        return msgspec.structs.replace(report, age=age)
+
+    def put(self, vm_name: str, report: LoadReport) -> bool:
+        """Keep ``report`` if it was measured later than the kept one."""
+        measured = self._clock.read_monotonic() - report.age
+        if vm_name in self._measured and self._measured[vm_name] >= measured:
+            return False
+        self._measured[vm_name] = measured
+        self._reports[vm_name] = report
+        return True
+
+    def forget_others(self, vm_names: frozenset[str]) -> None:
+        """Drop the reports of vms that are not in ``vm_names``."""
+        for name in self._reports.keys() - vm_names:
+            self._reports.pop(name)
+            self._measured.pop(name)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/tests/test_reports.py
@@ -0,0 +1,86 @@
+from datetime import timedelta
+
+import pytest
+
+from baobabhinge_coordination.clock import ManualClock
+from baobabhinge_gateway.calls import Hop
+from baobabhinge_gateway.fleet import FleetView, LoadReport, LoadReports
+from baobabhinge_gateway.fleet.polling import decode_load, list_share
+from baobabhinge_gateway.fleet.reports import REPORT_LIFETIME
+from baobabhinge_platform.machines import Role, Vm, VmState
+
+SECOND = timedelta(seconds=1)
+NO_TIME = timedelta()
+
+
+class Listed:
+    def __init__(self, *vms):
+        self.vms = vms
+
+
+def build_vm(name, role=Role.engine, state=VmState.live):
+    return Vm(name, f'{name}:1', 'west', 'west-a', role, 'llm', state)
+
+
+def build_report(running=1, age=NO_TIME, *, draining=False):
+    return LoadReport(running, 0, 8, draining, age)
+
+
+@pytest.mark.parametrize(
+    ('waited', 'age'),
+    [
+        (timedelta(), SECOND),
+        (SECOND, SECOND * 2),
+        (REPORT_LIFETIME, None),
+    ],
+)
+def test_reports_age_and_end(waited, age):
+    clock = ManualClock()
+    reports = LoadReports(clock)
+    reports.put('e1', build_report(age=SECOND))
+    clock.advance(waited)
+    found = reports.find(build_vm('e1'))
+    assert (found and found.age) == age
+
+
+def test_an_older_report_that_comes_late_is_dropped():
+    reports = LoadReports(ManualClock())
+    reports.put('e1', build_report(running=5, age=SECOND))
+    assert not reports.put('e1', build_report(running=9, age=SECOND * 2))
+    assert reports.find(build_vm('e1')).running == 5
+
+
+@pytest.mark.parametrize(
+    ('vm', 'draining', 'listed'),
+    [
+        (build_vm('e1'), False, True),
+        (build_vm('e1'), True, False),
+        (build_vm('e1', state=VmState.leaving), False, False),
+        (build_vm('e1', role=Role.gateway), False, False),
+    ],
+)
+def test_only_backend_servers_that_take_work_are_listed(vm, draining, listed):
+    reports = LoadReports(ManualClock())
+    reports.put('e1', build_report(draining=draining))
+    fleet = FleetView(Hop('g1', 'west'), Listed(vm), reports)
+    assert bool(fleet.list_backends('llm', 'west')) is listed
+
+
+def test_each_backend_server_belongs_to_one_gateway():
+    engines = [build_vm(f'e{number}') for number in range(10, 50)]
+    gateways = [build_vm(f'g{number}', Role.gateway) for number in range(4)]
+    listed = Listed(*engines, *gateways)
+    shares = []
+    for gateway in gateways:
+        hop = Hop(gateway.name, 'west')
+        view = FleetView(hop, listed, LoadReports(ManualClock()))
+        shares.append(list_share(view))
+    assert all(shares)
+    polled = sorted(vm.name for share in shares for vm in share)
+    assert polled == [vm.name for vm in engines]
+
+
+def test_the_age_on_the_wire_is_kept():
+    body = b'{"running":1,"waiting":2,"slots":8,"age_ms":250}'
+    expected = LoadReport(1, 2, 8, False, timedelta(milliseconds=250))
+    assert decode_load(body) == expected
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
@@ -0,0 +1,81 @@
+"""What this gateway knows about the vms around it."""
+
+from collections.abc import Sequence
+
+from baobabhinge_gateway.calls import Hop
+from baobabhinge_gateway.fleet.reports import LoadReport, LoadReports
+from baobabhinge_gateway.fleet.watcher import VmWatcher
+from baobabhinge_platform.machines import Role, Vm, VmState
+
+
+class FleetView:
+    """Queries over the list of vms and the load reports.
+
+    Parameters
+    ----------
+    home : Hop
+        This gateway.
+    watcher : VmWatcher
+        The platform's list as last seen.
+    reports : LoadReports
+        Load of the backend servers of this region.
+
+    Attributes
+    ----------
+    home : Hop
+        This gateway.
+    """
+
+    __slots__ = ('_reports', '_watcher', 'home')
+
+    def __init__(
+        self,
+        home: Hop,
+        watcher: VmWatcher,
+        reports: LoadReports,
+    ) -> None:
+        """Keep the parts."""
+        self.home = home
+        self._watcher = watcher
+        self._reports = reports
+
+    def list_backends(self, service: str, region: str) -> Sequence[Vm]:
+        """Return the backend servers of ``service`` that take new work.
+
+        Leaving ones, and those that report to be draining, are left out.
+        """
+        return [
+            vm
+            for vm in self._watcher.vms
+            if vm.service == service
+            and vm.region == region
+            and self._takes_work(vm)
+        ]
+
+    def list_polled(self) -> Sequence[Vm]:
+        """Return every backend server of this region, leaving ones too."""
+        return [
+            vm
+            for vm in self._watcher.vms
+            if vm.region == self.home.region and vm.role is not Role.gateway
+        ]
+
+    def list_gateways(self, region: str | None = None) -> Sequence[Vm]:
+        """Return the live gateways of one region, or of all."""
+        return [
+            vm
+            for vm in self._watcher.vms
+            if vm.role is Role.gateway
+            and region in {None, vm.region}
+            and vm.state is VmState.live
+        ]
+
+    def find_report(self, vm: Vm) -> LoadReport | None:
+        """Return the newest load report of ``vm``, if one is known."""
+        return self._reports.find(vm)
+
+    def _takes_work(self, vm: Vm) -> bool:
+        if vm.role is Role.gateway or vm.state is not VmState.live:
+            return False
+        report = self._reports.find(vm)
+        return report is None or not report.draining
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/router.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/router.py
@@ -4,7 +4,7 @@
 
 from baobabhinge_gateway.calls import Call
 from baobabhinge_gateway.errors import NoBackendServerError, RegionBoundError
-from baobabhinge_gateway.fleet import VmWatcher
+from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.routing.counters import InFlight
 from baobabhinge_gateway.routing.targets import RoutingPolicy, Target
 from baobabhinge_platform.machines import Vm
@@ -17,7 +17,7 @@
     ----------
     region : str
         Region of this gateway.
-    fleet : VmWatcher
+    fleet : FleetView
         Known vms.
     policy : RoutingPolicy
         Order of the targets.
@@ -30,7 +30,7 @@
     def __init__(
         self,
         region: str,
-        fleet: VmWatcher,
+        fleet: FleetView,
         policy: RoutingPolicy,
         in_flight: InFlight,
     ) -> None:
