--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/router.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/router.py
@@ -3,7 +3,7 @@
 from baobabhinge_gateway.admission import Shedder
 from baobabhinge_gateway.calls import Call
 from baobabhinge_gateway.errors import NoBackendServerError, RegionBoundError
-from baobabhinge_gateway.fleet import VmWatcher
+from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.routing.counters import InFlight
 from baobabhinge_gateway.routing.decisions import Decision, DecisionLog
 from baobabhinge_gateway.routing.registry import RoutingPolicy
@@ -18,7 +18,7 @@
     ----------
     region : str
         Region of this gateway.
-    fleet : VmWatcher
+    fleet : FleetView
         Known vms.
     policy : RoutingPolicy
         Order of the targets.
@@ -40,7 +40,7 @@
     def __init__(
         self,
         region: str,
-        fleet: VmWatcher,
+        fleet: FleetView,
         policy: RoutingPolicy,
         in_flight: InFlight,
         shedder: Shedder,
