Resume streams, retry whole answers under a budget, and check each answer's identity

Cause: an answer that broke, stalled or named another request ended the call; an answer without a request id was handed out; a caller that read slowly held the exchange for the whole deadline. Now attempts go on over other targets (three at most, repeated work a tenth of fresh work), a stream at the token it had reached; a stream that can't go on ends with an error event and without its last chunk.

--- /dev/null
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/budgets/tests/test_retries.py
@@ -0,0 +1,31 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from baobabhinge_coordination.budgets import RetryBudget
+
+STEPS = st.lists(st.sampled_from(['deposit', 'withdraw']), max_size=200)
+
+
+@given(steps=STEPS, share=st.sampled_from([0.125, 0.5]))
+def test_retries_stay_below_the_share_of_fresh_work(steps, share):
+    budget = RetryBudget(share=share, burst=2)
+    fresh = 0
+    retries = 0
+    for step in steps:
+        if step == 'deposit':
+            budget.deposit('engine')
+            fresh += 1
+        else:
+            retries += budget.withdraw('engine')
+        assert retries <= 2 + share * fresh
+
+
+@pytest.mark.parametrize(
+    ('spent', 'asked', 'allowed'),
+    [('engine', 'engine', False), ('engine', 'peer', True)],
+)
+def test_each_kind_has_its_own_budget(spent, asked, allowed):
+    budget = RetryBudget(share=0, burst=1)
+    assert budget.withdraw(spent)
+    assert budget.withdraw(asked) is allowed
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/answers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/answers.py
@@ -3,6 +3,9 @@
 from collections.abc import AsyncIterator
 
 from baobabhinge_gateway.calls.model import Headers
+from baobabhinge_gateway.errors import AnswerBrokenError
+
+MAX_ANSWER_BYTES = 16 << 20
 
 
 class Answer:
@@ -18,9 +21,11 @@
         Pieces of the body, in order.
     request_id : str, optional
         Request that the answer says it is for.
+    outcome : str, optional
+        Set when a gateway answers that it has no answer.
     """
 
-    __slots__ = ('headers', 'pieces', 'request_id', 'status')
+    __slots__ = ('headers', 'outcome', 'pieces', 'request_id', 'status')
 
     def __init__(
         self,
@@ -28,13 +33,39 @@
         headers: Headers,
         pieces: AsyncIterator[bytes],
         request_id: str | None = None,
+        outcome: str | None = None,
     ) -> None:
         """Keep the parts."""
         self.status = status
         self.headers = headers
         self.pieces = pieces
         self.request_id = request_id
+        self.outcome = outcome
+
+    def check_request_id(self, request_id: str) -> None:
+        """Refuse an answer that does not name ``request_id``.
+
+        Raises
+        ------
+        AnswerBrokenError
+            If it names another request or none.
+        """
+        if self.request_id != request_id:
+            raise AnswerBrokenError('the answer is for another request')
 
     async def read_whole(self) -> bytes:
-        """Return the whole body."""
-        return b''.join([piece async for piece in self.pieces])
+        """Return the whole body.
+
+        Raises
+        ------
+        AnswerBrokenError
+            If the body is shorter than announced or over the limit.
+        """
+        pieces = []
+        length = 0
+        async for piece in self.pieces:
+            length += len(piece)
+            if length > MAX_ANSWER_BYTES:
+                raise AnswerBrokenError('the answer is too long')
+            pieces.append(piece)
+        return b''.join(pieces)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/events.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/events.py
@@ -1,75 +1,75 @@
-"""Server-sent events of a streamed answer, checked one by one."""
+"""Server-sent events of a streamed answer, checked one by one.
+
+References
+----------
+WHATWG HTML, section 9.2, Server-sent events.
+"""
 
 from collections.abc import AsyncIterator
 
 import msgspec
 
+from baobabhinge_gateway.backends.chunks import decode_chunk
+from baobabhinge_gateway.backends.splitting import split_events
 from baobabhinge_gateway.errors import AnswerBrokenError
+from baobabhinge_gateway.errors.relayed import read_problem
 
-EVENT_END = b'\n\n'
 DATA_PREFIX = b'data: '
+ERROR_PREFIX = b'event: error\ndata: '
 TERMINAL_EVENT = b'data: [DONE]\n\n'
-MAX_EVENT_BYTES = 1 << 20
-
 
-class _Chunk(msgspec.Struct):
-    id: str
 
+class Event(msgspec.Struct, frozen=True):
+    """One checked event.
 
-async def split_events(pieces: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
-    """Cut the pieces of a body into whole events.
-
-    Raises
-    ------
-    AnswerBrokenError
-        If the body ends inside an event or an event is too long.
+    Parameters
+    ----------
+    frame : bytes
+        The event as it stands on the wire.
+    has_text : bool
+        Whether it carries a token.
+    is_terminal : bool
+        Whether it ends the answer.
     """
-    pending = b''
-    async for piece in pieces:
-        pending += piece
-        *whole, pending = pending.split(EVENT_END)
-        for event in whole:
-            yield event + EVENT_END
-        if len(pending) > MAX_EVENT_BYTES:
-            raise AnswerBrokenError('an event of the answer is too long')
-    if pending:
-        raise AnswerBrokenError('the answer ended inside an event')
+
+    frame: bytes
+    has_text: bool = False
+    is_terminal: bool = False
 
 
 async def check_events(
     pieces: AsyncIterator[bytes],
     request_id: str,
-) -> AsyncIterator[bytes]:
+) -> AsyncIterator[Event]:
     """Yield the events of one request, the terminal one last.
 
     Raises
     ------
-    AnswerBrokenError
-        If an event names another request, or the terminal event is missing.
+    CallError
+        If an event names another request or reports an error, or if the
+        terminal event is missing.
     """
-    async for event in split_events(pieces):
-        if event == TERMINAL_EVENT:
-            yield event
-            return
-        check_request_id(event, request_id)
+    async for frame in split_events(pieces):
+        event = read_event(frame, request_id)
         yield event
+        if event.is_terminal:
+            return
     raise AnswerBrokenError('the answer ended without its terminal event')
 
 
-def check_request_id(event: bytes, request_id: str) -> None:
-    """Refuse an event that does not name ``request_id``.
+def read_event(frame: bytes, request_id: str) -> Event:
+    """Return the event in ``frame``.
 
     Raises
     ------
-    AnswerBrokenError
-        If it names another one or can't be read.
+    CallError
+        If it names another request, can't be read or reports an error.
     """
-    try:
-        chunk = msgspec.json.decode(
-            event.removeprefix(DATA_PREFIX),
-            type=_Chunk,
-        )
-    except msgspec.MsgspecError as bad:
-        raise AnswerBrokenError('an event of the answer is malformed') from bad
+    if frame == TERMINAL_EVENT:
+        return Event(frame, is_terminal=True)
+    if frame.startswith(ERROR_PREFIX):
+        raise read_problem(frame.removeprefix(ERROR_PREFIX))
+    chunk = decode_chunk(frame.removeprefix(DATA_PREFIX))
     if chunk.id != request_id:
         raise AnswerBrokenError('the answer is for another request')
+    return Event(frame, has_text=chunk.has_text)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/exchange.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/exchange.py
@@ -1,14 +1,18 @@
 """One HTTP exchange, closed if it is abandoned."""
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from datetime import timedelta
 
 import aiohttp
 import msgspec
 
 from baobabhinge_gateway.backends.answers import Answer
-from baobabhinge_gateway.calls.headers import REQUEST_ID, keep_end_to_end
+from baobabhinge_gateway.calls.headers import (
+    OUTCOME,
+    REQUEST_ID,
+    keep_end_to_end,
+)
 from baobabhinge_gateway.calls.model import Headers
 from baobabhinge_gateway.errors import AnswerBrokenError, NotReachedError
 
@@ -69,12 +73,8 @@
             timeout=limit,
             allow_redirects=False,
         ) as response:
-            yield Answer(
-                response.status,
-                keep_end_to_end(response.headers.items()),
-                _read_pieces(response),
-                response.headers.get(REQUEST_ID),
-            )
+            with _closing_unless_read(response):
+                yield _build_answer(response)
     except (
         aiohttp.ClientConnectorError,
         aiohttp.ConnectionTimeoutError,
@@ -84,6 +84,29 @@
         raise AnswerBrokenError('the exchange broke off') from broken
 
 
+def _build_answer(response: aiohttp.ClientResponse) -> Answer:
+    return Answer(
+        response.status,
+        keep_end_to_end(response.headers.items()),
+        _read_pieces(response),
+        response.headers.get(REQUEST_ID),
+        response.headers.get(OUTCOME),
+    )
+
+
+@contextmanager
+def _closing_unless_read(response: aiohttp.ClientResponse) -> Iterator[None]:
+    """Close the connection if the answer was not read to its end.
+
+    A reused connection would hand the rest of it to the next exchange.
+    """
+    try:
+        yield
+    finally:
+        if not response.content.at_eof():
+            response.close()
+
+
 async def _read_pieces(
     response: aiohttp.ClientResponse,
 ) -> AsyncIterator[bytes]:
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/patience.py
@@ -0,0 +1,62 @@
+"""Limits on how long a backend server may stay silent."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable
+from datetime import timedelta
+from typing import TypeVar
+
+import msgspec
+
+from baobabhinge_gateway.errors import AnswerBrokenError
+
+StepT = TypeVar('StepT')
+
+
+class Patience(msgspec.Struct, frozen=True):
+    """Longest silences of one attempt.
+
+    Parameters
+    ----------
+    first : timedelta
+        Until the headers, and from them to the first piece of the body.
+    between : timedelta
+        Between two pieces.
+    """
+
+    first: timedelta
+    between: timedelta
+
+
+async def limit_silence(
+    pieces: AsyncIterator[bytes],
+    patience: Patience,
+) -> AsyncIterator[bytes]:
+    """Yield the pieces until one is late.
+
+    Raises
+    ------
+    AnswerBrokenError
+        If the next piece does not come in time.
+    """
+    limit = patience.first
+    while True:
+        piece = await wait_within(anext(pieces, None), limit)
+        if piece is None:
+            return
+        yield piece
+        limit = patience.between
+
+
+async def wait_within(step: Awaitable[StepT], limit: timedelta) -> StepT:
+    """Return what ``step`` returns.
+
+    Raises
+    ------
+    AnswerBrokenError
+        If it takes longer than ``limit``.
+    """
+    try:
+        async with asyncio.timeout(limit.total_seconds()):
+            return await step
+    except TimeoutError as late:
+        raise AnswerBrokenError('the backend server stalled') from late
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
@@ -2,6 +2,7 @@
 
 from random import SystemRandom
 
+from baobabhinge_coordination.budgets import RetryBudget
 from baobabhinge_coordination.clock import SystemClock
 from baobabhinge_gateway.callers.service import CallServer
 from baobabhinge_gateway.calls import Hop
@@ -16,6 +17,8 @@
     create_policy,
 )
 
+RETRY_SHARE = 0.1
+RETRY_BURST = 10
 DEFAULT_POLICY = 'least-in-flight'
 
 
@@ -32,6 +35,8 @@
     repeatable = RepeatableExecutor(
         Router(hop.region, fleet, policy, in_flight),
         Dispatcher(platform.http, clock, in_flight),
+        RetryBudget(share=RETRY_SHARE, burst=RETRY_BURST),
+        clock,
     )
     executors = Executors(
         model=repeatable,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/problems.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/problems.py
@@ -5,48 +5,22 @@
 RFC 9457, Problem Details for HTTP APIs.
 """
 
-import math
 from collections.abc import Awaitable, Callable
 
 import msgspec
 import structlog
 from aiohttp import web
 
-from baobabhinge_gateway.calls.headers import REQUEST_ID
+from baobabhinge_gateway.calls.headers import OUTCOME, REQUEST_ID
 from baobabhinge_gateway.errors import CallError
+from baobabhinge_gateway.errors.problem import PROBLEM_TYPE, describe_problem
 
-PROBLEM_TYPE = 'application/problem+json'
 RETRY_AFTER = 'Retry-After'
 
 Answerer = Callable[[web.Request], Awaitable[web.StreamResponse]]
 log = structlog.get_logger(__name__)
 
 
-class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Body of an error answer."""
-
-    type: str
-    title: str
-    status: int
-    detail: str
-    code: str
-    outcome: str
-    request_id: str = ''
-
-
-def describe_problem(error: CallError, request_id: str = '') -> Problem:
-    """Return the problem details of ``error``."""
-    return Problem(
-        type=f'urn:baobabhinge:problem:{error.code}',
-        title=error.code.replace('-', ' '),
-        status=error.status,
-        detail=error.detail,
-        code=error.code,
-        outcome=error.outcome,
-        request_id=request_id,
-    )
-
-
 @web.middleware
 async def answer_problems(
     request: web.Request,
@@ -63,10 +37,14 @@
 
 def render_problem(error: CallError, request_id: str) -> web.Response:
     """Return the HTTP answer for ``error``."""
-    seconds = math.ceil(error.retry_after.total_seconds())
+    problem = describe_problem(error, request_id)
     return web.Response(
         status=error.status,
-        body=msgspec.json.encode(describe_problem(error, request_id)),
+        body=msgspec.json.encode(problem),
         content_type=PROBLEM_TYPE,
-        headers={RETRY_AFTER: str(seconds), REQUEST_ID: request_id},
+        headers={
+            RETRY_AFTER: str(problem.retry_after_seconds),
+            REQUEST_ID: request_id,
+            OUTCOME: error.outcome,
+        },
     )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
@@ -2,10 +2,11 @@
 
 import uuid
 
+import structlog
 from aiohttp import web
 
 from baobabhinge_coordination.clock import Clock
-from baobabhinge_gateway.calls import Hop, HopList, headers
+from baobabhinge_gateway.calls import Call, Hop, HopList, headers
 from baobabhinge_gateway.calls.building import (
     Arrival,
     CallBuilder,
@@ -13,9 +14,12 @@
     build_plain_call,
 )
 from baobabhinge_gateway.configuration import ActiveConfiguration
-from baobabhinge_gateway.execution import Executors
+from baobabhinge_gateway.errors import AnswerCutError, CallerLostError
+from baobabhinge_gateway.execution import Executor, Executors
 from baobabhinge_gateway.telemetry import Measures
 
+log = structlog.get_logger(__name__)
+
 
 class CallServer:
     """Serve calls from callers and from other gateways.
@@ -64,12 +68,37 @@
         arrival = self._register(request)
         call = await build(request, self._active.require_settings(), arrival)
         executor = self._executors.select(call)
-        response = await executor.execute(request, call)
+        response = await self._execute(executor, request, call)
         elapsed = self._clock.read_monotonic() - arrival.instant
         self.measures.record_latency('answer', elapsed)
+        return response
+
+    async def _execute(
+        self,
+        executor: Executor,
+        request: web.Request,
+        call: Call,
+    ) -> web.StreamResponse:
+        try:
+            response = await executor.execute(request, call)
+        except AnswerCutError:
+            return self._end_lost(request, call, 'cut')
+        except CallerLostError:
+            return self._end_lost(request, call, 'caller-lost')
         self.measures.outcomes['answered'] += 1
         return response
 
+    def _end_lost(
+        self,
+        request: web.Request,
+        call: Call,
+        outcome: str,
+    ) -> web.StreamResponse:
+        """Return a response that the closed connection does not carry."""
+        self.measures.outcomes[outcome] += 1
+        log.warning('answer-not-whole', outcome=outcome, id=call.request_id)
+        return web.Response()
+
     def _register(self, request: web.Request) -> Arrival:
         passed = HopList.parse(request.headers.get(headers.PATH, ''))
         request_id = request.headers.get(headers.REQUEST_ID)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/headers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/headers.py
@@ -10,6 +10,7 @@
 IDEMPOTENCY_KEY = 'Idempotency-Key'
 REQUEST_ID = 'X-Request-Id'
 FORWARD_PREFIX = '/forward'
+OUTCOME = 'Baobabhinge-Outcome'
 GENERATION = 'Baobabhinge-Generation'
 
 HOP_BY_HOP = frozenset(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/hops.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/hops.py
@@ -16,9 +16,18 @@
 
 
 class HopList(msgspec.Struct, frozen=True):
-    """Every gateway that a call has passed, the first one first."""
+    """Every gateway that a call has passed, the first one first.
+
+    Parameters
+    ----------
+    hops : tuple of Hop
+        The way to this gateway.
+    tried : tuple of Hop
+        Gateways that took the call on earlier attempts and gave no answer.
+    """
 
     hops: tuple[Hop, ...] = ()
+    tried: tuple[Hop, ...] = ()
 
     def extend(self, hop: Hop) -> 'HopList':
         """Return the list with ``hop`` at its end.
@@ -33,20 +42,25 @@
             raise PathLoopError('the call has passed this gateway before')
         if hop.region in self._list_left_regions():
             raise PathLoopError('the call has left this region before')
-        return HopList((*self.hops, hop))
+        return HopList((*self.hops, hop), self.tried)
+
+    def add_tried(self, hop: Hop) -> 'HopList':
+        """Return the list with ``hop`` among the earlier attempts."""
+        return HopList(self.hops, (*self.tried, hop))
 
     def has_region(self, region: str) -> bool:
         """Tell whether the call has passed ``region``."""
-        return any(hop.region == region for hop in self.hops)
-
-    def has_gateway(self, gateway: str) -> bool:
-        """Tell whether the call has passed ``gateway``."""
-        return any(hop.gateway == gateway for hop in self.hops)
+        return any(hop.region == region for hop in self._list_all())
 
     def render(self) -> str:
-        """Return the list as a header's text."""
+        """Return the list as a header's text.
+
+        Earlier attempts stand before the way to this gateway, so that the
+        next gateway sees their places as left.
+        """
         return HOP_SEPARATOR.join(
-            f'{hop.gateway}{REGION_SEPARATOR}{hop.region}' for hop in self.hops
+            f'{hop.gateway}{REGION_SEPARATOR}{hop.region}'
+            for hop in self._list_all()
         )
 
     @classmethod
@@ -61,6 +75,9 @@
         entries = text.split(HOP_SEPARATOR) if text else []
         return cls(tuple(_parse_hop(entry) for entry in entries))
 
+    def _list_all(self) -> tuple[Hop, ...]:
+        return self.tried + self.hops
+
     def _list_left_regions(self) -> set[str]:
         if not self.hops:
             return set()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/model.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/model.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from baobabhinge_gateway.calls.hops import HopList
+from baobabhinge_gateway.calls.hops import Hop, HopList
 from baobabhinge_settings.model import Service
 
 Headers = tuple[tuple[str, str], ...]
@@ -66,3 +66,7 @@
         """Tell whether the call may not be repeated."""
         path = self.path.partition('?')[0]
         return self.service.is_run_once(self.method, path)
+
+    def add_tried(self, hop: Hop) -> 'Call':
+        """Return the call with ``hop`` among its earlier attempts."""
+        return msgspec.structs.replace(self, hops=self.hops.add_tried(hop))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/parsing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/parsing.py
@@ -21,6 +21,7 @@
 
     model: str
     stream: bool = False
+    resume_from: int = 0
 
 
 def parse_terms(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
@@ -4,6 +4,15 @@
 from baobabhinge_gateway.errors.base import GatewayError as GatewayError
 from baobabhinge_gateway.errors.base import NotReachedError as NotReachedError
 from baobabhinge_gateway.errors.base import Outcome as Outcome
+from baobabhinge_gateway.errors.relayed import (
+    AnswerCutError as AnswerCutError,
+)
+from baobabhinge_gateway.errors.relayed import (
+    BackendFailedError as BackendFailedError,
+)
+from baobabhinge_gateway.errors.relayed import (
+    CallerLostError as CallerLostError,
+)
 from baobabhinge_gateway.errors.requests import (
     MalformedCallError as MalformedCallError,
 )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/base.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/base.py
@@ -4,6 +4,8 @@
 from datetime import timedelta
 from http import HTTPStatus
 
+import msgspec
+
 DEFAULT_RETRY_AFTER = timedelta(seconds=1)
 
 
@@ -14,6 +16,14 @@
     unknown = 'unknown'
 
 
+class EntryHint(msgspec.Struct, frozen=True):
+    """A gateway that the caller may use in place of this one."""
+
+    vm: str
+    region: str
+    address: str
+
+
 class GatewayError(Exception):
     """Base of every failure of the gateway."""
 
@@ -36,6 +46,7 @@
     code = 'internal'
     status = HTTPStatus.INTERNAL_SERVER_ERROR
     outcome = Outcome.not_run
+    entries: tuple[EntryHint, ...] = ()
 
     def __init__(
         self,
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/problem.py
@@ -0,0 +1,60 @@
+"""Errors as problem details.
+
+References
+----------
+RFC 9457, Problem Details for HTTP APIs.
+"""
+
+import math
+
+import msgspec
+
+from baobabhinge_gateway.errors.base import CallError, EntryHint, Outcome
+
+PROBLEM_TYPE = 'application/problem+json'
+TYPE_PREFIX = 'urn:baobabhinge:problem:'
+
+
+class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Body of an error answer.
+
+    Parameters
+    ----------
+    type, title, status, detail : str or int
+        Members that the RFC defines.
+    code : str
+        Stable code of the error.
+    outcome : Outcome
+        What is known about the call.
+    retry_after_seconds : int
+        When the caller may come back, in seconds.
+    request_id : str
+        Identifier of the call.
+    entries : tuple of EntryHint
+        Gateways that can serve the call.
+    """
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    code: str
+    outcome: Outcome
+    retry_after_seconds: int = 0
+    request_id: str = ''
+    entries: tuple[EntryHint, ...] = ()
+
+
+def describe_problem(error: CallError, request_id: str = '') -> Problem:
+    """Return the problem details of ``error``."""
+    return Problem(
+        type=f'{TYPE_PREFIX}{error.code}',
+        title=error.code.replace('-', ' '),
+        status=error.status,
+        detail=error.detail,
+        code=error.code,
+        outcome=error.outcome,
+        retry_after_seconds=math.ceil(error.retry_after.total_seconds()),
+        request_id=request_id,
+        entries=error.entries,
+    )
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/attempts.py
@@ -0,0 +1,105 @@
+"""Attempts of one call: which target is next, and what the caller is told."""
+
+from collections.abc import Iterable
+
+from baobabhinge_coordination.budgets import RetryBudget
+from baobabhinge_gateway.calls import Call, Hop
+from baobabhinge_gateway.errors import (
+    CallError,
+    NoBackendServerError,
+    Outcome,
+)
+from baobabhinge_gateway.routing import Router, Target
+
+MAX_ATTEMPTS = 3
+
+
+class Attempts:
+    """Choose targets for one call that may be repeated.
+
+    No target is tried twice. A gateway that took the call is noted among the
+    places passed, so that no later attempt comes back to it or its region.
+
+    Parameters
+    ----------
+    call : Call
+        The call.
+    router : Router
+        Finder of targets.
+    budget : RetryBudget
+        Bound on repeated work.
+
+    Attributes
+    ----------
+    call : Call
+        The call with the places that earlier attempts have passed.
+    """
+
+    __slots__ = ('_budget', '_failure', '_router', '_runs', '_tried', 'call')
+
+    def __init__(
+        self,
+        call: Call,
+        router: Router,
+        budget: RetryBudget,
+    ) -> None:
+        """Start with nothing tried."""
+        self.call = call
+        self._router = router
+        self._budget = budget
+        self._tried: set[str] = set()
+        self._runs = 0
+        self._failure: CallError | None = None
+
+    def choose_target(self) -> Target:
+        """Return the next target.
+
+        Raises
+        ------
+        CallError
+            If there is none, or no retry is allowed: what the caller is told.
+        """
+        target = self._find_target()
+        if self._runs:
+            self._check_retry(target)
+        else:
+            self._budget.deposit(target.vm.role)
+        self._tried.add(target.vm.name)
+        return target
+
+    def record_failure(self, target: Target, failure: CallError) -> None:
+        """Note that ``target`` gave no whole answer."""
+        if isinstance(failure, NoBackendServerError):
+            return
+        self._runs += 1
+        if self._failure is None or failure.outcome is Outcome.unknown:
+            self._failure = failure
+        if target.is_remote:
+            passed = Hop(target.vm.name, target.vm.region)
+            self.call = self.call.add_tried(passed)
+
+    def _find_target(self) -> Target:
+        for target in self._rank_targets():
+            if not self._is_spent(target):
+                return target
+        raise self._failure or NoBackendServerError(
+            'no backend server could be reached',
+        )
+
+    def _is_spent(self, target: Target) -> bool:
+        if target.vm.name in self._tried:
+            return True
+        return target.is_remote and self.call.hops.has_region(target.vm.region)
+
+    def _rank_targets(self) -> Iterable[Target]:
+        try:
+            return self._router.rank_targets(self.call)
+        except CallError as none_left:
+            raise self._failure or none_left from none_left
+
+    def _check_retry(self, target: Target) -> None:
+        is_allowed = self._runs < MAX_ATTEMPTS and self._budget.withdraw(
+            target.vm.role,
+        )
+        if self._failure is not None and not is_allowed:
+            raise self._failure
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/opening.py
@@ -0,0 +1,60 @@
+"""Opening the exchange of one attempt, and refusals in place of an answer."""
+
+from contextlib import AbstractAsyncContextManager, AsyncExitStack
+from http import HTTPStatus
+
+from baobabhinge_gateway.backends import Answer
+from baobabhinge_gateway.backends.patience import (
+    Patience,
+    limit_silence,
+    wait_within,
+)
+from baobabhinge_gateway.calls import Call
+from baobabhinge_gateway.errors import BackendFailedError
+from baobabhinge_gateway.errors.relayed import read_problem
+from baobabhinge_gateway.routing import Target
+from baobabhinge_settings.model import ServiceKind
+
+ENGINE_FAILURES = frozenset(
+    (
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.INTERNAL_SERVER_ERROR,
+        HTTPStatus.BAD_GATEWAY,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        HTTPStatus.GATEWAY_TIMEOUT,
+    ),
+)
+
+
+async def open_within(
+    stack: AsyncExitStack,
+    exchange: AbstractAsyncContextManager[Answer],
+    patience: Patience,
+) -> Answer:
+    """Enter ``exchange`` and limit the silences of its answer.
+
+    Raises
+    ------
+    AnswerBrokenError
+        If the headers do not come in time.
+    """
+    opening = stack.enter_async_context(exchange)
+    answer = await wait_within(opening, patience.first)
+    answer.pieces = limit_silence(answer.pieces, patience)
+    return answer
+
+
+async def check_refusal(call: Call, answer: Answer, target: Target) -> None:
+    """Refuse what ``target`` told in place of an answer.
+
+    Raises
+    ------
+    CallError
+        If a gateway refused the call, or an engine can't serve it.
+    """
+    if target.is_remote and answer.outcome is not None:
+        answer.check_request_id(call.request_id)
+        raise read_problem(await answer.read_whole())
+    is_model = call.service.kind is ServiceKind.model
+    if is_model and answer.status in ENGINE_FAILURES:
+        raise BackendFailedError('the backend server failed')
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/relay.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/relay.py
@@ -1,12 +1,118 @@
-"""Writing answers to callers."""
+"""Handing the answers of backend servers to callers."""
 
+from http import HTTPStatus
+from typing import Protocol
+
+import msgspec
 from aiohttp import web
 
 from baobabhinge_gateway.backends import Answer
 from baobabhinge_gateway.backends.events import check_events
 from baobabhinge_gateway.calls import Call
 from baobabhinge_gateway.calls.headers import REQUEST_ID
-from baobabhinge_gateway.errors import AnswerBrokenError
+from baobabhinge_gateway.errors import (
+    AnswerBrokenError,
+    AnswerCutError,
+    CallError,
+)
+from baobabhinge_gateway.execution.resuming import resume_call
+from baobabhinge_gateway.execution.writing import CallerStream, copy_headers
+from baobabhinge_settings.model import ServiceKind
+
+
+class Relay(Protocol):
+    """One caller's answer, fed by one attempt after another."""
+
+    def prepare_call(self, call: Call) -> Call:
+        """Return the call that asks for what is missing."""
+
+    async def take(self, answer: Answer) -> web.StreamResponse:
+        """Hand ``answer`` to the caller whole, or raise a `CallError`."""
+
+    async def fail(self, failure: CallError) -> None:
+        """Tell the caller of ``failure``, by raising or by an event."""
+
+
+class WholeRelay:
+    """An answer that is read whole before its status line is written.
+
+    Parameters
+    ----------
+    call : Call
+        The call.
+    """
+
+    __slots__ = ('_call',)
+
+    def __init__(self, call: Call) -> None:
+        """Keep the call."""
+        self._call = call
+
+    def prepare_call(self, call: Call) -> Call:
+        """Return the whole call; nothing has been handed out."""
+        return call
+
+    async def take(self, answer: Answer) -> web.StreamResponse:
+        """Return the checked answer."""
+        return await write_whole(self._call, answer)
+
+    async def fail(self, failure: CallError) -> None:
+        """Raise ``failure``; the status line is still unwritten."""
+        raise failure
+
+
+class StreamRelay:
+    """A stream of events that goes on where an earlier engine left off.
+
+    Parameters
+    ----------
+    request : web.Request
+        Request of the caller.
+    call : Call
+        The call.
+    """
+
+    __slots__ = ('_call', '_caller', '_tokens')
+
+    def __init__(self, request: web.Request, call: Call) -> None:
+        """Start with no token handed out."""
+        self._call = call
+        self._caller = CallerStream(request, call.request_id)
+        self._tokens = 0
+
+    def prepare_call(self, call: Call) -> Call:
+        """Return the call from the first token that is missing."""
+        return resume_call(call, self._tokens)
+
+    async def take(self, answer: Answer) -> web.StreamResponse:
+        """Pass the events on as they come."""
+        if answer.status != HTTPStatus.OK and not self._tokens:
+            return await write_whole(self._call, answer)
+        request_id = self._call.request_id
+        answer.check_request_id(request_id)
+        async for event in check_events(answer.pieces, request_id):
+            response = await self._caller.start(answer)
+            await self._caller.write(response, event.frame)
+            self._tokens += event.has_text
+        await response.write_eof()
+        return response
+
+    async def fail(self, failure: CallError) -> None:
+        """Raise ``failure``, or end the answer visibly if it has begun.
+
+        Raises
+        ------
+        AnswerCutError
+            If the answer had begun.
+        """
+        if self._caller.response is None:
+            raise failure
+        await self._caller.cut(self._caller.response, failure)
+        raise AnswerCutError(failure.code) from failure
+
+
+class _Identified(msgspec.Struct):
+    id: str
 
 
 async def write_whole(call: Call, answer: Answer) -> web.Response:
@@ -15,46 +121,24 @@
     Raises
     ------
     AnswerBrokenError
-        If it names another request.
+        If it names another request, or did not arrive whole.
     """
-    if answer.request_id not in {None, call.request_id}:
-        raise AnswerBrokenError('the answer is for another request')
+    answer.check_request_id(call.request_id)
     body = await answer.read_whole()
+    if call.service.kind is ServiceKind.model:
+        _check_completion(call, answer, body)
     response = web.Response(status=answer.status, body=body)
-    _copy_headers(answer, response)
+    copy_headers(answer, response)
     response.headers[REQUEST_ID] = call.request_id
     return response
 
 
-async def write_stream(
-    request: web.Request,
-    call: Call,
-    answer: Answer,
-) -> web.StreamResponse:
-    """Pass the events on as they come.
-
-    An answer that breaks is cut visibly: the connection is closed before the
-    end of the body.
-    """
-    response = web.StreamResponse(status=answer.status)
-    _copy_headers(answer, response)
-    response.headers[REQUEST_ID] = call.request_id
-    await response.prepare(request)
+def _check_completion(call: Call, answer: Answer, body: bytes) -> None:
+    if answer.status != HTTPStatus.OK:
+        return
     try:
-        async for event in check_events(answer.pieces, call.request_id):
-            await response.write(event)
-    except AnswerBrokenError:
-        _abort(request)
-        raise
-    await response.write_eof()
-    return response
-
-
-def _copy_headers(answer: Answer, response: web.StreamResponse) -> None:
-    for name, text in answer.headers:
-        response.headers[name] = text
-
-
-def _abort(request: web.Request) -> None:
-    if request.transport is not None:
-        request.transport.abort()
+        completion = msgspec.json.decode(body, type=_Identified)
+    except msgspec.MsgspecError as bad:
+        raise AnswerBrokenError('the answer is malformed') from bad
+    if completion.id != call.request_id:
+        raise AnswerBrokenError('the answer is for another request')
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/repeatable.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/repeatable.py
@@ -1,12 +1,29 @@
-"""Calls that may be repeated: the first target that answers wins."""
+"""Calls that may be repeated: attempts go on until one answers whole."""
 
-from http import HTTPStatus
+from contextlib import AsyncExitStack
+from datetime import timedelta
 
 from aiohttp import web
 
+from baobabhinge_coordination.budgets import RetryBudget
+from baobabhinge_coordination.clock import Clock
+from baobabhinge_gateway.backends.patience import Patience
 from baobabhinge_gateway.calls import Call
-from baobabhinge_gateway.execution.relay import write_stream, write_whole
-from baobabhinge_gateway.routing import Dispatcher, Router
+from baobabhinge_gateway.errors import CallError
+from baobabhinge_gateway.execution.attempts import Attempts
+from baobabhinge_gateway.execution.opening import (
+    check_refusal,
+    open_within,
+)
+from baobabhinge_gateway.execution.relay import (
+    Relay,
+    StreamRelay,
+    WholeRelay,
+)
+from baobabhinge_gateway.routing import Dispatcher, Router, Target
+
+EVENT_PATIENCE = timedelta(seconds=2)
+LEAST_PATIENCE = timedelta(milliseconds=100)
 
 
 class RepeatableExecutor:
@@ -18,23 +35,92 @@
         Finder of targets.
     dispatcher : Dispatcher
         Sender of calls.
+    budget : RetryBudget
+        Bound on repeated work.
+    clock : Clock
+        Clock of the deadlines.
     """
 
-    __slots__ = ('_dispatcher', '_router')
+    __slots__ = ('_budget', '_clock', '_dispatcher', '_router')
 
-    def __init__(self, router: Router, dispatcher: Dispatcher) -> None:
+    def __init__(
+        self,
+        router: Router,
+        dispatcher: Dispatcher,
+        budget: RetryBudget,
+        clock: Clock,
+    ) -> None:
         """Keep the parts."""
         self._router = router
         self._dispatcher = dispatcher
+        self._budget = budget
+        self._clock = clock
 
     async def execute(
         self,
         request: web.Request,
         call: Call,
     ) -> web.StreamResponse:
-        """Run ``call`` and answer ``request``."""
-        targets = self._router.rank_targets(call)
-        async with self._dispatcher.open_answer(call, targets) as answer:
-            if call.streamed and answer.status == HTTPStatus.OK:
-                return await write_stream(request, call, answer)
-            return await write_whole(call, answer)
+        """Run ``call`` and answer ``request``.
+
+        Raises
+        ------
+        CallError
+            If there is no answer and the status line is unwritten.
+        AnswerCutError
+            If an answer had begun and could not be continued.
+        """
+        relay = _create_relay(request, call)
+        attempts = Attempts(call, self._router, self._budget)
+        response = None
+        while response is None:
+            target = await _choose_target(attempts, relay)
+            response = await self._try_target(attempts, relay, target)
+        return response
+
+    async def _try_target(
+        self,
+        attempts: Attempts,
+        relay: Relay,
+        target: Target,
+    ) -> web.StreamResponse | None:
+        try:
+            return await self._relay_answer(attempts.call, relay, target)
+        except CallError as failure:
+            attempts.record_failure(target, failure)
+        return None
+
+    async def _relay_answer(
+        self,
+        call: Call,
+        relay: Relay,
+        target: Target,
+    ) -> web.StreamResponse:
+        patience = self._measure_patience(call)
+        exchange = self._dispatcher.open_answer(
+            relay.prepare_call(call),
+            (target,),
+        )
+        async with AsyncExitStack() as stack:
+            answer = await open_within(stack, exchange, patience)
+            await check_refusal(call, answer, target)
+            return await relay.take(answer)
+
+    def _measure_patience(self, call: Call) -> Patience:
+        rest = call.terms.deadline - self._clock.read_monotonic()
+        first = max(LEAST_PATIENCE, rest / 2)
+        return Patience(first, EVENT_PATIENCE if call.streamed else first)
+
+
+def _create_relay(request: web.Request, call: Call) -> Relay:
+    if call.streamed:
+        return StreamRelay(request, call)
+    return WholeRelay(call)
+
+
+async def _choose_target(attempts: Attempts, relay: Relay) -> Target:
+    try:
+        return attempts.choose_target()
+    except CallError as failure:
+        await relay.fail(failure)
+        raise
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/resuming.py
@@ -0,0 +1,37 @@
+"""Continuing a completion at the token where another engine left off."""
+
+import msgspec
+
+from baobabhinge_gateway.calls import Call
+
+RESUME_FIELD = 'resume_from'
+
+
+class _Resumable(msgspec.Struct):
+    resume_from: int = 0
+
+
+def resume_call(call: Call, tokens: int) -> Call:
+    """Return ``call`` as it continues after ``tokens`` more tokens.
+
+    Parameters
+    ----------
+    call : Call
+        A completion whose body is a JSON object.
+    tokens : int
+        Tokens handed to the caller so far.
+    """
+    if not tokens:
+        return call
+    body = _set_start(call.body, _read_start(call.body) + tokens)
+    return msgspec.structs.replace(call, body=body)
+
+
+def _read_start(body: bytes) -> int:
+    return msgspec.json.decode(body, type=_Resumable).resume_from
+
+
+def _set_start(body: bytes, start: int) -> bytes:
+    fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+    fields[RESUME_FIELD] = msgspec.Raw(b'%d' % start)
+    return msgspec.json.encode(fields)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/writing.py
@@ -0,0 +1,94 @@
+"""Writing to callers, within limits of time and memory."""
+
+import asyncio
+from datetime import timedelta
+
+import msgspec
+from aiohttp import web
+
+from baobabhinge_gateway.backends import Answer
+from baobabhinge_gateway.backends.events import ERROR_PREFIX
+from baobabhinge_gateway.backends.splitting import EVENT_END
+from baobabhinge_gateway.calls.headers import REQUEST_ID
+from baobabhinge_gateway.errors import CallerLostError, CallError
+from baobabhinge_gateway.errors.problem import describe_problem
+
+WRITE_PATIENCE = timedelta(seconds=10)
+
+
+class CallerStream:
+    """A streamed response to one caller.
+
+    Nothing is read from the backend server while a write waits, so a slow
+    caller holds no more than the socket buffers of both sides.
+
+    Parameters
+    ----------
+    request : web.Request
+        Request of the caller.
+    request_id : str
+        Identifier of the call.
+
+    Attributes
+    ----------
+    response : web.StreamResponse or None
+        Set once the status line is written.
+    """
+
+    __slots__ = ('_request', '_request_id', 'response')
+
+    def __init__(self, request: web.Request, request_id: str) -> None:
+        """Write nothing yet."""
+        self._request = request
+        self._request_id = request_id
+        self.response: web.StreamResponse | None = None
+
+    async def start(self, answer: Answer) -> web.StreamResponse:
+        """Write status and headers, unless that has been done."""
+        if self.response is None:
+            self.response = web.StreamResponse(status=answer.status)
+            copy_headers(answer, self.response)
+            self.response.headers[REQUEST_ID] = self._request_id
+            await self.response.prepare(self._request)
+        return self.response
+
+    async def write(self, response: web.StreamResponse, frame: bytes) -> None:
+        """Write one event.
+
+        Raises
+        ------
+        CallerLostError
+            If the caller went away, or did not make room in time.
+        """
+        try:
+            await _write_within(response, frame)
+        except (ConnectionError, TimeoutError) as lost:
+            self._abort()
+            raise CallerLostError('the caller does not read') from lost
+
+    async def cut(
+        self,
+        response: web.StreamResponse,
+        failure: CallError,
+    ) -> None:
+        """End the answer with an error event and without its last chunk."""
+        problem = describe_problem(failure, self._request_id)
+        frame = ERROR_PREFIX + msgspec.json.encode(problem) + EVENT_END
+        await self.write(response, frame)
+        if self._request.transport is not None:
+            self._request.transport.close()
+
+    def _abort(self) -> None:
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+
+async def _write_within(response: web.StreamResponse, frame: bytes) -> None:
+    async with asyncio.timeout(WRITE_PATIENCE.total_seconds()):
+        await response.write(frame)
+
+
+def copy_headers(answer: Answer, response: web.StreamResponse) -> None:
+    """Take the headers of ``answer`` over, repeated ones included."""
+    for name, text in answer.headers:
+        response.headers.add(name, text)
