--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
@@ -2,6 +2,7 @@
 
 from random import SystemRandom
 
+from baobabhinge_coordination.budgets import RetryBudget
 from baobabhinge_coordination.clock import SystemClock
 from baobabhinge_gateway.callers.service import CallServer
 from baobabhinge_gateway.calls import Hop
@@ -11,6 +12,8 @@
 from baobabhinge_gateway.platform import Platform
 from baobabhinge_gateway.routing import RoutingBuilder
 
+RETRY_SHARE = 0.1
+RETRY_BURST = 10
 DEFAULT_POLICY = 'estimated-latency'
 
 
@@ -24,7 +27,12 @@
     clock = SystemClock()
     builder = RoutingBuilder(clock, SystemRandom(), fleet, fleet)
     routing = builder.build(hop.region, DEFAULT_POLICY, platform.http)
-    repeatable = RepeatableExecutor(routing.router, routing.dispatcher)
+    repeatable = RepeatableExecutor(
+        routing.router,
+        routing.dispatcher,
+        RetryBudget(share=RETRY_SHARE, burst=RETRY_BURST),
+        clock,
+    )
     executors = Executors(
         model=repeatable,
         plain=repeatable,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
@@ -8,6 +8,15 @@
 from baobabhinge_gateway.errors.limits import (
     WorkspaceShareError as WorkspaceShareError,
 )
+from baobabhinge_gateway.errors.relayed import (
+    AnswerCutError as AnswerCutError,
+)
+from baobabhinge_gateway.errors.relayed import (
+    BackendFailedError as BackendFailedError,
+)
+from baobabhinge_gateway.errors.relayed import (
+    CallerLostError as CallerLostError,
+)
 from baobabhinge_gateway.errors.requests import (
     MalformedCallError as MalformedCallError,
 )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/__init__.py
@@ -6,6 +6,7 @@
     RoutingBuilder as RoutingBuilder,
 )
 from baobabhinge_gateway.routing.assembly import RoutingParts as RoutingParts
+from baobabhinge_gateway.routing.decisions import Candidate as Candidate
 from baobabhinge_gateway.routing.decisions import Decision as Decision
 from baobabhinge_gateway.routing.decisions import DecisionLog as DecisionLog
 from baobabhinge_gateway.routing.dispatch import Dispatcher as Dispatcher
