--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
@@ -7,10 +7,13 @@
 from baobabhinge_gateway.callers.service import CallServer
 from baobabhinge_gateway.calls import Hop
 from baobabhinge_gateway.configuration import ActiveConfiguration
-from baobabhinge_gateway.execution import Executors, RepeatableExecutor
+from baobabhinge_gateway.execution import (
+    Executors,
+    RepeatableExecutor,
+    RoutingBuilder,
+)
 from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.platform import Platform
-from baobabhinge_gateway.routing import RoutingBuilder
 
 RETRY_SHARE = 0.1
 RETRY_BURST = 10
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/__init__.py
@@ -1,5 +1,8 @@
 """Running calls: one executor for each kind of call."""
 
+from baobabhinge_gateway.execution.assembly import (
+    RoutingBuilder as RoutingBuilder,
+)
 from baobabhinge_gateway.execution.protocol import Executor as Executor
 from baobabhinge_gateway.execution.protocol import Executors as Executors
 from baobabhinge_gateway.execution.repeatable import (
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/assembly.py
@@ -5,14 +5,17 @@
 import aiohttp
 
 from baobabhinge_coordination.clock import Clock
-from baobabhinge_gateway.admission import Shedder
+from baobabhinge_gateway.admission import Shedder, WorkspaceShares
 from baobabhinge_gateway.fleet import FleetView
-from baobabhinge_gateway.routing.dispatch import Dispatcher
+from baobabhinge_gateway.routing import (
+    Dispatcher,
+    PolicyParts,
+    Router,
+    TargetTracker,
+    create_policy,
+)
 from baobabhinge_gateway.routing.estimates import Estimator
 from baobabhinge_gateway.routing.loads import LoadSource
-from baobabhinge_gateway.routing.registry import PolicyParts, create_policy
-from baobabhinge_gateway.routing.router import Router
-from baobabhinge_gateway.routing.tracking import TargetTracker
 
 LINK_BYTES_PER_SECOND = 8 << 20
 
@@ -73,9 +76,10 @@
         http: aiohttp.ClientSession,
     ) -> RoutingParts:
         """Return router and dispatcher of a gateway in ``region``."""
-        tracker = TargetTracker(self._clock, LINK_BYTES_PER_SECOND)
+        shares = WorkspaceShares()
+        tracker = TargetTracker(self._clock, LINK_BYTES_PER_SECOND, shares)
         chosen = create_policy(policy, self._build_parts(tracker))
-        shedder = Shedder(self._clock, self._random, tracker.shares)
+        shedder = Shedder(self._clock, self._random, shares)
         return RoutingParts(
             Router(region, self._fleet, chosen, tracker.in_flight, shedder),
             Dispatcher(http, self._clock, tracker),
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/router.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/router.py
@@ -1,11 +1,11 @@
 """Finding the targets of a call."""
 
-from baobabhinge_gateway.admission import Shedder
 from baobabhinge_gateway.calls import Call
 from baobabhinge_gateway.errors import NoBackendServerError, RegionBoundError
 from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.routing.counters import InFlight
 from baobabhinge_gateway.routing.decisions import Decision, DecisionLog
+from baobabhinge_gateway.routing.gates import Gate
 from baobabhinge_gateway.routing.registry import RoutingPolicy
 from baobabhinge_gateway.routing.targets import Target
 from baobabhinge_platform.machines import Vm
@@ -24,16 +24,16 @@
         Order of the targets.
     in_flight : InFlight
         Calls open by vm.
-    shedder : Shedder
+    gate : Gate
         Refuses what would be answered late.
     """
 
     __slots__ = (
         '_fleet',
+        '_gate',
         '_in_flight',
         '_policy',
         '_region',
-        '_shedder',
         'decisions',
     )
 
@@ -43,10 +43,10 @@
         fleet: FleetView,
         policy: RoutingPolicy,
         in_flight: InFlight,
-        shedder: Shedder,
+        gate: Gate,
     ) -> None:
         """Keep the parts."""
-        self._shedder = shedder
+        self._gate = gate
         self._region = region
         self._fleet = fleet
         self._policy = policy
@@ -70,7 +70,7 @@
         decision = self._policy.rank(call, self._list_targets(call))
         self.decisions.add(call.request_id, call.service.name, decision)
         if decision.candidates:
-            self._shedder.check(call, decision)
+            self._gate.check(call, decision)
             return decision
         if call.terms.bound_region:
             raise RegionBoundError('the bound region has no backend server')
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/tests/builders.py
@@ -0,0 +1,90 @@
+"""Calls, targets and reports for the tests of this folder."""
+
+from datetime import timedelta
+from random import Random
+
+import msgspec
+
+from baobabhinge_coordination.clock import ManualClock
+from baobabhinge_gateway.admission import WorkspaceShares
+from baobabhinge_gateway.calls import Call, HopList, Terms
+from baobabhinge_gateway.routing.estimates import Estimator
+from baobabhinge_gateway.routing.registry import PolicyParts, create_policy
+from baobabhinge_gateway.routing.targets import Target
+from baobabhinge_gateway.routing.tracking import TargetTracker
+from baobabhinge_platform.machines import Role, Vm
+from baobabhinge_settings.model import Placement, Service, ServiceKind
+
+SEED = 11
+SERVICE = Service(
+    name='llm',
+    kind=ServiceKind.model,
+    deadline=timedelta(seconds=20),
+    placements=(Placement('west', 3), Placement('east', 3)),
+)
+
+
+class Report(msgspec.Struct):
+    """A load report."""
+
+    running: int
+    waiting: int
+    slots: int = 4
+    age: timedelta = timedelta(milliseconds=200)
+
+
+class Loads:
+    """Reports by name of vm."""
+
+    def __init__(self):
+        self.reports = {}
+
+    def find_report(self, vm):
+        return self.reports.get(vm.name)
+
+
+class World:
+    """A policy with a manual clock and fixed reports."""
+
+    def __init__(self, policy='estimated-latency', link_bytes=1000000):
+        self.clock = ManualClock()
+        self.loads = Loads()
+        self.tracker = TargetTracker(self.clock, link_bytes, WorkspaceShares())
+        estimator = Estimator(
+            self.tracker.in_flight,
+            self.loads,
+            self.tracker.observations,
+        )
+        parts = PolicyParts(
+            self.clock,
+            Random(SEED),
+            estimator,
+            self.tracker.circuits,
+            self.tracker.links,
+        )
+        self.policy = create_policy(policy, parts)
+
+    def rank(self, call, targets):
+        decision = self.policy.rank(call, targets)
+        return [candidate.target.vm.name for candidate in decision.candidates]
+
+
+def make_call(prompt='', service=SERVICE, workspace='', body_size=0):
+    body = msgspec.json.encode({'model': 'llm', 'prompt': prompt})
+    return Call(
+        request_id='r',
+        service=service,
+        method='POST',
+        path='/v1/completions',
+        headers=(),
+        body=body + b' ' * body_size,
+        terms=Terms(timedelta(seconds=20), workspace=workspace),
+        hops=HopList(),
+    )
+
+
+def make_target(name, in_flight=0, region='west'):
+    is_remote = region != 'west'
+    role = Role.gateway if is_remote else Role.engine
+    vm = Vm(name, f'{name}:1', region, f'{region}-a', role, 'llm')
+    return Target(vm, is_remote, in_flight)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/tests/test_estimates.py
@@ -0,0 +1,67 @@
+from datetime import timedelta
+
+import pytest
+
+from baobabhinge_coordination.clock import ManualClock
+from baobabhinge_gateway.routing.averages import PeakAverage
+from baobabhinge_gateway.routing.counters import InFlight
+from baobabhinge_gateway.routing.loads import estimate_occupancy
+from baobabhinge_gateway.routing.objective import Objective
+from baobabhinge_gateway.routing.tests.builders import Report
+
+SECOND = timedelta(seconds=1)
+
+
+@pytest.mark.parametrize(
+    ('report', 'now', 'then', 'requests', 'queue'),
+    [
+        (None, 3, 3, 3, 0),
+        (Report(2, 0), 0, 0, 2, 0),
+        (Report(4, 0), 0, 0, 4, 1),
+        (Report(4, 2), 5, 2, 9, 6),
+        (Report(4, 2), 0, 3, 3, 0),
+        (Report(0, 0), 2, 5, 2, 0),
+    ],
+)
+def test_lagged_report_is_corrected(report, now, then, requests, queue):
+    occupancy = estimate_occupancy(report, now, then)
+    assert (occupancy.requests, occupancy.queue) == (requests, queue)
+
+
+def test_past_counts_follow_the_clock():
+    clock = ManualClock()
+    in_flight = InFlight(clock)
+    with in_flight.track('vm'):
+        clock.advance(SECOND)
+        with in_flight.track('vm'):
+            clock.advance(SECOND / 10)
+            assert in_flight.count('vm') == 2
+            assert in_flight.count_before('vm', SECOND / 2) == 1
+            assert in_flight.count_before('vm', 2 * SECOND) == 0
+    assert in_flight.count('vm') == 0
+
+
+def test_peak_rises_at_once_and_fades():
+    clock = ManualClock()
+    average = PeakAverage(clock, SECOND)
+    average.add(8 * SECOND)
+    assert average.read() == 8 * SECOND
+    clock.advance(SECOND)
+    assert average.read() == 4 * SECOND
+    average.add(2 * SECOND)
+    assert average.read() == 5 * SECOND
+
+
+@pytest.mark.parametrize(
+    ('objective', 'home_first', 'leaves'),
+    [
+        (Objective(tail_latency=1, cost=0.1, sent_away=0.1), 1, False),
+        (Objective(tail_latency=1, cost=0.1, sent_away=0.1), 2, True),
+        (Objective(tail_latency=0.2, cost=0.5, sent_away=0.5), 2, False),
+        (Objective(tail_latency=0.2, cost=0.5, sent_away=0.5), 8, True),
+    ],
+)
+def test_weights_say_when_leaving_pays(objective, home_first, leaves):
+    home = objective.score(home_first * SECOND, is_remote=False)
+    away = objective.score(SECOND / 5, is_remote=True)
+    assert (away < home) is leaves
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/tracking.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/tracking.py
@@ -4,12 +4,12 @@
 from contextlib import contextmanager
 
 from baobabhinge_coordination.clock import Clock
-from baobabhinge_gateway.admission import WorkspaceShares
 from baobabhinge_gateway.backends import Outbound
 from baobabhinge_gateway.errors import NotReachedError, OutcomeUnknownError
 from baobabhinge_gateway.routing.circuits import Circuits
 from baobabhinge_gateway.routing.counters import InFlight
 from baobabhinge_gateway.routing.decisions import Candidate
+from baobabhinge_gateway.routing.gates import Accounts
 from baobabhinge_gateway.routing.links import LinkBudget
 from baobabhinge_gateway.routing.observations import Observations
 from baobabhinge_gateway.routing.timing import ExchangeTimer
@@ -28,27 +28,32 @@
         Bytes that may leave the region.
     observations : Observations
         Finished exchanges.
-    shares : WorkspaceShares
+    accounts : Accounts
         Calls open by workspace.
     """
 
     __slots__ = (
         '_clock',
+        'accounts',
         'circuits',
         'in_flight',
         'links',
         'observations',
-        'shares',
     )
 
-    def __init__(self, clock: Clock, link_bytes_per_second: int) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        link_bytes_per_second: int,
+        accounts: Accounts,
+    ) -> None:
         """Start without exchanges."""
         self._clock = clock
         self.in_flight = InFlight(clock)
         self.circuits = Circuits(clock)
         self.links = LinkBudget(clock, link_bytes_per_second)
         self.observations = Observations(clock)
-        self.shares = WorkspaceShares()
+        self.accounts = accounts
 
     @contextmanager
     def track(
