--- a/packages/baobabhinge-standins/src/baobabhinge_standins/application/app.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/application/app.py
@@ -6,40 +6,55 @@
 from aiohttp import web
 
 from baobabhinge_standins.application.messages import ApplicationFaults, Run
+from baobabhinge_standins.journal import Journal
+from baobabhinge_standins.load import Load
 
 REQUEST_ID_HEADER = 'X-Request-Id'
+SLOTS = 32
 
 
 class ApplicationApp:
-    """Answers every path and keeps the list of runs."""
+    """Answer every path and keep the list of runs.
 
-    __slots__ = ('_faults', '_name', '_running', '_runs')
+    Parameters
+    ----------
+    name : str
+        Name of the vm, which each answer gives.
+    journal : Journal
+        Runs of this worker.
+    """
 
-    def __init__(self, name: str) -> None:
-        """Start without runs."""
+    __slots__ = ('_faults', '_journal', '_name', '_running')
+
+    def __init__(self, name: str, journal: Journal[Run]) -> None:
+        """Start without faults."""
         self._name = name
-        self._runs: list[Run] = []
+        self._journal = journal
         self._running = 0
         self._faults = ApplicationFaults()
 
-    def build(self) -> web.Application:
-        """Return the application with its routes."""
-        app = web.Application()
-        app.router.add_get('/-/runs', self._report_runs)
-        app.router.add_get('/-/load', self._report_load)
+    def add_to(self, app: web.Application) -> None:
+        """Add the paths."""
+        app.router.add_get('/-/runs', self._journal.report)
         app.router.add_put('/-/faults', self._set_faults)
         app.router.add_route('*', '/{path:.*}', self._run)
-        return app
+
+    def measure(self) -> Load:
+        """Return the present load."""
+        return Load(self._running, 0, SLOTS, self._faults.draining)
 
     async def _run(self, request: web.Request) -> web.Response:
         body = await request.text()
+        await asyncio.sleep(self._faults.late_seconds)
         request_id = request.headers.get(REQUEST_ID_HEADER, '')
-        self._runs.append(Run(request_id, request.method, request.path, body))
+        self._journal.add(Run(request_id, request.method, request.path, body))
         self._running += 1
         try:
             await self._apply_faults(request)
         finally:
             self._running -= 1
+        if self._faults.wrong_request_id:
+            request_id = f'not-{request_id}'
         return web.json_response(
             {'served_by': self._name, 'path': request.path, 'echo': body},
             headers={REQUEST_ID_HEADER: request_id},
@@ -51,15 +66,6 @@
             self._faults.cut_after_effect -= 1
             request.transport.abort()
 
-    async def _report_runs(self, request: web.Request) -> web.Response:
-        return web.Response(
-            body=msgspec.json.encode(self._runs),
-            content_type='application/json',
-        )
-
-    async def _report_load(self, request: web.Request) -> web.Response:
-        return web.json_response({'running': self._running, 'waiting': 0})
-
     async def _set_faults(self, request: web.Request) -> web.Response:
         body = await request.read()
         self._faults = msgspec.json.decode(body, type=ApplicationFaults)
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/engine/app.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/app.py
@@ -1,134 +1,136 @@
-"""HTTP face of the engine."""
+"""HTTP interface of the engine."""
 
-import os
-import signal
 from collections.abc import AsyncIterator
+from http import HTTPStatus
 
 import msgspec
 from aiohttp import web
 
-from baobabhinge_standins.engine.batch import Batch, EngineSpeed
-from baobabhinge_standins.engine.journal import EngineRun, Journal
+from baobabhinge_standins.engine.faults import EngineFaults, FaultDesk
+from baobabhinge_standins.engine.journal import EngineRun
 from baobabhinge_standins.engine.messages import EngineRequest
+from baobabhinge_standins.engine.models import ModelShelf
+from baobabhinge_standins.engine.rendering import (
+    TERMINAL_EVENT,
+    render_event,
+    render_whole,
+)
+from baobabhinge_standins.engine.running import Runner
 
 REQUEST_ID_HEADER = 'X-Request-Id'
-CRASH_MARK = '!!crash-engine!!'
-TERMINAL_EVENT = b'data: [DONE]\n\n'
 EVENT_STREAM = 'text/event-stream'
+JSON = 'application/json'
 
 
-class EngineApp:
-    """Answers completions and keeps the list of runs."""
+class CompletionRoutes:
+    """Handlers of completions.
 
-    __slots__ = ('_batch', '_journal', '_name')
+    Parameters
+    ----------
+    shelf : ModelShelf
+        Models that can be run.
+    faults : FaultDesk
+        Present faults.
+    runner : Runner
+        What runs the requests.
+    """
 
-    def __init__(self, name: str, speed: EngineSpeed) -> None:
-        """Start idle."""
-        self._name = name
-        self._batch = Batch(speed)
-        self._journal = Journal()
+    __slots__ = ('_faults', '_runner', '_shelf')
 
-    def build(self) -> web.Application:
-        """Return the application with its routes."""
-        app = web.Application()
+    def __init__(
+        self,
+        shelf: ModelShelf,
+        faults: FaultDesk,
+        runner: Runner,
+    ) -> None:
+        """Keep the parts."""
+        self._shelf = shelf
+        self._faults = faults
+        self._runner = runner
+
+    def add_to(self, app: web.Application) -> None:
+        """Add the paths."""
         app.router.add_post('/v1/completions', self._complete)
         app.router.add_post('/v1/chat/completions', self._complete)
-        app.router.add_get('/-/runs', self._journal.report)
-        app.router.add_get('/-/load', self._report_load)
-        return app
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         order = msgspec.json.decode(await request.read(), type=EngineRequest)
-        request_id = request.headers.get(REQUEST_ID_HEADER, '')
-        run = EngineRun(request_id, order.model, order.join_prompt())
-        self._journal.add(run)
-        if CRASH_MARK in run.prompt:
-            os.kill(os.getpid(), signal.SIGKILL)
-        await self._batch.enter(run.prompt)
-        try:
-            return await self._answer(request, order, run)
-        finally:
-            self._batch.leave()
-            run.state = _end_state(run, order)
-
-    async def _answer(
+        if not self._shelf.serves(order.model):
+            return web.json_response(
+                {'error': {'code': 'model-not-loaded'}},
+                status=HTTPStatus.NOT_FOUND,
+            )
+        return await self._run(request, order, self._faults.draw())
+
+    async def _run(
         self,
         request: web.Request,
         order: EngineRequest,
-        run: EngineRun,
+        faults: EngineFaults,
     ) -> web.StreamResponse:
-        if order.stream:
-            return await self._stream(request, order, run)
-        tokens = [token async for token in self._generate(order, run)]
-        return web.json_response(
-            _render_whole(run.request_id, order, ''.join(tokens)),
-            headers={REQUEST_ID_HEADER: run.request_id},
-        )
+        request_id = request.headers.get(REQUEST_ID_HEADER, '')
+        async with self._runner.enter(order, request_id, faults) as run:
+            answer = _Answer(request, order, run, faults)
+            tokens = self._runner.generate(order, run, faults)
+            if order.stream:
+                return await answer.write_stream(tokens)
+            return await answer.write_whole(tokens)
 
-    async def _stream(
+
+class _Answer:
+    __slots__ = ('_faults', '_order', '_request', '_request_id', '_run')
+
+    def __init__(
         self,
         request: web.Request,
         order: EngineRequest,
         run: EngineRun,
+        faults: EngineFaults,
+    ) -> None:
+        self._request = request
+        self._order = order
+        self._run = run
+        self._faults = faults
+        self._request_id = run.request_id
+        if faults.wrong_request_id:
+            self._request_id = f'not-{run.request_id}'
+
+    async def write_whole(self, tokens: AsyncIterator[str]) -> web.Response:
+        text = ''
+        async for token in tokens:
+            self._reset_if_due()
+            text += token
+        self._reset_if_due()
+        return web.Response(
+            body=render_whole(self._request_id, self._order, text),
+            content_type=JSON,
+            headers={REQUEST_ID_HEADER: self._request_id},
+        )
+
+    async def write_stream(
+        self,
+        tokens: AsyncIterator[str],
     ) -> web.StreamResponse:
         answer = web.StreamResponse(
             headers={
                 'Content-Type': EVENT_STREAM,
-                REQUEST_ID_HEADER: run.request_id,
+                REQUEST_ID_HEADER: self._request_id,
             },
         )
-        await answer.prepare(request)
-        async for token in self._generate(order, run):
-            await answer.write(_render_event(run.request_id, order, token))
+        await answer.prepare(self._request)
+        async for token in tokens:
+            event = render_event(self._request_id, self._order, token)
+            await answer.write(event)
+            self._reset_if_due()
         await answer.write(TERMINAL_EVENT)
         await answer.write_eof()
         return answer
 
-    async def _generate(
-        self,
-        order: EngineRequest,
-        run: EngineRun,
-    ) -> AsyncIterator[str]:
-        for index in range(order.resume_from, order.max_tokens):
-            await self._batch.step()
-            run.tokens += 1
-            yield order.generate_token(index)
-
-    async def _report_load(self, request: web.Request) -> web.Response:
-        return web.json_response(
-            {'running': self._batch.running, 'waiting': self._batch.waiting},
-        )
-
-
-def _end_state(run: EngineRun, order: EngineRequest) -> str:
-    wanted = order.max_tokens - order.resume_from
-    return 'finished' if run.tokens >= wanted else 'cancelled'
-
-
-def _render_choice(order: EngineRequest, text: str) -> dict[str, object]:
-    if not order.messages:
-        return {'index': 0, 'text': text}
-    kind = 'delta' if order.stream else 'message'
-    return {'index': 0, kind: {'role': 'assistant', 'content': text}}
-
-
-def _render_whole(
-    request_id: str,
-    order: EngineRequest,
-    text: str,
-) -> dict[str, object]:
-    return {
-        'id': request_id,
-        'model': order.model,
-        'choices': [_render_choice(order, text)],
-        'usage': {'completion_tokens': order.max_tokens - order.resume_from},
-    }
+    def _reset_if_due(self) -> None:
+        if self._run.tokens == self._faults.reset_after_tokens:
+            _reset_connection(self._request)
 
 
-def _render_event(request_id: str, order: EngineRequest, token: str) -> bytes:
-    chunk = {
-        'id': request_id,
-        'model': order.model,
-        'choices': [_render_choice(order, token)],
-    }
-    return b'data: %b\n\n' % msgspec.json.encode(chunk)
+def _reset_connection(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.abort()
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/engine/batch.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/batch.py
@@ -1,12 +1,15 @@
-"""Timing of a batching engine: prefill, decoding and a prefix cache."""
+"""Timing of a batching engine: queue, prefill and decoding."""
 
 import asyncio
-from collections import OrderedDict
+import heapq
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from datetime import timedelta
+from itertools import count
 
 import msgspec
 
-PREFIX_BLOCK_CHARS = 64
+QueueEntry = tuple[int, int, 'asyncio.Future[None]']
 
 
 class EngineSpeed(msgspec.Struct, frozen=True):
@@ -16,8 +19,8 @@
     ----------
     slots : int
         Requests decoded at once.
-    prefill_per_char : timedelta
-        Prefill time of one character that is not cached.
+    prefill_per_block : timedelta
+        Prefill time of one block that is not cached.
     decode_step : timedelta
         Time between two tokens of an idle engine.
     slowdown : float
@@ -27,64 +30,76 @@
     """
 
     slots: int = 8
-    prefill_per_char: timedelta = timedelta(microseconds=50)
+    prefill_per_block: timedelta = timedelta(microseconds=3200)
     decode_step: timedelta = timedelta(milliseconds=10)
     slowdown: float = 0.5
     cached_blocks: int = 512
 
 
 class Batch:
-    """Slots of one engine and the prefixes it has cached."""
+    """Slots of one engine, given out by priority.
 
-    __slots__ = ('_cache', '_slots', '_speed', 'running', 'waiting')
+    Attributes
+    ----------
+    running, waiting : int
+        Requests in the batch and in the queue.
+    """
+
+    __slots__ = ('_numbers', '_queue', '_speed', 'running', 'waiting')
 
     def __init__(self, speed: EngineSpeed) -> None:
-        """Start idle with a cold cache."""
+        """Start idle."""
         self._speed = speed
-        self._slots = asyncio.Semaphore(speed.slots)
-        self._cache: OrderedDict[str, None] = OrderedDict()
+        self._queue: list[QueueEntry] = []
+        self._numbers = count()
         self.running = 0
         self.waiting = 0
 
-    async def enter(self, prompt: str) -> None:
-        """Wait for a slot and prefill the prompt."""
-        self.waiting += 1
+    @asynccontextmanager
+    async def hold_slot(self, priority: int) -> AsyncIterator[None]:
+        """Wait for a slot, smaller priorities first, and give it back."""
+        if self.running >= self._speed.slots:
+            await self._wait_turn(priority)
+        else:
+            self.running += 1
         try:
-            await self._slots.acquire()
+            yield
         finally:
-            self.waiting -= 1
-        self.running += 1
-        try:
-            await self._prefill(prompt)
-        except asyncio.CancelledError:
-            self.leave()
-            raise
+            self._pass_slot()
 
-    def leave(self) -> None:
-        """Give the slot back."""
-        self.running -= 1
-        self._slots.release()
+    @property
+    def slots(self) -> int:
+        """Return the number of requests decoded at once."""
+        return self._speed.slots
 
-    async def step(self) -> None:
-        """Wait for the next token."""
-        fill = self.running / self._speed.slots
-        step = self._speed.decode_step * (1 + self._speed.slowdown * fill)
-        await asyncio.sleep(step.total_seconds())
-
-    async def _prefill(self, prompt: str) -> None:
-        cold = sum(not self._touch(block) for block in _list_blocks(prompt))
-        cost = self._speed.prefill_per_char * (cold * PREFIX_BLOCK_CHARS)
+    async def prefill(self, blocks: int, factor: float) -> None:
+        """Take the time of prefilling ``blocks`` that are not cached."""
+        cost = self._speed.prefill_per_block * blocks * factor
         await asyncio.sleep(cost.total_seconds())
 
-    def _touch(self, block: str) -> bool:
-        known = block in self._cache
-        self._cache[block] = None
-        self._cache.move_to_end(block)
-        if len(self._cache) > self._speed.cached_blocks:
-            self._cache.popitem(last=False)
-        return known
+    async def decode(self, factor: float) -> None:
+        """Take the time of one token."""
+        fill = self.running / self._speed.slots
+        step = self._speed.decode_step * (1 + self._speed.slowdown * fill)
+        await asyncio.sleep((step * factor).total_seconds())
 
+    async def _wait_turn(self, priority: int) -> None:
+        turn = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._queue, (priority, next(self._numbers), turn))
+        self.waiting += 1
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                self._pass_slot()
+            raise
+        finally:
+            self.waiting -= 1
 
-def _list_blocks(prompt: str) -> list[str]:
-    ends = range(PREFIX_BLOCK_CHARS, len(prompt) + 1, PREFIX_BLOCK_CHARS)
-    return [prompt[:end] for end in ends]
+    def _pass_slot(self) -> None:
+        while self._queue:
+            turn = heapq.heappop(self._queue)[-1]
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self.running -= 1
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/engine/journal.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/journal.py
@@ -1,35 +1,38 @@
 """What an engine has run."""
 
 import msgspec
-from aiohttp import web
+
+RUNNING = 'running'
+FINISHED = 'finished'
+CANCELLED = 'cancelled'
 
 
 class EngineRun(msgspec.Struct):
-    """One request that the engine started."""
+    """One request that the engine has taken up.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifier that the sender gave.
+    model, prompt : str
+        What was asked for.
+    resumed_from : int
+        Number of tokens that the sender held already.
+    cached_blocks : int
+        Blocks of the prompt that were in the prefix cache.
+    prompt_blocks : int
+        Blocks of the prompt.
+    tokens : int
+        Tokens generated.
+    state : str
+        ``running``, ``finished`` or ``cancelled``.
+    """
 
     request_id: str
     model: str
     prompt: str
+    resumed_from: int = 0
+    cached_blocks: int = 0
+    prompt_blocks: int = 0
     tokens: int = 0
-    state: str = 'running'
-
-
-class Journal:
-    """Every run of one engine, in the order of their start."""
-
-    __slots__ = ('_runs',)
-
-    def __init__(self) -> None:
-        """Start empty."""
-        self._runs: list[EngineRun] = []
-
-    def add(self, run: EngineRun) -> None:
-        """Keep one more run."""
-        self._runs.append(run)
-
-    async def report(self, request: web.Request) -> web.Response:
-        """Answer with every run."""
-        return web.Response(
-            body=msgspec.json.encode(self._runs),
-            content_type='application/json',
-        )
+    state: str = RUNNING
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/engine/messages.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/messages.py
@@ -1,10 +1,11 @@
-"""Requests and chunks of the completions protocol, as the engine sees them.
+"""Requests and events of the completions protocol, as the engine sees them.
 
 References
 ----------
 OpenAI completions protocol: ``/v1/completions`` and ``/v1/chat/completions``.
 """
 
+import enum
 import hashlib
 
 import msgspec
@@ -59,3 +60,32 @@
         seed = f'{self.model}\n{self.join_prompt()}\n{index}'
         word = hashlib.sha256(seed.encode()).hexdigest()[:TOKEN_CHARS]
         return f'{word} '
+
+    def generate_all(self) -> str:
+        """Return the whole text, from the first token on."""
+        return ''.join(map(self.generate_token, range(self.max_tokens)))
+
+
+class CacheEventKind(enum.StrEnum):
+    """What became of a cached block."""
+
+    stored = 'stored'
+    evicted = 'evicted'
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """One change of the prefix cache.
+
+    Parameters
+    ----------
+    number : int
+        Number of the event; missing numbers were not published.
+    kind : CacheEventKind
+        What happened.
+    block : str
+        Digest of the block and of all that stands before it.
+    """
+
+    number: int
+    kind: CacheEventKind
+    block: str
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
@@ -90,7 +90,9 @@
                 self.processes.start(
                     member.name,
                     STAND_IN_MODULES[plan.role],
-                    *member.list_options(),
+                    *member.list_options(
+                        self._folder / f'{member.name}.journal',
+                    ),
                     *plan.options,
                 )
                 for member in members
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/members.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/members.py
@@ -1,6 +1,7 @@
 """The vms of a deployment."""
 
 import enum
+from pathlib import Path
 
 import msgspec
 
@@ -57,9 +58,18 @@
         """Return ``host:port`` for callers."""
         return f'{HOST}:{self.caller_port}'
 
-    def list_options(self) -> tuple[str, ...]:
-        """Return the options of the stand-in that runs on this vm."""
-        return (f'--port={self.port}', f'--name={self.name}')
+    def list_options(self, journal: Path) -> tuple[str, ...]:
+        """Return the options of the stand-in that runs on this vm.
+
+        Parameters
+        ----------
+        journal : Path
+            File that keeps its list of runs.
+        """
+        options = (f'--port={self.port}', f'--journal={journal}')
+        if self.role is Role.engine:
+            return options
+        return (*options, f'--name={self.name}')
 
     def render_target(self, address: str) -> dict[str, object]:
         """Return the target group of this vm for the list of vms.
