Learn the members of the fleet without the store

Cause: a region cut off from the store and the list of vms has to know its gateways. SWIM-like protocol as pure parts: probes, indirect probes, suspicion, refutation by version, digests with repair of a whole region, new starts. Each test was red on a scratch copy with its guard removed, such as "FAILED test_a_paused_member_does_not_blame_the_others" without the check of the elapsed time, "FAILED test_a_member_that_missed_every_update_catches_up" without digests and "FAILED test_draining_is_told_to_all" without the updates. No figures of cost yet.

--- /dev/null
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/membership/__init__.py
@@ -0,0 +1,27 @@
+"""Membership of a fleet, learnt by its members from each other.
+
+Each member probes one member of its region at a time. What changed lately, and
+digests of what is known, travel with the probes and their answers.
+"""
+
+from baobabhinge_coordination.membership.messages import Contact as Contact
+from baobabhinge_coordination.membership.messages import Exchange as Exchange
+from baobabhinge_coordination.membership.messages import Member as Member
+from baobabhinge_coordination.membership.messages import (
+    MembershipTiming as MembershipTiming,
+)
+from baobabhinge_coordination.membership.messages import (
+    MemberState as MemberState,
+)
+from baobabhinge_coordination.membership.prober import (
+    MemberUnreachableError as MemberUnreachableError,
+)
+from baobabhinge_coordination.membership.prober import Prober as Prober
+from baobabhinge_coordination.membership.prober import Transport as Transport
+from baobabhinge_coordination.membership.protocol import (
+    MembershipProtocol as MembershipProtocol,
+)
+from baobabhinge_coordination.membership.protocol import Payloads as Payloads
+from baobabhinge_coordination.membership.view import (
+    MembershipView as MembershipView,
+)
--- /dev/null
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/membership/expiry.py
@@ -0,0 +1,49 @@
+"""Ends of suspicions and of the memory of dead members."""
+
+from datetime import timedelta
+
+from baobabhinge_coordination.membership.messages import (
+    Member,
+    MembershipTiming,
+    MemberState,
+)
+from baobabhinge_coordination.membership.view import (
+    MembershipView,
+    change_state,
+)
+
+
+def expire_members(
+    view: MembershipView,
+    now: timedelta,
+    timing: MembershipTiming,
+) -> None:
+    """Bury suspects that did not refute; forget the long dead.
+
+    Parameters
+    ----------
+    view : MembershipView
+        Records to go through.
+    now : timedelta
+        Present monotonic time of the clock of ``view``.
+    timing : MembershipTiming
+        Lengths of suspicion and retention.
+    """
+    for region in view.table.list_regions():
+        for member in view.table.list_region(region):
+            if member.state >= MemberState.suspect:
+                _expire_one(view, member, now, timing)
+
+
+def _expire_one(
+    view: MembershipView,
+    member: Member,
+    now: timedelta,
+    timing: MembershipTiming,
+) -> None:
+    elapsed = now - view.table.read_since(member)
+    if member.is_dead:
+        if elapsed > timing.retention:
+            view.table.forget(member)
+    elif member.region == view.own.region and elapsed > timing.suspicion:
+        view.adopt(change_state(member, MemberState.dead))
