--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
@@ -2,6 +2,7 @@
 
 from random import SystemRandom
 
+from baobabhinge_coordination.budgets import RetryBudget
 from baobabhinge_coordination.clock import SystemClock
 from baobabhinge_gateway.callers.service import CallServer
 from baobabhinge_gateway.calls import Hop
@@ -9,14 +10,11 @@
 from baobabhinge_gateway.execution import Executors, RepeatableExecutor
 from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.platform import Platform
-from baobabhinge_gateway.routing import (
-    Dispatcher,
-    InFlight,
-    Router,
-    create_policy,
-)
+from baobabhinge_gateway.routing import RoutingBuilder
 
-DEFAULT_POLICY = 'least-in-flight'
+RETRY_SHARE = 0.1
+RETRY_BURST = 10
+DEFAULT_POLICY = 'estimated-latency'
 
 
 def build_call_server(
@@ -27,11 +25,13 @@
 ) -> CallServer:
     """Return the server of calls of one gateway."""
     clock = SystemClock()
-    in_flight = InFlight()
-    policy = create_policy(DEFAULT_POLICY, SystemRandom())
+    builder = RoutingBuilder(clock, SystemRandom(), fleet, fleet)
+    routing = builder.build(hop.region, DEFAULT_POLICY, platform.http)
     repeatable = RepeatableExecutor(
-        Router(hop.region, fleet, policy, in_flight),
-        Dispatcher(platform.http, clock, in_flight),
+        routing.router,
+        routing.dispatcher,
+        RetryBudget(share=RETRY_SHARE, burst=RETRY_BURST),
+        clock,
     )
     executors = Executors(
         model=repeatable,
