Exchange heartbeats between gateways and combine them with the list of vms

Cause: the list of vms lags and can be down, and a region cut off from the store and its neighbours had no way to know its gateways or a configuration. Gateways exchange membership, generation and payloads of other parts; a newer release is fetched from the peer that has it. Red on a scratch copy before: "FAILED test_a_lagging_list_neither_hides_nor_keeps[gone, listed]", "FAILED test_a_gateway_that_leaves_or_died_is_not_offered" (three rows), "FAILED test_each_backend_server_belongs_to_one_gateway".

--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/membership/__init__.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/membership/__init__.py
@@ -18,6 +18,9 @@
 )
 from baobabhinge_coordination.membership.prober import Prober as Prober
 from baobabhinge_coordination.membership.prober import Transport as Transport
+from baobabhinge_coordination.membership.prober import (
+    list_peers as list_peers,
+)
 from baobabhinge_coordination.membership.protocol import (
     MembershipProtocol as MembershipProtocol,
 )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -1,6 +1,5 @@
 """The gateway as one tree of services."""
 
-import aiohttp
 from mode import Service
 
 from baobabhinge_coordination.generations import ReleaseReader
@@ -18,7 +17,8 @@
 from baobabhinge_gateway.fleet import FleetService, FleetView
 from baobabhinge_gateway.lifecycle import Lifecycle
 from baobabhinge_gateway.listening import Listener
-from baobabhinge_gateway.platform import Platform
+from baobabhinge_gateway.peers import PeerStack
+from baobabhinge_gateway.platform import Platform, build_http_session
 from baobabhinge_gateway.process import ProcessSettings
 from baobabhinge_gateway.routes import build_app
 
@@ -41,34 +41,40 @@
 
     async def on_start(self) -> None:
         """Start the parts, listeners last."""
-        http = await self.add_async_context(
-            aiohttp.ClientSession(
-                auto_decompress=False,
-                connector=aiohttp.TCPConnector(limit=0),
-            ),
-        )
+        http = await self.add_async_context(build_http_session())
         platform = Platform(http, self._settings.platform)
         fleet = await self._start_watchers(platform)
-        await self._start_listeners(platform, fleet)
+        peers = PeerStack(platform, fleet, self._lifecycle, self._active)
+        await self.add_runtime_dependency(peers)
+        await self._start_listeners(platform, fleet.view, peers)
 
-    async def _start_watchers(self, platform: Platform) -> FleetView:
-        identity = self._settings.identity
-        fleet = FleetService(Hop(identity.name, identity.region), platform)
+    async def _start_watchers(self, platform: Platform) -> FleetService:
+        fleet = FleetService(
+            self._settings.identity,
+            self._lifecycle,
+            platform,
+        )
         await self.add_runtime_dependency(fleet)
         await self.add_runtime_dependency(
             ConfigurationWatcher(self._active, ReleaseReader(platform.store)),
         )
-        return fleet.view
+        return fleet
 
     async def _start_listeners(
         self,
         platform: Platform,
         fleet: FleetView,
+        peers: PeerStack,
     ) -> None:
         identity = self._settings.identity
         hop = Hop(identity.name, identity.region)
         calls = build_call_server(hop, self._active, fleet, platform)
-        peer_app = build_app([CallRoutes(calls, headers.FORWARD_PREFIX)])
+        peer_app = build_app(
+            [
+                CallRoutes(calls, headers.FORWARD_PREFIX),
+                *peers.routes,
+            ],
+        )
         caller_app = build_app(
             [
                 CallRoutes(calls),
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/gateways.py
@@ -0,0 +1,74 @@
+"""Gateways as the list of vms and the gateways themselves tell them."""
+
+from collections.abc import Sequence
+
+from baobabhinge_coordination.membership import (
+    Member,
+    MembershipView,
+    MemberState,
+)
+from baobabhinge_gateway.fleet.ownrecord import convert_member
+from baobabhinge_platform.machines import Role, Vm, VmState
+
+
+class GatewayRoll:
+    """Combine the list of vms and the membership.
+
+    The list of vms lags, so once a gateway of a region is known to live, that
+    region's membership says which gateways there are. Before that, the list
+    is all there is. A gateway that the list says is leaving is left out.
+
+    Parameters
+    ----------
+    members : MembershipView
+        Known gateways.
+    """
+
+    __slots__ = ('_members',)
+
+    def __init__(self, members: MembershipView) -> None:
+        """Keep the membership."""
+        self._members = members
+
+    def combine(self, region: str, vms: Sequence[Vm]) -> Sequence[Vm]:
+        """Return the gateways of one region that take new calls.
+
+        Parameters
+        ----------
+        region : str
+            The region.
+        vms : sequence of Vm
+            The list of vms as last seen.
+        """
+        listed = {
+            vm.name: vm
+            for vm in vms
+            if vm.role is Role.gateway and vm.region == region
+        }
+        for member in self._members.table.list_region(region):
+            if member.name not in listed and self._is_addressed(member):
+                listed[member.name] = convert_member(member)
+        return [vm for vm in listed.values() if self._takes_calls(vm)]
+
+    def list_regions(self, vms: Sequence[Vm]) -> Sequence[str]:
+        """Return the regions in which a gateway is known."""
+        listed = {vm.region for vm in vms if vm.role is Role.gateway}
+        return sorted(listed.union(self._members.table.list_regions()))
+
+    def _is_addressed(self, member: Member) -> bool:
+        return member.region == self._members.own.region
+
+    def _takes_calls(self, vm: Vm) -> bool:
+        if vm.state is not VmState.live:
+            return False
+        member = self._members.table.find(vm.name, vm.region)
+        if member is None:
+            return not self._has_met(vm.region)
+        return member.state is MemberState.alive
+
+    def _has_met(self, region: str) -> bool:
+        own = self._members.own
+        return any(
+            member.name != own.name and member.state is MemberState.alive
+            for member in self._members.table.list_region(region)
+        )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/service.py
@@ -4,11 +4,15 @@
 
 from baobabhinge_coordination.clock import SystemClock
 from baobabhinge_gateway.calls import Hop
+from baobabhinge_gateway.fleet.gateways import GatewayRoll
+from baobabhinge_gateway.fleet.ownrecord import build_members
 from baobabhinge_gateway.fleet.polling import LoadPoller
 from baobabhinge_gateway.fleet.reports import LoadReports
 from baobabhinge_gateway.fleet.view import FleetView
 from baobabhinge_gateway.fleet.watcher import VmWatcher
+from baobabhinge_gateway.lifecycle import Lifecycle
 from baobabhinge_gateway.platform import Platform
+from baobabhinge_gateway.process import Identity
 
 
 class FleetService(Service):
@@ -16,28 +20,49 @@
 
     Parameters
     ----------
-    home : Hop
-        This gateway.
+    identity : Identity
+        Names and addresses of this gateway.
+    lifecycle : Lifecycle
+        Incarnation of this gateway.
     platform : Platform
         Clients of the platform.
 
     Attributes
     ----------
+    identity : Identity
+        Names and addresses of this gateway.
+    members : MembershipView
+        Gateways as they tell each other.
+    watcher : VmWatcher
+        The platform's list as last seen.
     view : FleetView
-        What is known.
+        All of it combined.
     """
 
-    def __init__(self, home: Hop, platform: Platform) -> None:
-        """Know nothing yet."""
+    def __init__(
+        self,
+        identity: Identity,
+        lifecycle: Lifecycle,
+        platform: Platform,
+    ) -> None:
+        """Know this gateway alone."""
         super().__init__()
+        clock = SystemClock()
         self._http = platform.http
-        self._watcher = VmWatcher(platform.vm_list)
-        self._reports = LoadReports(SystemClock())
-        self.view = FleetView(home, self._watcher, self._reports)
+        self.identity = identity
+        self._reports = LoadReports(clock)
+        self.members = build_members(identity, lifecycle, clock)
+        self.watcher = VmWatcher(platform.vm_list)
+        self.view = FleetView(
+            Hop(identity.name, identity.region),
+            self.watcher,
+            self._reports,
+            GatewayRoll(self.members),
+        )
 
     async def on_start(self) -> None:
         """Start the parts."""
-        await self.add_runtime_dependency(self._watcher)
+        await self.add_runtime_dependency(self.watcher)
         await self.add_runtime_dependency(
             LoadPoller(self._http, self.view, self._reports),
         )
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/tests/test_gateways.py
@@ -0,0 +1,70 @@
+import pytest
+
+from baobabhinge_coordination.clock import ManualClock
+from baobabhinge_coordination.membership import (
+    Member,
+    MembershipView,
+    MemberState,
+)
+from baobabhinge_gateway.fleet.gateways import GatewayRoll
+from baobabhinge_platform.machines import Role, Vm, VmState
+
+OWN = 'west-1'
+PEER = 'west-2'
+AWAY = 'east-1'
+
+
+def build_vm(name, state=VmState.live):
+    region = name.partition('-')[0]
+    return Vm(name, f'{name}:1', region, '', Role.gateway, '', state)
+
+
+def build_member(name, state=MemberState.alive):
+    region = name.partition('-')[0]
+    return Member(name, region, f'{name}/1', 1, state, f'{name}:1')
+
+
+def combine(region, members, vms):
+    view = MembershipView(build_member(OWN), ManualClock())
+    for member in members:
+        view.table.put(member)
+    return [vm.name for vm in GatewayRoll(view).combine(region, vms)]
+
+
+@pytest.mark.parametrize(
+    ('members', 'vms', 'expected'),
+    [
+        pytest.param([], [], [OWN], id='alone without a list'),
+        pytest.param([], [OWN, PEER], [OWN, PEER], id='nobody met yet'),
+        pytest.param([PEER], [], [OWN, PEER], id='list down or lagging'),
+        pytest.param(['west-3'], [PEER], [OWN, 'west-3'], id='gone, listed'),
+    ],
+)
+def test_a_lagging_list_neither_hides_nor_keeps(members, vms, expected):
+    known = map(build_member, members)
+    listed = list(map(build_vm, vms))
+    assert sorted(combine('west', known, listed)) == expected
+
+
+@pytest.mark.parametrize(
+    ('state', 'expected'),
+    [
+        (MemberState.alive, [OWN, PEER]),
+        (MemberState.draining, [OWN]),
+        (MemberState.suspect, [OWN]),
+        (MemberState.dead, [OWN]),
+    ],
+)
+def test_a_gateway_that_leaves_or_died_is_not_offered(state, expected):
+    member = build_member(PEER, state)
+    assert sorted(combine('west', [member], [build_vm(PEER)])) == expected
+
+
+def test_a_gateway_listed_as_leaving_is_not_offered():
+    listed = [build_vm(PEER, VmState.leaving)]
+    assert combine('west', [build_member(PEER)], listed) == [OWN]
+
+
+def test_a_region_elsewhere_needs_listed_addresses():
+    members = [build_member(AWAY), build_member('east-2')]
+    assert combine('east', members, [build_vm(AWAY)]) == [AWAY]
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/tests/test_reports.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/tests/test_reports.py
@@ -3,12 +3,17 @@
 import pytest
 
 from baobabhinge_coordination.clock import ManualClock
+from baobabhinge_coordination.membership import Member, MembershipView
 from baobabhinge_gateway.calls import Hop
 from baobabhinge_gateway.fleet import FleetView, LoadReport, LoadReports
+from baobabhinge_gateway.fleet.gateways import GatewayRoll
 from baobabhinge_gateway.fleet.polling import decode_load, list_share
 from baobabhinge_gateway.fleet.reports import REPORT_LIFETIME
 from baobabhinge_platform.machines import Role, Vm, VmState
 
+ROLL = GatewayRoll(
+    MembershipView(Member('g0', 'west', 'g0/1', 1), ManualClock()),
+)
 SECOND = timedelta(seconds=1)
 NO_TIME = timedelta()
 
@@ -62,7 +67,7 @@
 def test_only_backend_servers_that_take_work_are_listed(vm, draining, listed):
     reports = LoadReports(ManualClock())
     reports.put('e1', build_report(draining=draining))
-    fleet = FleetView(Hop('g1', 'west'), Listed(vm), reports)
+    fleet = FleetView(Hop('g1', 'west'), Listed(vm), reports, ROLL)
     assert bool(fleet.list_backends('llm', 'west')) is listed
 
 
@@ -73,7 +78,7 @@
     shares = []
     for gateway in gateways:
         hop = Hop(gateway.name, 'west')
-        view = FleetView(hop, listed, LoadReports(ManualClock()))
+        view = FleetView(hop, listed, LoadReports(ManualClock()), ROLL)
         shares.append(list_share(view))
     assert all(shares)
     polled = sorted(vm.name for share in shares for vm in share)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 from baobabhinge_gateway.calls import Hop
+from baobabhinge_gateway.fleet.gateways import GatewayRoll
 from baobabhinge_gateway.fleet.reports import LoadReport, LoadReports
 from baobabhinge_gateway.fleet.watcher import VmWatcher
 from baobabhinge_platform.machines import Role, Vm, VmState
@@ -19,6 +20,8 @@
         The platform's list as last seen.
     reports : LoadReports
         Load of the backend servers of this region.
+    roll : GatewayRoll
+        Combines the list with what the gateways say themselves.
 
     Attributes
     ----------
@@ -26,16 +29,18 @@
         This gateway.
     """
 
-    __slots__ = ('_reports', '_watcher', 'home')
+    __slots__ = ('_reports', '_roll', '_watcher', 'home')
 
     def __init__(
         self,
         home: Hop,
         watcher: VmWatcher,
         reports: LoadReports,
+        roll: GatewayRoll,
     ) -> None:
         """Keep the parts."""
         self.home = home
+        self._roll = roll
         self._watcher = watcher
         self._reports = reports
 
@@ -61,14 +66,13 @@
         ]
 
     def list_gateways(self, region: str | None = None) -> Sequence[Vm]:
-        """Return the live gateways of one region, or of all."""
-        return [
-            vm
-            for vm in self._watcher.vms
-            if vm.role is Role.gateway
-            and region in {None, vm.region}
-            and vm.state is VmState.live
-        ]
+        """Return the gateways of one region, or of all, that take calls.
+
+        Dead, suspected, leaving and draining ones are left out.
+        """
+        vms = self._watcher.vms
+        regions = self._roll.list_regions(vms) if region is None else [region]
+        return [vm for name in regions for vm in self._roll.combine(name, vms)]
 
     def find_report(self, vm: Vm) -> LoadReport | None:
         """Return the newest load report of ``vm``, if one is known."""
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/assembly.py
@@ -0,0 +1,67 @@
+"""Putting together what speaks to the other gateways."""
+
+from random import SystemRandom
+
+from mode import Service
+
+from baobabhinge_coordination.clock import SystemClock
+from baobabhinge_gateway.configuration import ActiveConfiguration
+from baobabhinge_gateway.fleet import FleetService
+from baobabhinge_gateway.lifecycle import Lifecycle
+from baobabhinge_gateway.peers.news import NewsService
+from baobabhinge_gateway.peers.node import PeerNode
+from baobabhinge_gateway.peers.releases import ReleaseFetcher
+from baobabhinge_gateway.peers.routes import ReleaseRoutes
+from baobabhinge_gateway.peers.service import PeerService
+from baobabhinge_gateway.platform import Platform
+
+
+class PeerStack(Service):
+    """Everything by which this gateway acts together with the others.
+
+    Parameters
+    ----------
+    platform : Platform
+        Clients of the platform.
+    fleet : FleetService
+        What is known about the fleet.
+    lifecycle : Lifecycle
+        Whether this gateway is leaving.
+    active : ActiveConfiguration
+        Configuration in force.
+
+    Attributes
+    ----------
+    node : PeerNode
+        Its ``parts`` take more payloads.
+    routes : tuple of Routes
+        Paths by which the others come.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        fleet: FleetService,
+        lifecycle: Lifecycle,
+        active: ActiveConfiguration,
+    ) -> None:
+        """Send nothing yet."""
+        super().__init__()
+        random = SystemRandom()
+        self.node = PeerNode(
+            platform.http,
+            fleet,
+            SystemClock(),
+            random,
+        )
+        self.routes = (self.node.routes, ReleaseRoutes(active))
+        self._parts = (
+            ReleaseFetcher(platform.http, active, self.node),
+            NewsService(self.node, lifecycle, random),
+            PeerService(self.node, random),
+        )
+
+    async def on_start(self) -> None:
+        """Start the parts."""
+        for part in self._parts:
+            await self.add_runtime_dependency(part)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/routes.py
@@ -0,0 +1,114 @@
+"""Paths by which other gateways come."""
+
+import msgspec
+from aiohttp import web
+
+from baobabhinge_coordination.membership import (
+    Contact,
+    Exchange,
+    MembershipProtocol,
+    Prober,
+)
+from baobabhinge_gateway.configuration import ActiveConfiguration
+from baobabhinge_gateway.errors import MalformedCallError
+from baobabhinge_gateway.peers.traffic import PeerTraffic
+from baobabhinge_gateway.peers.transport import EXCHANGE_PATH, PROBE_PATH
+
+RELEASE_PATH = '/peer/v1/release'
+JSON = 'application/json'
+
+
+class PeerRoutes:
+    """Handlers of heartbeats and of probes on behalf of others.
+
+    Parameters
+    ----------
+    protocol : MembershipProtocol
+        Answers heartbeats.
+    prober : Prober
+        Sends heartbeats.
+    traffic : PeerTraffic
+        Where heartbeats are counted.
+    """
+
+    __slots__ = ('_prober', '_protocol', '_traffic')
+
+    def __init__(
+        self,
+        protocol: MembershipProtocol,
+        prober: Prober,
+        traffic: PeerTraffic,
+    ) -> None:
+        """Keep the parts."""
+        self._protocol = protocol
+        self._prober = prober
+        self._traffic = traffic
+
+    def add_to(self, app: web.Application) -> None:
+        """Add the paths."""
+        app.router.add_post(EXCHANGE_PATH, self.exchange)
+        app.router.add_post(PROBE_PATH, self.probe)
+
+    async def exchange(self, request: web.Request) -> web.Response:
+        """Answer a heartbeat.
+
+        Raises
+        ------
+        MalformedCallError
+            If it can't be read.
+        """
+        body = await request.read()
+        try:
+            question = msgspec.json.decode(body, type=Exchange)
+        except msgspec.MsgspecError as bad:
+            raise MalformedCallError('the heartbeat is malformed') from bad
+        answer = msgspec.json.encode(self._protocol.answer(question))
+        self._traffic.questions_received += 1
+        self._traffic.bytes_received += len(body)
+        self._traffic.bytes_sent += len(answer)
+        return web.Response(body=answer, content_type=JSON)
+
+    async def probe(self, request: web.Request) -> web.Response:
+        """Probe another gateway and answer whether it could be reached.
+
+        Raises
+        ------
+        MalformedCallError
+            If the request can't be read.
+        """
+        body = await request.read()
+        try:
+            target = msgspec.json.decode(body, type=Contact)
+        except msgspec.MsgspecError as bad:
+            raise MalformedCallError('the probe is malformed') from bad
+        reached = await self._prober.contact(target)
+        return web.Response(body=msgspec.json.encode(reached))
+
+
+class ReleaseRoutes:
+    """Handler by which peers fetch the release in force.
+
+    Parameters
+    ----------
+    active : ActiveConfiguration
+        Configuration in force.
+    """
+
+    __slots__ = ('_active',)
+
+    def __init__(self, active: ActiveConfiguration) -> None:
+        """Keep the configuration."""
+        self._active = active
+
+    def add_to(self, app: web.Application) -> None:
+        """Add the path."""
+        app.router.add_get(RELEASE_PATH, self.report)
+
+    async def report(self, request: web.Request) -> web.Response:
+        """Answer with the release in force."""
+        if not self._active.generation:
+            raise web.HTTPNotFound
+        return web.Response(
+            body=msgspec.json.encode(self._active.release),
+            content_type=JSON,
+        )
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/service.py
@@ -0,0 +1,67 @@
+"""Heartbeats in their periods."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from random import Random
+
+from mode import Service
+
+from baobabhinge_gateway.peers.node import TIMING, PeerNode
+
+FIRST_CONTACTS = 3
+LOWEST_JITTER = 0.9
+HIGHEST_JITTER = 1.1
+
+
+class PeerService(Service):
+    """Send a heartbeat to one gateway in each period.
+
+    Parameters
+    ----------
+    node : PeerNode
+        Parts that speak to the others.
+    random : Random
+        Jitter of the periods.
+    """
+
+    def __init__(self, node: PeerNode, random: Random) -> None:
+        """Send nothing yet."""
+        super().__init__()
+        self._node = node
+        self._random = random
+
+    async def on_start(self) -> None:
+        """Meet some gateways of the region before this one serves."""
+        contacts = self._node.addresses.list_contacts()
+        home = self._node.members.own.region
+        near = [contact for contact in contacts if contact.region == home]
+        await asyncio.gather(
+            *[
+                self._node.prober.probe_unmet(near)
+                for _ in range(FIRST_CONTACTS)
+            ],
+        )
+
+    @Service.task
+    async def _probe_home(self) -> None:
+        await self._repeat(self._node.prober.probe_home, TIMING.home_period)
+
+    @Service.task
+    async def _probe_others(self) -> None:
+        await self._repeat(self._probe_away, TIMING.away_period)
+
+    async def _repeat(
+        self,
+        step: Callable[[], Awaitable[None]],
+        period: timedelta,
+    ) -> None:
+        while not self.should_stop:
+            jitter = self._random.uniform(LOWEST_JITTER, HIGHEST_JITTER)
+            await self.sleep(period * jitter)
+            await step()
+
+    async def _probe_away(self) -> None:
+        contacts = self._node.addresses.list_contacts()
+        await self._node.prober.probe_unmet(contacts)
+        await self._node.prober.probe_away()
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/transport.py
@@ -0,0 +1,114 @@
+"""Heartbeats to other gateways over HTTP."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from datetime import timedelta
+from http import HTTPStatus
+
+import aiohttp
+import msgspec
+
+from baobabhinge_coordination.membership import (
+    Contact,
+    Exchange,
+    MemberUnreachableError,
+)
+from baobabhinge_gateway.peers.addresses import PeerAddresses
+from baobabhinge_gateway.peers.traffic import PeerTraffic
+
+EXCHANGE_PATH = '/peer/v1/exchange'
+PROBE_PATH = '/peer/v1/probes'
+AWAY_FACTOR = 4
+RELAY_FACTOR = 2
+
+
+class PeerTransport:
+    """Send heartbeats to the addresses of other gateways.
+
+    Parameters
+    ----------
+    http : aiohttp.ClientSession
+        Session that the caller owns and closes.
+    region : str
+        Region of this gateway.
+    addresses : PeerAddresses
+        Finder of addresses.
+    patience : timedelta
+        Longest wait for an answer from the own region.
+
+    Attributes
+    ----------
+    traffic : PeerTraffic
+        What was sent and received.
+    """
+
+    __slots__ = ('_addresses', '_http', '_patience', '_region', 'traffic')
+
+    def __init__(
+        self,
+        http: aiohttp.ClientSession,
+        region: str,
+        addresses: PeerAddresses,
+        patience: timedelta,
+    ) -> None:
+        """Send nothing yet."""
+        self._http = http
+        self._region = region
+        self._addresses = addresses
+        self._patience = patience
+        self.traffic = PeerTraffic()
+
+    async def exchange(self, contact: Contact, question: Exchange) -> Exchange:
+        """Send ``question`` and return the answer.
+
+        Raises
+        ------
+        MemberUnreachableError
+            If no answer comes in time.
+        """
+        body = msgspec.json.encode(question)
+        self.traffic.questions_sent += 1
+        self.traffic.bytes_sent += len(body)
+        try:
+            answer = await self._post(contact, EXCHANGE_PATH, body)
+        except MemberUnreachableError:
+            self.traffic.failures += 1
+            raise
+        self.traffic.bytes_received += len(answer)
+        return msgspec.json.decode(answer, type=Exchange)
+
+    async def relay(self, helper: Contact, target: Contact) -> bool:
+        """Ask ``helper`` whether it can reach ``target``."""
+        body = msgspec.json.encode(target)
+        try:
+            answer = await self._post(helper, PROBE_PATH, body)
+        except MemberUnreachableError:
+            return False
+        return msgspec.json.decode(answer, type=bool)
+
+    async def _post(self, contact: Contact, path: str, body: bytes) -> bytes:
+        address = self._addresses.find(contact)
+        if address is None:
+            raise MemberUnreachableError(f'no address of {contact.name}')
+        patience = self._patience
+        if contact.region != self._region:
+            patience *= AWAY_FACTOR
+        elif path == PROBE_PATH:
+            patience *= RELAY_FACTOR
+        async with _type_failures(address):
+            return await self._send(f'http://{address}{path}', body, patience)
+
+    async def _send(self, url: str, body: bytes, patience: timedelta) -> bytes:
+        limit = aiohttp.ClientTimeout(total=patience.total_seconds())
+        async with self._http.post(url, data=body, timeout=limit) as answer:
+            if answer.status != HTTPStatus.OK:
+                raise MemberUnreachableError(f'{url}: {answer.status}')
+            return await answer.read()
+
+
+@asynccontextmanager
+async def _type_failures(address: str) -> AsyncIterator[None]:
+    try:
+        yield
+    except (aiohttp.ClientError, TimeoutError) as bad:
+        raise MemberUnreachableError(address) from bad
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/platform.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/platform.py
@@ -52,3 +52,11 @@
         self.leases = ConsulLeases(self.transport)
         self.vm_list = VmList(http, addresses.vm_list)
         self.directory = ClientDirectory(http, addresses.client_directory)
+
+
+def build_http_session() -> aiohttp.ClientSession:
+    """Return the session of one gateway; its owner closes it."""
+    return aiohttp.ClientSession(
+        auto_decompress=False,
+        connector=aiohttp.TCPConnector(limit=0),
+    )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/process/settings.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/process/settings.py
@@ -26,6 +26,9 @@
         Where the vm stands.
     caller_address, peer_address : str
         ``host:port`` for callers and for other gateways.
+    seeds : str, optional
+        ``host:port`` of gateways of the region, separated by commas; by them
+        this one finds the others when the list of vms can't be read.
     """
 
     name: str
@@ -33,6 +36,11 @@
     failure_domain: str
     caller_address: str
     peer_address: str
+    seeds: str = ''
+
+    def list_seeds(self) -> list[str]:
+        """Return the addresses of ``seeds`` one by one."""
+        return [seed.strip() for seed in self.seeds.split(',') if seed.strip()]
 
 
 class PlatformAddresses(msgspec.Struct, frozen=True):
