--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/repeatable.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/repeatable.py
@@ -1,18 +1,17 @@
 """Calls that may be repeated: attempts go on until one answers whole."""
 
 from contextlib import AsyncExitStack
-from datetime import timedelta
 
 from aiohttp import web
 
 from baobabhinge_coordination.budgets import RetryBudget
 from baobabhinge_coordination.clock import Clock
-from baobabhinge_gateway.backends.patience import Patience
 from baobabhinge_gateway.calls import Call
 from baobabhinge_gateway.errors import CallError
 from baobabhinge_gateway.execution.attempts import Attempts
 from baobabhinge_gateway.execution.opening import (
     check_refusal,
+    measure_patience,
     open_within,
 )
 from baobabhinge_gateway.execution.relay import (
@@ -20,10 +19,8 @@
     StreamRelay,
     WholeRelay,
 )
-from baobabhinge_gateway.routing import Dispatcher, Router, Target
-
-EVENT_PATIENCE = timedelta(seconds=2)
-LEAST_PATIENCE = timedelta(milliseconds=100)
+from baobabhinge_gateway.routing import Dispatcher, Router
+from baobabhinge_gateway.routing.decisions import Candidate, Decision
 
 
 class RepeatableExecutor:
@@ -74,43 +71,39 @@
         attempts = Attempts(call, self._router, self._budget)
         response = None
         while response is None:
-            target = await _choose_target(attempts, relay)
-            response = await self._try_target(attempts, relay, target)
+            candidate = await _choose_candidate(attempts, relay)
+            response = await self._try_candidate(attempts, relay, candidate)
         return response
 
-    async def _try_target(
+    async def _try_candidate(
         self,
         attempts: Attempts,
         relay: Relay,
-        target: Target,
+        candidate: Candidate,
     ) -> web.StreamResponse | None:
         try:
-            return await self._relay_answer(attempts.call, relay, target)
+            return await self._relay_answer(attempts.call, relay, candidate)
         except CallError as failure:
-            attempts.record_failure(target, failure)
+            attempts.record_failure(candidate.target, failure)
         return None
 
     async def _relay_answer(
         self,
         call: Call,
         relay: Relay,
-        target: Target,
+        candidate: Candidate,
     ) -> web.StreamResponse:
-        patience = self._measure_patience(call)
+        rest = call.terms.deadline - self._clock.read_monotonic()
+        patience = measure_patience(call, rest)
         exchange = self._dispatcher.open_answer(
             relay.prepare_call(call),
-            (target,),
+            Decision((candidate,)),
         )
         async with AsyncExitStack() as stack:
             answer = await open_within(stack, exchange, patience)
-            await check_refusal(call, answer, target)
+            await check_refusal(call, answer, candidate.target)
             return await relay.take(answer)
 
-    def _measure_patience(self, call: Call) -> Patience:
-        rest = call.terms.deadline - self._clock.read_monotonic()
-        first = max(LEAST_PATIENCE, rest / 2)
-        return Patience(first, EVENT_PATIENCE if call.streamed else first)
-
 
 def _create_relay(request: web.Request, call: Call) -> Relay:
     if call.streamed:
@@ -118,9 +111,12 @@
     return WholeRelay(call)
 
 
-async def _choose_target(attempts: Attempts, relay: Relay) -> Target:
+async def _choose_candidate(
+    attempts: Attempts,
+    relay: Relay,
+) -> Candidate:
     try:
-        return attempts.choose_target()
+        return attempts.choose_candidate()
     except CallError as failure:
         await relay.fail(failure)
         raise
