--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
@@ -12,9 +12,9 @@
 from baobabhinge_gateway.platform import Platform
 from baobabhinge_gateway.routing import RoutingBuilder
 
-DEFAULT_POLICY = 'estimated-latency'
 RETRY_SHARE = 0.1
 RETRY_BURST = 10
+DEFAULT_POLICY = 'estimated-latency'
 
 
 def build_call_server(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/repeatable.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/repeatable.py
@@ -19,8 +19,7 @@
     StreamRelay,
     WholeRelay,
 )
-from baobabhinge_gateway.routing import Dispatcher, Router
-from baobabhinge_gateway.routing.decisions import Candidate, Decision
+from baobabhinge_gateway.routing import Candidate, Dispatcher, Router
 
 
 class RepeatableExecutor:
@@ -97,7 +96,7 @@
         patience = measure_patience(call, rest)
         exchange = self._dispatcher.open_answer(
             relay.prepare_call(call),
-            Decision((candidate,)),
+            (candidate,),
         )
         async with AsyncExitStack() as stack:
             answer = await open_within(stack, exchange, patience)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/watcher.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/watcher.py
@@ -32,9 +32,6 @@
         self._vm_list = vm_list
         self.vms: tuple[Vm, ...] = ()
 
-    def find_report(self, vm: str) -> None:
-        """Return the newest load report of ``vm``; none is read yet."""
-
     async def on_start(self) -> None:
         """Read the list once before the gateway serves."""
         await self._refresh()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/assembly.py
@@ -6,7 +6,7 @@
 
 from baobabhinge_coordination.clock import Clock
 from baobabhinge_gateway.admission import Shedder
-from baobabhinge_gateway.fleet import VmWatcher
+from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.routing.dispatch import Dispatcher
 from baobabhinge_gateway.routing.estimates import Estimator
 from baobabhinge_gateway.routing.loads import LoadSource
@@ -45,7 +45,7 @@
         Clock of the decisions.
     random : Random
         Generator that breaks ties.
-    fleet : VmWatcher
+    fleet : FleetView
         Known vms.
     loads : LoadSource
         Lagged reports.
@@ -57,7 +57,7 @@
         self,
         clock: Clock,
         random: Random,
-        fleet: VmWatcher,
+        fleet: FleetView,
         loads: LoadSource,
     ) -> None:
         """Keep the parts."""
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/dispatch.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/dispatch.py
@@ -1,6 +1,6 @@
 """Trying candidates until one answers."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from datetime import timedelta
 
@@ -14,7 +14,7 @@
     NoBackendServerError,
     NotReachedError,
 )
-from baobabhinge_gateway.routing.decisions import Candidate, Decision
+from baobabhinge_gateway.routing.decisions import Candidate
 from baobabhinge_gateway.routing.outbound import build_outbound
 from baobabhinge_gateway.routing.tracking import TargetTracker
 
@@ -51,7 +51,7 @@
     async def open_answer(
         self,
         call: Call,
-        decision: Decision,
+        candidates: Sequence[Candidate],
     ) -> AsyncIterator[Answer]:
         """Yield the answer of the first candidate that could be reached.
 
@@ -66,15 +66,15 @@
         """
         async with AsyncExitStack() as stack:
             stack.enter_context(self._tracker.shares.track(call))
-            yield await self._reach_first(stack, call, decision)
+            yield await self._reach_first(stack, call, candidates)
 
     async def _reach_first(
         self,
         stack: AsyncExitStack,
         call: Call,
-        decision: Decision,
+        candidates: Sequence[Candidate],
     ) -> Answer:
-        for candidate in decision.candidates:
+        for candidate in candidates:
             outbound = build_outbound(
                 call,
                 candidate.target,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/estimates.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/estimates.py
@@ -12,6 +12,7 @@
 )
 from baobabhinge_gateway.routing.observations import Observations
 from baobabhinge_gateway.routing.targets import Target
+from baobabhinge_platform.machines import Vm
 
 NOTHING = timedelta()
 
@@ -68,15 +69,15 @@
         base = self._observations.read_first(target.place)
         if target.is_remote:
             return Estimate(NOTHING, base, target.in_flight)
-        occupancy = self._estimate_occupancy(target.vm.name)
+        occupancy = self._estimate_occupancy(target.vm)
         hold = self._observations.read_hold(target.place)
         wait = hold * (occupancy.queue / occupancy.slots)
         return Estimate(wait, wait + base, occupancy.requests)
 
-    def _estimate_occupancy(self, vm: str) -> Occupancy:
+    def _estimate_occupancy(self, vm: Vm) -> Occupancy:
         report = self._loads.find_report(vm)
-        now = self._in_flight.count(vm)
+        now = self._in_flight.count(vm.name)
         if report is None:
             return estimate_occupancy(report, now, now)
-        then = self._in_flight.count_before(vm, report.age)
+        then = self._in_flight.count_before(vm.name, report.age)
         return estimate_occupancy(report, now, then)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/loads.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/loads.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from baobabhinge_platform.machines import Vm
+
 DEFAULT_SLOTS = 8
 
 
@@ -31,7 +33,7 @@
 class LoadSource(Protocol):
     """Where reports come from."""
 
-    def find_report(self, vm: str) -> LoadView | None:
+    def find_report(self, vm: Vm) -> LoadView | None:
         """Return the newest report of ``vm``, if there is one."""
 
 
