Refuse bound calls before their body, drain before stopping, and type each refusal

Cause: a gateway outside the bound region read the body and forwarded it; a SIGTERM closed the sockets at once; the HTTP library's own errors were plain text and its log repeated the refused line.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/__init__.py
@@ -5,4 +5,9 @@
 )
 from baobabhinge_gateway.callers.callroutes import CallRoutes as CallRoutes
 from baobabhinge_gateway.callers.entries import EntryReport as EntryReport
+from baobabhinge_gateway.callers.health import ConnectionEnd as ConnectionEnd
+from baobabhinge_gateway.callers.health import HealthReport as HealthReport
+from baobabhinge_gateway.callers.problems import (
+    ProblemRenderer as ProblemRenderer,
+)
 from baobabhinge_gateway.callers.status import StatusReport as StatusReport
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
@@ -3,9 +3,9 @@
 from random import SystemRandom
 
 from baobabhinge_coordination.budgets import RetryBudget
-from baobabhinge_coordination.clock import SystemClock
+from baobabhinge_coordination.clock import Clock, SystemClock
+from baobabhinge_gateway.callers.checks import ArrivalChecks
 from baobabhinge_gateway.callers.service import CallServer
-from baobabhinge_gateway.calls import Hop
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.execution import (
     Executors,
@@ -13,6 +13,7 @@
     RoutingBuilder,
 )
 from baobabhinge_gateway.fleet import FleetView
+from baobabhinge_gateway.lifecycle import Lifecycle
 from baobabhinge_gateway.platform import Platform
 
 RETRY_SHARE = 0.1
@@ -21,24 +22,38 @@
 
 
 def build_call_server(
-    hop: Hop,
     active: ActiveConfiguration,
     fleet: FleetView,
     platform: Platform,
+    lifecycle: Lifecycle,
 ) -> CallServer:
     """Return the server of calls of one gateway."""
     clock = SystemClock()
+    return CallServer(
+        fleet.home,
+        clock,
+        active,
+        _build_executors(clock, fleet, platform),
+        ArrivalChecks(fleet, lifecycle),
+    )
+
+
+def _build_executors(
+    clock: Clock,
+    fleet: FleetView,
+    platform: Platform,
+) -> Executors:
     builder = RoutingBuilder(clock, SystemRandom(), fleet, fleet)
-    routing = builder.build(hop.region, DEFAULT_POLICY, platform.http)
+    region = fleet.home.region
+    routing = builder.build(region, DEFAULT_POLICY, platform.http)
     repeatable = RepeatableExecutor(
         routing.router,
         routing.dispatcher,
         RetryBudget(share=RETRY_SHARE, burst=RETRY_BURST),
         clock,
     )
-    executors = Executors(
+    return Executors(
         model=repeatable,
         plain=repeatable,
         run_once=repeatable,
     )
-    return CallServer(hop, clock, active, executors)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/callroutes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/callroutes.py
@@ -32,9 +32,11 @@
             app.router.add_post(
                 f'{self._prefix}{path}',
                 self._calls.serve_model,
+                expect_handler=self._calls.expect_body,
             )
         app.router.add_route(
             '*',
             f'{self._prefix}{PLAIN_PATH}',
             self._calls.serve_plain,
+            expect_handler=self._calls.expect_body,
         )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/entries.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/entries.py
@@ -6,6 +6,8 @@
 from aiohttp import web
 
 from baobabhinge_gateway.fleet import FleetView
+from baobabhinge_gateway.lifecycle import Lifecycle
+from baobabhinge_platform.machines import Vm
 
 TIME_TO_LIVE = timedelta(seconds=5)
 
@@ -38,18 +40,18 @@
 
     Parameters
     ----------
-    region : str
-        Region of this gateway; its gateways come first.
     fleet : FleetView
-        Known vms.
+        Known vms; the gateways of the home region come first.
+    lifecycle : Lifecycle
+        Whether this gateway is leaving.
     """
 
-    __slots__ = ('_fleet', '_region')
+    __slots__ = ('_fleet', '_lifecycle')
 
-    def __init__(self, region: str, fleet: FleetView) -> None:
+    def __init__(self, fleet: FleetView, lifecycle: Lifecycle) -> None:
         """Keep the parts."""
-        self._region = region
         self._fleet = fleet
+        self._lifecycle = lifecycle
 
     def add_to(self, app: web.Application) -> None:
         """Add the path."""
@@ -57,15 +59,23 @@
 
     async def report(self, request: web.Request) -> web.Response:
         """Answer with the ranked list."""
-        ranked = sorted(
-            self._fleet.list_gateways(),
-            key=lambda vm: (vm.region != self._region, vm.name),
-        )
         entries = [
-            Entry(vm.name, vm.region, vm.caller_address) for vm in ranked
+            Entry(vm.name, vm.region, vm.caller_address)
+            for vm in self._rank_gateways()
         ]
         listed = EntryList(int(TIME_TO_LIVE.total_seconds()), entries)
         return web.Response(
             body=msgspec.json.encode(listed),
             content_type='application/json',
         )
+
+    def _rank_gateways(self) -> list[Vm]:
+        home = self._fleet.home
+        left_out = {home.gateway} if self._lifecycle.is_draining else set()
+        listed = [
+            vm for vm in self._fleet.list_gateways() if vm.name not in left_out
+        ]
+        return sorted(
+            listed,
+            key=lambda vm: (vm.region != home.region, vm.name),
+        )
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/health.py
@@ -0,0 +1,82 @@
+"""Health of this gateway, and the end of its connections while it drains."""
+
+from http import HTTPStatus
+
+from aiohttp import web
+
+from baobabhinge_gateway.configuration import ActiveConfiguration
+from baobabhinge_gateway.lifecycle import Lifecycle
+
+
+class HealthReport:
+    """Handlers of ``GET /healthz`` and ``GET /readyz``.
+
+    Parameters
+    ----------
+    active : ActiveConfiguration
+        Configuration in force.
+    lifecycle : Lifecycle
+        Whether this gateway is leaving.
+    """
+
+    __slots__ = ('_active', '_lifecycle')
+
+    def __init__(
+        self,
+        active: ActiveConfiguration,
+        lifecycle: Lifecycle,
+    ) -> None:
+        """Keep the parts."""
+        self._active = active
+        self._lifecycle = lifecycle
+
+    def add_to(self, app: web.Application) -> None:
+        """Add the paths."""
+        app.router.add_get('/healthz', self.report_health)
+        app.router.add_get('/readyz', self.report_readiness)
+
+    async def report_health(self, request: web.Request) -> web.Response:
+        """Answer that the process runs."""
+        return web.Response(text='ok\n')
+
+    async def report_readiness(self, request: web.Request) -> web.Response:
+        """Answer whether calls can be served."""
+        if self._lifecycle.is_draining:
+            return _answer_unready('draining\n')
+        if not self._active.generation:
+            return _answer_unready('no configuration yet\n')
+        return web.Response(text='ready\n')
+
+
+class ConnectionEnd:
+    """Close each connection after its answer once the gateway drains.
+
+    Parameters
+    ----------
+    lifecycle : Lifecycle
+        Whether this gateway is leaving.
+    """
+
+    __slots__ = ('_lifecycle',)
+
+    def __init__(self, lifecycle: Lifecycle) -> None:
+        """Keep the lifecycle."""
+        self._lifecycle = lifecycle
+
+    def add_to(self, app: web.Application) -> None:
+        """Watch every answer of ``app``."""
+        app.on_response_prepare.append(self.mark)
+
+    async def mark(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+    ) -> None:
+        """Announce the end of the connection in the answer's headers."""
+        if self._lifecycle.is_draining:
+            response.headers['Connection'] = 'close'
+            response.force_close()
+
+
+def _answer_unready(reason: str) -> web.Response:
+    return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE, text=reason)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/problems.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/problems.py
@@ -1,50 +1,88 @@
-"""Errors as problem details.
-
-References
-----------
-RFC 9457, Problem Details for HTTP APIs.
-"""
+"""Answering errors as problem details."""
 
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from http import HTTPStatus
+from random import Random
 
 import msgspec
 import structlog
 from aiohttp import web
 
 from baobabhinge_gateway.calls.headers import OUTCOME, REQUEST_ID
-from baobabhinge_gateway.errors import CallError
+from baobabhinge_gateway.errors import CallError, InternalError
+from baobabhinge_gateway.errors.http import describe_http_error
 from baobabhinge_gateway.errors.problem import PROBLEM_TYPE, describe_problem
 
 RETRY_AFTER = 'Retry-After'
+ALLOW = 'Allow'
+SPREAD = 2
 
 Answerer = Callable[[web.Request], Awaitable[web.StreamResponse]]
 log = structlog.get_logger(__name__)
 
 
-@web.middleware
-async def answer_problems(
-    request: web.Request,
-    handler: Answerer,
-) -> web.StreamResponse:
-    """Turn call errors into problem details."""
-    try:
-        return await handler(request)
-    except CallError as error:
+class ProblemRenderer:
+    """Turn errors into HTTP answers.
+
+    Parameters
+    ----------
+    random : Random
+        Generator that spreads the times at which callers come back.
+    """
+
+    __slots__ = ('_random',)
+
+    def __init__(self, random: Random) -> None:
+        """Keep the generator."""
+        self._random = random
+
+    def render(self, error: CallError, request_id: str = '') -> web.Response:
+        """Return the HTTP answer for ``error``."""
+        pause = self._spread(error.retry_after)
+        problem = describe_problem(error, request_id, pause)
+        return web.Response(
+            status=error.status,
+            body=msgspec.json.encode(problem),
+            content_type=PROBLEM_TYPE,
+            headers={
+                RETRY_AFTER: str(problem.retry_after_seconds),
+                REQUEST_ID: request_id,
+                OUTCOME: error.outcome,
+            },
+        )
+
+    @web.middleware
+    async def answer_problems(
+        self,
+        request: web.Request,
+        handler: Answerer,
+    ) -> web.StreamResponse:
+        """Turn every error of a handler into problem details."""
+        try:
+            return await handler(request)
+        except ConnectionError:
+            raise
+        except Exception as fault:
+            return self._refuse(request, fault)
+
+    def _refuse(self, request: web.Request, fault: Exception) -> web.Response:
+        error = _describe(fault)
         request_id = request.get('request_id', '')
         log.info('call-refused', code=error.code, request_id=request_id)
-        return render_problem(error, request_id)
-
-
-def render_problem(error: CallError, request_id: str) -> web.Response:
-    """Return the HTTP answer for ``error``."""
-    problem = describe_problem(error, request_id)
-    return web.Response(
-        status=error.status,
-        body=msgspec.json.encode(problem),
-        content_type=PROBLEM_TYPE,
-        headers={
-            RETRY_AFTER: str(problem.retry_after_seconds),
-            REQUEST_ID: request_id,
-            OUTCOME: error.outcome,
-        },
-    )
+        response = self.render(error, request_id)
+        if isinstance(fault, web.HTTPMethodNotAllowed):
+            response.headers[ALLOW] = fault.headers[ALLOW]
+        return response
+
+    def _spread(self, pause: timedelta) -> timedelta:
+        return pause * self._random.uniform(1, 1 + SPREAD)
+
+
+def _describe(fault: Exception) -> CallError:
+    if isinstance(fault, CallError):
+        return fault
+    if isinstance(fault, web.HTTPException):
+        return describe_http_error(HTTPStatus(fault.status))
+    log.error('internal-error', kind=type(fault).__name__)
+    return InternalError('an internal fault')
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/serializing.py
@@ -0,0 +1,25 @@
+"""Errors written to a connection that has no readable request."""
+
+import msgspec
+
+from baobabhinge_gateway.calls.headers import OUTCOME
+from baobabhinge_gateway.errors import CallError
+from baobabhinge_gateway.errors.problem import PROBLEM_TYPE, describe_problem
+
+
+def serialize_error(error: CallError) -> bytes:
+    """Return a whole HTTP answer that closes the connection."""
+    problem = describe_problem(error)
+    body = msgspec.json.encode(problem)
+    status = error.status
+    lines = (
+        f'HTTP/1.1 {status.value} {status.phrase}',
+        f'Content-Type: {PROBLEM_TYPE}',
+        f'Content-Length: {len(body)}',
+        f'Retry-After: {problem.retry_after_seconds}',
+        f'{OUTCOME}: {error.outcome}',
+        'Connection: close',
+        '',
+        '',
+    )
+    return '\r\n'.join(lines).encode() + body
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
@@ -1,11 +1,13 @@
 """Serving one call from its arrival to its answer."""
 
 import uuid
+from contextlib import suppress
 
 import structlog
 from aiohttp import web
 
 from baobabhinge_coordination.clock import Clock
+from baobabhinge_gateway.callers.checks import ArrivalChecks
 from baobabhinge_gateway.calls import Call, Hop, HopList, headers
 from baobabhinge_gateway.calls.building import (
     Arrival,
@@ -14,10 +16,16 @@
     build_plain_call,
 )
 from baobabhinge_gateway.configuration import ActiveConfiguration
-from baobabhinge_gateway.errors import AnswerCutError, CallerLostError
+from baobabhinge_gateway.errors import (
+    AnswerCutError,
+    CallerLostError,
+    CallError,
+)
 from baobabhinge_gateway.execution import Executor, Executors
 from baobabhinge_gateway.telemetry import Measures
 
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
 log = structlog.get_logger(__name__)
 
 
@@ -34,9 +42,18 @@
         Configuration in force.
     executors : Executors
         Runners of calls.
+    checks : ArrivalChecks
+        Checks before the body is read.
     """
 
-    __slots__ = ('_active', '_clock', '_executors', '_hop', 'measures')
+    __slots__ = (
+        '_active',
+        '_checks',
+        '_clock',
+        '_executors',
+        '_hop',
+        'measures',
+    )
 
     def __init__(
         self,
@@ -44,12 +61,14 @@
         clock: Clock,
         active: ActiveConfiguration,
         executors: Executors,
+        checks: ArrivalChecks,
     ) -> None:
         """Keep the parts."""
         self._hop = hop
         self._clock = clock
         self._active = active
         self._executors = executors
+        self._checks = checks
         self.measures = Measures()
 
     async def serve_model(self, request: web.Request) -> web.StreamResponse:
@@ -60,12 +79,19 @@
         """Serve a request to a plain service."""
         return await self._serve(request, build_plain_call)
 
+    async def expect_body(self, request: web.Request) -> None:
+        """Ask for the body of a request that will not be refused."""
+        with suppress(CallError):
+            self._checks.check(request)
+            await request.writer.write(CONTINUE)
+
     async def _serve(
         self,
         request: web.Request,
         build: CallBuilder,
     ) -> web.StreamResponse:
         arrival = self._register(request)
+        self._checks.check(request)
         call = await build(request, self._active.require_settings(), arrival)
         executor = self._executors.select(call)
         response = await self._execute(executor, request, call)
@@ -81,24 +107,14 @@
     ) -> web.StreamResponse:
         try:
             response = await executor.execute(request, call)
-        except AnswerCutError:
-            return self._end_lost(request, call, 'cut')
-        except CallerLostError:
-            return self._end_lost(request, call, 'caller-lost')
+        except (AnswerCutError, CallerLostError) as lost:
+            self.measures.outcomes['not-whole'] += 1
+            kind = type(lost).__name__
+            log.warning('not-whole', kind=kind, request_id=call.request_id)
+            return web.Response()
         self.measures.outcomes['answered'] += 1
         return response
 
-    def _end_lost(
-        self,
-        request: web.Request,
-        call: Call,
-        outcome: str,
-    ) -> web.StreamResponse:
-        """Return a response that the closed connection does not carry."""
-        self.measures.outcomes[outcome] += 1
-        log.warning('answer-not-whole', outcome=outcome, id=call.request_id)
-        return web.Response()
-
     def _register(self, request: web.Request) -> Arrival:
         passed = HopList.parse(request.headers.get(headers.PATH, ''))
         request_id = request.headers.get(headers.REQUEST_ID)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/status.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/status.py
@@ -1,6 +1,4 @@
-"""Health and status of this gateway."""
-
-from http import HTTPStatus
+"""Status of this gateway."""
 
 import msgspec
 from aiohttp import web
@@ -22,7 +20,7 @@
 
 
 class StatusReport:
-    """Handlers of the health and status paths.
+    """Handler of ``GET /v1/status``.
 
     Parameters
     ----------
@@ -48,23 +46,8 @@
         self._measures = measures
 
     def add_to(self, app: web.Application) -> None:
-        """Add the paths."""
+        """Add the path."""
         app.router.add_get('/v1/status', self.report_status)
-        app.router.add_get('/healthz', self.report_health)
-        app.router.add_get('/readyz', self.report_readiness)
-
-    async def report_health(self, request: web.Request) -> web.Response:
-        """Answer that the process runs."""
-        return web.Response(text='ok\n')
-
-    async def report_readiness(self, request: web.Request) -> web.Response:
-        """Answer whether calls can be served."""
-        if self._active.generation:
-            return web.Response(text='ready\n')
-        return web.Response(
-            status=HTTPStatus.SERVICE_UNAVAILABLE,
-            text='no configuration yet\n',
-        )
 
     async def report_status(self, request: web.Request) -> web.Response:
         """Answer with counters and percentiles."""
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/bodies.py
@@ -0,0 +1,25 @@
+"""Reading the bodies of requests within a time limit."""
+
+import asyncio
+from datetime import timedelta
+
+from aiohttp import web
+
+from baobabhinge_gateway.errors import SlowRequestError
+
+BODY_PATIENCE = timedelta(seconds=10)
+
+
+async def read_body(request: web.Request) -> bytes:
+    """Return the whole body.
+
+    Raises
+    ------
+    SlowRequestError
+        If it does not arrive in time.
+    """
+    try:
+        async with asyncio.timeout(BODY_PATIENCE.total_seconds()):
+            return await request.read()
+    except TimeoutError as late:
+        raise SlowRequestError('the body did not arrive in time') from late
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/building.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/building.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from baobabhinge_gateway.calls import headers
+from baobabhinge_gateway.calls.bodies import read_body
 from baobabhinge_gateway.calls.hops import HopList
 from baobabhinge_gateway.calls.model import Call
 from baobabhinge_gateway.calls.parsing import (
@@ -45,7 +46,7 @@
     arrival: Arrival,
 ) -> Call:
     """Return the call of a completion request."""
-    body = await request.read()
+    body = await read_body(request)
     asked = parse_model_request(body)
     service = find_service(
         settings,
@@ -83,7 +84,7 @@
         method=request.method,
         path=f'/{request.match_info["rest"]}{query}',
         headers=headers.keep_end_to_end(request.headers.items()),
-        body=await request.read(),
+        body=await read_body(request),
         terms=parse_terms(request, arrival.instant, service),
         hops=arrival.hops,
     )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/model.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/model.py
@@ -17,16 +17,20 @@
     ----------
     deadline : timedelta
         Monotonic time at which the caller stops waiting.
-    bound_region : str, optional
-        Region that the request may not leave.
+    regions : frozenset of str, optional
+        Regions in which the request may be; ``None`` for all.
     workspace : str
         Workspace on whose account the call runs.
     """
 
     deadline: timedelta
-    bound_region: str | None = None
+    regions: frozenset[str] | None = None
     workspace: str = ''
 
+    def allows(self, region: str) -> bool:
+        """Tell whether the request may be in ``region``."""
+        return self.regions is None or region in self.regions
+
 
 class Call(msgspec.Struct, frozen=True):
     """One call.
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/parsing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/parsing.py
@@ -7,6 +7,7 @@
 
 from baobabhinge_gateway.calls import headers
 from baobabhinge_gateway.calls.model import Terms
+from baobabhinge_gateway.calls.regions import parse_regions
 from baobabhinge_gateway.errors import (
     MalformedCallError,
     UnknownServiceError,
@@ -42,7 +43,7 @@
         patience = min(patience, _parse_patience(text))
     return Terms(
         now + patience,
-        request.headers.get(headers.REGION_BOUND),
+        parse_regions(request.headers.get(headers.REGION_BOUND)),
         request.headers.get(headers.WORKSPACE, ''),
     )
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -6,7 +6,9 @@
 from baobabhinge_coordination.generations import ReleaseReader
 from baobabhinge_gateway.callers import (
     CallRoutes,
+    ConnectionEnd,
     EntryReport,
+    HealthReport,
     StatusReport,
     build_call_server,
 )
@@ -16,7 +18,7 @@
     ConfigurationWatcher,
 )
 from baobabhinge_gateway.fleet import FleetService, FleetView
-from baobabhinge_gateway.lifecycle import Lifecycle
+from baobabhinge_gateway.lifecycle import Drainer, create_lifecycle
 from baobabhinge_gateway.listening import Listener
 from baobabhinge_gateway.platform import Platform
 from baobabhinge_gateway.process import ProcessSettings
@@ -37,7 +39,7 @@
         super().__init__()
         self._settings = settings
         self._active = ActiveConfiguration()
-        self._lifecycle = Lifecycle()
+        self._lifecycle = create_lifecycle()
 
     async def on_start(self) -> None:
         """Start the parts, listeners last."""
@@ -66,14 +68,21 @@
         fleet: FleetView,
     ) -> None:
         identity = self._settings.identity
-        hop = Hop(identity.name, identity.region)
-        calls = build_call_server(hop, self._active, fleet, platform)
-        peer_app = build_app([CallRoutes(calls, headers.FORWARD_PREFIX)])
+        calls = build_call_server(
+            self._active,
+            fleet,
+            platform,
+            self._lifecycle,
+        )
+        end = ConnectionEnd(self._lifecycle)
+        peer_app = build_app([end, CallRoutes(calls, headers.FORWARD_PREFIX)])
         caller_app = build_app(
             [
+                end,
                 CallRoutes(calls),
-                EntryReport(identity.region, fleet),
-                StatusReport(hop, self._active, calls.measures),
+                HealthReport(self._active, self._lifecycle),
+                EntryReport(fleet, self._lifecycle),
+                StatusReport(fleet.home, self._active, calls.measures),
             ],
         )
         await self.add_runtime_dependency(
@@ -82,3 +91,4 @@
         await self.add_runtime_dependency(
             Listener(caller_app, identity.caller_address),
         )
+        await self.add_runtime_dependency(Drainer(self._lifecycle))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
@@ -8,6 +8,12 @@
 from baobabhinge_gateway.errors.limits import (
     WorkspaceShareError as WorkspaceShareError,
 )
+from baobabhinge_gateway.errors.regions import (
+    RegionBoundError as RegionBoundError,
+)
+from baobabhinge_gateway.errors.regions import (
+    WrongRegionError as WrongRegionError,
+)
 from baobabhinge_gateway.errors.relayed import (
     AnswerCutError as AnswerCutError,
 )
@@ -40,6 +46,16 @@
 from baobabhinge_gateway.errors.serving import (
     OutcomeUnknownError as OutcomeUnknownError,
 )
-from baobabhinge_gateway.errors.serving import (
-    RegionBoundError as RegionBoundError,
+from baobabhinge_gateway.errors.transport import (
+    BodyTooLargeError as BodyTooLargeError,
+)
+from baobabhinge_gateway.errors.transport import (
+    HeadersTooLargeError as HeadersTooLargeError,
+)
+from baobabhinge_gateway.errors.transport import InternalError as InternalError
+from baobabhinge_gateway.errors.transport import (
+    SlowRequestError as SlowRequestError,
+)
+from baobabhinge_gateway.errors.transport import (
+    TooManyConnectionsError as TooManyConnectionsError,
 )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/problem.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/problem.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from datetime import timedelta
 
 import msgspec
 
@@ -45,8 +46,23 @@
     entries: tuple[EntryHint, ...] = ()
 
 
-def describe_problem(error: CallError, request_id: str = '') -> Problem:
-    """Return the problem details of ``error``."""
+def describe_problem(
+    error: CallError,
+    request_id: str = '',
+    pause: timedelta | None = None,
+) -> Problem:
+    """Return the problem details of ``error``.
+
+    Parameters
+    ----------
+    error : CallError
+        What happened.
+    request_id : str, optional
+        Identifier of the call.
+    pause : timedelta, optional
+        When the caller may come back, in place of the error's own advice.
+    """
+    advised = error.retry_after if pause is None else pause
     return Problem(
         type=f'{TYPE_PREFIX}{error.code}',
         title=error.code.replace('-', ' '),
@@ -54,7 +70,7 @@
         detail=error.detail,
         code=error.code,
         outcome=error.outcome,
-        retry_after_seconds=math.ceil(error.retry_after.total_seconds()),
+        retry_after_seconds=math.ceil(advised.total_seconds()),
         request_id=request_id,
         entries=error.entries,
     )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/serving.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/serving.py
@@ -12,13 +12,6 @@
     status = HTTPStatus.SERVICE_UNAVAILABLE
 
 
-class RegionBoundError(CallError):
-    """The bound region can't serve the request now."""
-
-    code = 'region-bound'
-    status = HTTPStatus.SERVICE_UNAVAILABLE
-
-
 class NoBackendServerError(CallError):
     """No backend server could take the request."""
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/listening.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/listening.py
@@ -5,6 +5,8 @@
 from aiohttp import web
 from mode import Service
 
+from baobabhinge_gateway.callers.connections import GuardedRunner
+
 STOP_PATIENCE = timedelta(seconds=60)
 
 
@@ -23,10 +25,8 @@
         """Listen nowhere yet."""
         super().__init__()
         self._address = address
-        self._runner = web.AppRunner(
+        self._runner = GuardedRunner(
             app,
-            access_log=None,
-            handler_cancellation=True,
             shutdown_timeout=STOP_PATIENCE.total_seconds(),
         )
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routes.py
@@ -1,13 +1,13 @@
 """Applications put together from parts that add their own paths."""
 
 from collections.abc import Iterable
+from random import SystemRandom
 from typing import Protocol
 
 from aiohttp import web
 
-from baobabhinge_gateway.callers.problems import answer_problems
-
-MAX_BODY_BYTES = 4 << 20
+from baobabhinge_gateway.callers.checks import MAX_BODY_BYTES
+from baobabhinge_gateway.callers.problems import ProblemRenderer
 
 
 class Routes(Protocol):
@@ -19,8 +19,9 @@
 
 def build_app(parts: Iterable[Routes]) -> web.Application:
     """Return an application with the paths of all ``parts``."""
+    problems = ProblemRenderer(SystemRandom())
     app = web.Application(
-        middlewares=[answer_problems],
+        middlewares=[problems.answer_problems],
         client_max_size=MAX_BODY_BYTES,
     )
     for part in parts:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/outbound.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/outbound.py
@@ -5,6 +5,7 @@
 from baobabhinge_gateway.backends import Outbound
 from baobabhinge_gateway.calls import Call, headers
 from baobabhinge_gateway.calls.model import Headers
+from baobabhinge_gateway.calls.regions import render_regions
 from baobabhinge_gateway.routing.targets import Target
 from baobabhinge_settings.model import ServiceKind
 
@@ -52,9 +53,10 @@
         (headers.DEADLINE, str(milliseconds)),
         (headers.WORKSPACE, call.terms.workspace),
     )
-    if call.terms.bound_region is None:
+    if call.terms.regions is None:
         return pairs
-    return (*pairs, (headers.REGION_BOUND, call.terms.bound_region))
+    binding = render_regions(call.terms.regions)
+    return (*pairs, (headers.REGION_BOUND, binding))
 
 
 def _get_forward_path(call: Call) -> str:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/router.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/router.py
@@ -72,29 +72,28 @@
         if decision.candidates:
             self._gate.check(call, decision)
             return decision
-        if call.terms.bound_region:
+        if call.terms.regions is not None:
             raise RegionBoundError('the bound region has no backend server')
         raise NoBackendServerError('no backend server may take the call now')
 
     def _list_targets(self, call: Call) -> list[Target]:
-        bound = call.terms.bound_region
         local = []
-        if bound in {None, self._region}:
+        if call.terms.allows(self._region):
             local = self._list_local(call)
         if len(call.hops.hops) > 1:
             return local
-        return local + self._list_remote(call, bound)
+        return local + self._list_remote(call)
 
     def _list_local(self, call: Call) -> list[Target]:
         vms = self._fleet.list_backends(call.service.name, self._region)
         return [self._build_target(vm, is_remote=False) for vm in vms]
 
-    def _list_remote(self, call: Call, bound: str | None) -> list[Target]:
+    def _list_remote(self, call: Call) -> list[Target]:
         return [
             self._build_target(vm, is_remote=True)
             for vm in self._fleet.list_gateways()
             if vm.region != self._region
-            and bound in {None, vm.region}
+            and call.terms.allows(vm.region)
             and call.service.is_placed_in(vm.region)
             and not call.hops.has_region(vm.region)
         ]
