--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/repeatable.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/repeatable.py
@@ -1,18 +1,17 @@
 """Calls that may be repeated: attempts go on until one answers whole."""
 
 from contextlib import AsyncExitStack
-from datetime import timedelta
 
 from aiohttp import web
 
 from baobabhinge_coordination.budgets import RetryBudget
 from baobabhinge_coordination.clock import Clock
-from baobabhinge_gateway.backends.patience import Patience
 from baobabhinge_gateway.calls import Call
 from baobabhinge_gateway.errors import CallError
 from baobabhinge_gateway.execution.attempts import Attempts
 from baobabhinge_gateway.execution.opening import (
     check_refusal,
+    measure_patience,
     open_within,
 )
 from baobabhinge_gateway.execution.relay import (
@@ -22,9 +21,6 @@
 )
 from baobabhinge_gateway.routing import Candidate, Dispatcher, Router
 
-EVENT_PATIENCE = timedelta(seconds=2)
-LEAST_PATIENCE = timedelta(milliseconds=100)
-
 
 class RepeatableExecutor:
     """Dispatch a call along the ranked targets.
@@ -75,10 +71,10 @@
         response = None
         while response is None:
             candidate = await _choose_candidate(attempts, relay)
-            response = await self._try(attempts, relay, candidate)
+            response = await self._try_candidate(attempts, relay, candidate)
         return response
 
-    async def _try(
+    async def _try_candidate(
         self,
         attempts: Attempts,
         relay: Relay,
@@ -96,7 +92,8 @@
         relay: Relay,
         candidate: Candidate,
     ) -> web.StreamResponse:
-        patience = self._measure_patience(call)
+        rest = call.terms.deadline - self._clock.read_monotonic()
+        patience = measure_patience(call, rest)
         exchange = self._dispatcher.open_answer(
             relay.prepare_call(call),
             (candidate,),
@@ -106,11 +103,6 @@
             await check_refusal(call, answer, candidate.target)
             return await relay.take(answer)
 
-    def _measure_patience(self, call: Call) -> Patience:
-        rest = call.terms.deadline - self._clock.read_monotonic()
-        first = max(LEAST_PATIENCE, rest / 2)
-        return Patience(first, EVENT_PATIENCE if call.streamed else first)
-
 
 def _create_relay(request: web.Request, call: Call) -> Relay:
     if call.streamed:
@@ -118,7 +110,10 @@
     return WholeRelay(call)
 
 
-async def _choose_candidate(attempts: Attempts, relay: Relay) -> Candidate:
+async def _choose_candidate(
+    attempts: Attempts,
+    relay: Relay,
+) -> Candidate:
     try:
         return attempts.choose_candidate()
     except CallError as failure:
