Decide calls that run at most once by an owner and a witness, checked in every state

Cause: a call that may not be repeated is sent to the next server or repeated by its caller when an answer is late, and nothing tells whether it ran. A witness numbers the epochs itself, so that a late order can't bring a dropped epoch back; an intent is recorded once and before the run; a seal or an intent at the witness, whichever comes first, decides. Seen red: with dispatch_on_a_late_verdict the exploration raised 'PromiseBrokenError'; each of the 24 mutations does.

--- /dev/null
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/tests/mutations.py
@@ -0,0 +1,242 @@
+"""The protocol with one guard taken away at a time."""
+
+from baobabhinge_coordination import runonce
+from baobabhinge_coordination.runonce import owner as ownership
+from baobabhinge_coordination.runonce import witness as witnessing
+from baobabhinge_coordination.runonce.entries import Entries, Entry, Step
+from baobabhinge_coordination.runonce.epochs import Epoch, Epochs
+from baobabhinge_coordination.runonce.messages import IntentVerdict
+from baobabhinge_coordination.runonce.outcomes import Reason, report_not_run
+from baobabhinge_coordination.runonce.owner import Action, Instruction, Owner
+from baobabhinge_coordination.runonce.witness import Witness
+
+NOT_RUN = report_not_run(Reason.sealed)
+MUTATIONS = {}
+
+
+def mutate(change):
+    """Register a mutation under the name of its function."""
+    MUTATIONS[change.__name__] = change
+    return change
+
+
+def _take_as_recorded(patch, verdict):
+    resolve = Owner.resolve_intent
+
+    def changed(machine, key, told):
+        recorded = IntentVerdict.recorded
+        return resolve(machine, key, recorded if told is verdict else told)
+
+    patch.setattr(Owner, 'resolve_intent', changed)
+
+
+@mutate
+def dispatch_without_intent(patch):
+    begin = Owner.begin
+
+    def changed(machine, key, digest):
+        instruction = begin(machine, key, digest)
+        if instruction.action is Action.record:
+            machine.entries.put(key, Entry(Step.dispatched, digest))
+            return Instruction(Action.dispatch)
+        return instruction
+
+    patch.setattr(Owner, 'begin', changed)
+
+
+@mutate
+def dispatch_although_sealed(patch):
+    _take_as_recorded(patch, IntentVerdict.sealed)
+
+
+@mutate
+def dispatch_although_refused(patch):
+    _take_as_recorded(patch, IntentVerdict.refused)
+
+
+@mutate
+def dispatch_although_silent(patch):
+    _take_as_recorded(patch, None)
+
+
+@mutate
+def dispatch_on_a_late_verdict(patch):
+    resolve = Owner.resolve_intent
+
+    def changed(machine, key, verdict):
+        entry = machine.entries.find(key)
+        if entry is not None and verdict is IntentVerdict.recorded:
+            machine.entries.put(key, Entry(Step.dispatched, entry.digest))
+            return Instruction(Action.dispatch)
+        return resolve(machine, key, verdict)
+
+    patch.setattr(Owner, 'resolve_intent', changed)
+
+
+@mutate
+def run_a_repeat_afresh(patch):
+    begin = Owner.begin
+
+    def changed(machine, key, digest):
+        machine.entries._rows.pop(key, None)
+        return begin(machine, key, digest)
+
+    patch.setattr(Owner, 'begin', changed)
+
+
+@mutate
+def run_a_repeat_afresh_and_record_it_again(patch):
+    run_a_repeat_afresh(patch)
+    patch.setattr(
+        witnessing,
+        '_judge_repeat',
+        lambda row: IntentVerdict.recorded,
+    )
+
+
+@mutate
+def compare_no_digest_at_the_owner(patch):
+    patch.setattr(
+        ownership, '_repeat', lambda entry, _: ownership._describe(entry)
+    )
+
+
+@mutate
+def compare_no_digest_at_the_witness(patch):
+    describe = witnessing._describe
+    patch.setattr(witnessing, '_describe', lambda row, _: describe(row, ''))
+
+
+@mutate
+def run_an_expired_key_afresh(patch):
+    refuse = Owner._refuse
+
+    def changed(machine, key):
+        refusal = refuse(machine, key)
+        expired = refusal is not None and refusal.reason is Reason.expired
+        return None if expired else refusal
+
+    patch.setattr(Owner, '_refuse', changed)
+
+
+@mutate
+def forget_a_key_before_it_is_refused(patch):
+    patch.setattr(
+        Entries, 'drop_expired', lambda machine: machine._rows.clear()
+    )
+    patch.setattr(Entries, 'is_expired', lambda machine, key: False)
+
+
+@mutate
+def run_keys_of_an_older_incarnation(patch):
+    refuse = Owner._refuse
+
+    def changed(machine, key):
+        refusal = refuse(machine, key)
+        lost = refusal is not None and refusal.reason is Reason.owner_lost
+        return None if lost else refusal
+
+    patch.setattr(Owner, '_refuse', changed)
+
+
+@mutate
+def tell_not_run_of_an_unused_key_without_closing_it(patch):
+    ask = Owner.ask
+
+    def changed(machine, key):
+        unused = machine.entries.find(key) is None
+        instruction = ask(machine, key)
+        if unused:
+            machine.entries._rows.pop(key, None)
+        return instruction
+
+    patch.setattr(Owner, 'ask', changed)
+
+
+@mutate
+def tell_not_run_when_the_answer_is_lost(patch):
+    broken = runonce.DispatchEnd.broken
+    patch.setitem(runonce.END_OUTCOMES, broken, NOT_RUN)
+
+
+@mutate
+def try_another_server_after_a_broken_exchange(patch):
+    patch.setattr(runonce, 'may_try_another', bool)
+
+
+@mutate
+def tell_not_run_without_sealing(patch):
+    ask = Witness.ask
+
+    def changed(machine, order):
+        outcome = ask(machine, order)
+        if outcome is witnessing.SEALED:
+            rows = machine.epochs._open[order.key.epoch].rows
+            rows.pop(order.key, None)
+        return outcome
+
+    patch.setattr(Witness, 'ask', changed)
+
+
+@mutate
+def record_an_intent_after_the_seal(patch):
+    patch.setattr(
+        witnessing,
+        '_judge_repeat',
+        lambda row: IntentVerdict.recorded,
+    )
+
+
+@mutate
+def tell_not_run_for_an_unknown_epoch(patch):
+    patch.setattr(witnessing, 'LOST', NOT_RUN)
+
+
+@mutate
+def record_an_intent_of_an_unknown_epoch(patch):
+    record = Witness.record
+
+    def changed(machine, order):
+        if machine._holds(order.key):
+            return record(machine, order)
+        return IntentVerdict.recorded
+
+    patch.setattr(Witness, 'record', changed)
+
+
+@mutate
+def witness_for_an_older_incarnation(patch):
+    patch.setattr(
+        Witness,
+        '_holds',
+        lambda machine, key: machine.epochs.is_open(key),
+    )
+
+
+@mutate
+def tell_not_run_of_an_intent_in_doubt(patch):
+    patch.setattr(witnessing, 'IN_DOUBT', NOT_RUN)
+
+
+@mutate
+def give_an_epoch_number_again(patch):
+    def changed(machine, opener):
+        now = machine._clock.read_monotonic()
+        machine._open.setdefault(1, Epoch(opener, now))
+        return 1
+
+    patch.setattr(Epochs, 'open', changed)
+
+
+@mutate
+def forget_intents_before_their_epoch(patch):
+    def changed(machine):
+        for epoch in machine._open.values():
+            epoch.rows.clear()
+
+    patch.setattr(Epochs, 'drop_expired', changed)
+
+
+@mutate
+def tell_not_run_on_silence(patch):
+    patch.setattr(runonce, 'conclude', lambda told: told or NOT_RUN)
