Read settings line by line and report every fault with its code, file and line

Cause: the merge stopped at the first fault, with configparser's own words and no line, and knew regions, services, placements and run-once rules only. Section kinds are now registered by decorators; checks of the whole by another registry.

--- /dev/null
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/checking/__init__.py
@@ -0,0 +1,12 @@
+"""Checks of the merged whole."""
+
+from baobabhinge_settings.checking import (
+    references as references,
+)
+from baobabhinge_settings.checking import (
+    running as running,
+)
+from baobabhinge_settings.checking import (
+    sections as sections,
+)
+from baobabhinge_settings.checking.registry import find_faults as find_faults
--- /dev/null
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/checking/running.py
@@ -0,0 +1,111 @@
+"""Regions and services that have somewhere to run."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+
+from baobabhinge_settings.checking.registry import register_check
+from baobabhinge_settings.codes import FaultCode
+from baobabhinge_settings.errors import Fault
+from baobabhinge_settings.model import DataRule
+from baobabhinge_settings.model.scopes import ScopeIndex
+from baobabhinge_settings.reading.folding import MergedFolder, MergedSection
+
+Placed = dict[str, set[str]]
+
+
+@register_check
+def check_regions(merged: MergedFolder) -> Iterator[Fault]:
+    """Yield a fault for each region without a backend server."""
+    placed = _list_placed(merged)
+    used = {region for regions in placed.values() for region in regions}
+    for section in merged.list_kind('region'):
+        name = section.first.names[0]
+        if name not in used:
+            yield section.report(
+                FaultCode.region_without_backend,
+                'no service has replicas here; write a [placement SERVICE'
+                f' {name}] with 1 vms or more',
+            )
+
+
+@register_check
+def check_services(merged: MergedFolder) -> Iterator[Fault]:
+    """Yield a fault for each service without a backend server."""
+    placed = _list_placed(merged)
+    for section in merged.list_kind('service'):
+        name = section.first.names[0]
+        if name not in placed:
+            yield section.report(
+                FaultCode.nowhere_to_run,
+                'the service has no replicas; write a [placement'
+                f' {name} REGION] with 1 vms or more',
+            )
+
+
+@register_check
+def check_data_rules(merged: MergedFolder) -> Iterator[Fault]:
+    """Yield a fault for each rule that leaves a service nowhere to run."""
+    placed = _list_placed(merged)
+    rules = {
+        section.build(): section
+        for section in merged.list_kind('data-rule')
+        if section.is_whole()
+    }
+    index = ScopeIndex(rules)
+    for rule, section in rules.items():
+        yield from (
+            _report_nowhere(section, service, placed[service])
+            for service in _list_services(merged, rule, placed)
+            if not _find_allowed(index, rule, service) & placed[service]
+        )
+
+
+def _report_nowhere(
+    section: MergedSection,
+    service: str,
+    regions: Iterable[str],
+) -> Fault:
+    listed = ', '.join(sorted(regions))
+    return section.report(
+        FaultCode.nowhere_to_run,
+        f'data of {section.get("region")} have nowhere to run {service};'
+        f' it is in: {listed}',
+        'may-go-to',
+    )
+
+
+def _list_placed(merged: MergedFolder) -> Placed:
+    placed: Placed = defaultdict(set)
+    for section in merged.list_kind('placement'):
+        service, region = section.first.names
+        if section.get('replicas') or 'replicas' in section.unread:
+            placed[service].add(region)
+    return dict(placed)
+
+
+def _list_services(
+    merged: MergedFolder,
+    rule: DataRule,
+    placed: Placed,
+) -> Iterable[str]:
+    workspace: MergedSection | None = None
+    if rule.workspace is not None:
+        workspace = merged.find('workspace', (rule.workspace,))
+    used = (workspace and workspace.get('services')) or placed
+    return [
+        service
+        for service in placed
+        if rule.service in {None, service} and service in used
+    ]
+
+
+def _find_allowed(
+    index: ScopeIndex[DataRule],
+    rule: DataRule,
+    service: str,
+) -> set[str]:
+    allowed = {rule.region, *rule.may_go_to}
+    for other in index.find(service, rule.workspace or ''):
+        if other.region == rule.region:
+            allowed &= {other.region, *other.may_go_to}
+    return allowed
--- /dev/null
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/checking/sections.py
@@ -0,0 +1,90 @@
+"""Sections that are not whole, or do not fit one another."""
+
+from collections.abc import Iterator
+
+from baobabhinge_settings.checking.registry import register_check
+from baobabhinge_settings.codes import FaultCode
+from baobabhinge_settings.errors import Fault
+from baobabhinge_settings.model import ServiceKind
+from baobabhinge_settings.reading.folding import MergedFolder, MergedSection
+
+WEIGHTS = ('cost', 'tail-latency', 'sent-away')
+WHOLE_PERCENT = 100
+KIND_BY_PART = {
+    'version': ServiceKind.model,
+    'adapter': ServiceKind.model,
+    'run-once': ServiceKind.plain,
+}
+
+
+@register_check
+def check_required_keys(merged: MergedFolder) -> Iterator[Fault]:
+    """Yield a fault for each required key that is not set."""
+    for section in merged.list_all():
+        for name, key in section.first.kind.keys.items():
+            is_set = name in section.keys or name in section.unread
+            if key.is_required and not is_set:
+                yield section.report(
+                    FaultCode.missing_key,
+                    f'[{section.title}] needs the key {name}',
+                )
+
+
+@register_check
+def check_limits(merged: MergedFolder) -> Iterator[Fault]:
+    """Yield a fault for each limit that limits nothing."""
+    for section in merged.list_kind('limit'):
+        if not ({'in-flight', 'rate'} & {*section.keys, *section.unread}):
+            yield section.report(
+                FaultCode.missing_key,
+                f'[{section.title}] needs in-flight, rate or both',
+            )
+
+
+@register_check
+def check_objectives(merged: MergedFolder) -> Iterator[Fault]:
+    """Yield faults of weights that are not 100 percent, or given twice."""
+    first_by_service: dict[str | None, MergedSection] = {}
+    for section in merged.list_kind('objective'):
+        total = sum(section.get(weight) or 0 for weight in WEIGHTS)
+        if section.is_whole() and total != WHOLE_PERCENT:
+            yield section.report(
+                FaultCode.weights_not_whole,
+                f'the weights are {total} percent together; allowed: 100',
+            )
+        first = first_by_service.setdefault(section.get('service'), section)
+        if first is not section:
+            yield section.report(
+                FaultCode.duplicate_section,
+                f'[{first.title}] is for the same service; keep one of them',
+            )
+
+
+@register_check
+def check_links(merged: MergedFolder) -> Iterator[Fault]:
+    """Yield faults of links with one end, or written in both directions."""
+    for section in merged.list_kind('link'):
+        first, second = section.first.names
+        if first == second:
+            yield section.report(
+                FaultCode.out_of_range,
+                'a link needs two different regions',
+            )
+        elif first > second and merged.find('link', (second, first)):
+            yield section.report(
+                FaultCode.duplicate_section,
+                f'[link {second} {first}] is the same link; keep one of them',
+            )
+
+
+@register_check
+def check_kinds(merged: MergedFolder) -> Iterator[Fault]:
+    """Yield a fault for each part that its service can't have."""
+    for part, kind in KIND_BY_PART.items():
+        for section in merged.list_kind(part):
+            service = merged.find('service', section.first.names[:1])
+            if service and service.get('kind') not in {None, kind}:
+                yield section.report(
+                    FaultCode.wrong_kind,
+                    f'[{part}] is for services with kind = {kind}',
+                )
--- /dev/null
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/merging/__init__.py
@@ -0,0 +1,9 @@
+"""Merging the files of a folder into one whole."""
+
+from baobabhinge_settings.merging.explaining import Origin as Origin
+from baobabhinge_settings.merging.explaining import (
+    explain_key as explain_key,
+)
+from baobabhinge_settings.merging.merger import Merger as Merger
+from baobabhinge_settings.merging.merger import check_files as check_files
+from baobabhinge_settings.merging.merger import merge_files as merge_files
--- /dev/null
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/merging/explaining.py
@@ -0,0 +1,74 @@
+"""Which file set a key, and what it overrode."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from baobabhinge_settings.errors import UnknownSettingError
+from baobabhinge_settings.merging.merger import Merger
+from baobabhinge_settings.reading.folder import SourceFile
+from baobabhinge_settings.reading.folding import MergedFolder, MergedSection
+from baobabhinge_settings.reading.typed import TypedKey
+
+
+class Origin(msgspec.Struct, frozen=True):
+    """One place where a key is set.
+
+    Parameters
+    ----------
+    source, line : str, int
+        File and line.
+    text : str
+        What is written there.
+    """
+
+    source: str
+    line: int
+    text: str
+
+
+def explain_key(
+    files: Iterable[SourceFile],
+    section: str,
+    key: str,
+) -> tuple[Origin, ...]:
+    """Return where ``key`` is set, the place in force first.
+
+    Parameters
+    ----------
+    files : iterable of SourceFile
+        The whole folder.
+    section : str
+        Words of the header, such as ``placement llm west``.
+    key : str
+        Name of the key.
+
+    Raises
+    ------
+    UnknownSettingError
+        If no file sets it; the message lists what is set.
+    """
+    found = _find_section(Merger().fold(files), section)
+    if key not in found.keys:
+        known = ', '.join(sorted(found.keys))
+        raise UnknownSettingError(
+            f'[{section}] does not set {key}; it sets: {known}',
+        )
+    places = [found.keys[key]]
+    places.extend(reversed(found.overridden.get(key, ())))
+    return tuple(map(_locate, places))
+
+
+def _find_section(merged: MergedFolder, section: str) -> MergedSection:
+    kind, _, names = section.partition(' ')
+    found = merged.find(kind, tuple(names.split()))
+    if found is None:
+        known = ', '.join(merged.list_names(kind)) or 'none'
+        raise UnknownSettingError(
+            f'there is no [{section}]; names of this kind: {known}',
+        )
+    return found
+
+
+def _locate(typed: TypedKey) -> Origin:
+    return Origin(typed.source, typed.line, typed.text)
--- /dev/null
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/model/scopes.py
@@ -0,0 +1,60 @@
+"""Entries that are for a service, a workspace, both or all."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from typing import Generic, Protocol, TypeVar
+
+
+class Scoped(Protocol):
+    """An entry with its scope; ``None`` stands for all."""
+
+    @property
+    def service(self) -> str | None:
+        """Return the service that the entry is for."""
+
+    @property
+    def workspace(self) -> str | None:
+        """Return the workspace that the entry is for."""
+
+
+EntryT = TypeVar('EntryT', bound=Scoped)
+
+
+class ScopeIndex(Generic[EntryT]):
+    """Entries found by the scope of a call, at the cost of four look-ups.
+
+    Parameters
+    ----------
+    entries : iterable
+        Entries in their order.
+    """
+
+    __slots__ = ('_by_scope', '_entries')
+
+    def __init__(self, entries: Iterable[EntryT] = ()) -> None:
+        """Index the entries."""
+        self._entries = tuple(entries)
+        self._by_scope: dict[tuple[str | None, str | None], list[EntryT]]
+        self._by_scope = defaultdict(list)
+        for entry in self._entries:
+            self._by_scope[(entry.service, entry.workspace)].append(entry)
+
+    def __iter__(self) -> Iterator[EntryT]:
+        """Return an iterator over all entries."""
+        return iter(self._entries)
+
+    def __len__(self) -> int:
+        """Return the number of entries."""
+        return len(self._entries)
+
+    def find(self, service: str, workspace: str) -> list[EntryT]:
+        """Return the entries that are for calls of a workspace."""
+        scopes = (
+            (service, workspace),
+            (service, None),
+            (None, workspace),
+            (None, None),
+        )
+        return [
+            entry for scope in scopes for entry in self._by_scope.get(scope, ())
+        ]
--- a/packages/baobabhinge-settings/src/baobabhinge_settings/model/service.py
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/model/service.py
@@ -42,20 +42,74 @@
         Name of the region.
     replicas : int
         Number of backend servers expected there.
+    versions, adapters : tuple of str
+        Versions and adapters that run there; empty for all of the service.
     """
 
     region: str
     replicas: int
+    versions: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+
+
+class ModelVersion(msgspec.Struct, frozen=True):
+    """One version of a model.
+
+    Parameters
+    ----------
+    name : str
+        Name of the version.
+    weights : str
+        Path in the weight store.
+    """
+
+    name: str
+    weights: str
+
+
+class Adapter(msgspec.Struct, frozen=True):
+    """One adapter of a model.
+
+    Parameters
+    ----------
+    name : str
+        Name of the adapter.
+    weights : str
+        Path in the weight store.
+    versions : tuple of str
+        Versions that it fits; empty for all.
+    """
+
+    name: str
+    weights: str
+    versions: tuple[str, ...] = ()
 
 
 class Service(msgspec.Struct, frozen=True):
-    """A service that callers ask for by name."""
+    """A service that callers ask for by name.
+
+    Parameters
+    ----------
+    name : str
+        Name of the service.
+    kind : ServiceKind
+        How its backend servers are spoken to.
+    deadline : timedelta
+        Time for a call whose caller names none.
+    placements, run_once, versions, adapters : tuple
+        What the settings say about the service.
+    default_version : str, optional
+        Version for a call that names none.
+    """
 
     name: str
     kind: ServiceKind
     deadline: timedelta
     placements: tuple[Placement, ...] = ()
     run_once: tuple[RunOnceRule, ...] = ()
+    versions: tuple[ModelVersion, ...] = ()
+    adapters: tuple[Adapter, ...] = ()
+    default_version: str | None = None
 
     def is_run_once(self, method: str, path: str) -> bool:
         """Tell whether a call of this service may not be repeated."""
@@ -63,4 +117,7 @@
 
     def is_placed_in(self, region: str) -> bool:
         """Tell whether the service runs in ``region``."""
-        return any(place.region == region for place in self.placements)
+        return any(
+            place.region == region and place.replicas
+            for place in self.placements
+        )
--- a/packages/baobabhinge-settings/src/baobabhinge_settings/model/settings.py
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/model/settings.py
@@ -4,22 +4,88 @@
 
 import msgspec
 
+from baobabhinge_settings.model.regions import Link, Region
+from baobabhinge_settings.model.rules import (
+    DataOrigin,
+    DataRule,
+    Limit,
+    Objective,
+    Workspace,
+)
+from baobabhinge_settings.model.scopes import ScopeIndex
 from baobabhinge_settings.model.service import Service
 
-
-class Region(msgspec.Struct, frozen=True):
-    """A region with its failure domains."""
-
-    name: str
-    failure_domains: tuple[str, ...]
+DEFAULT_OBJECTIVE = Objective('default')
 
 
 class Settings(msgspec.Struct, frozen=True):
-    """Everything that the operators' folder says."""
+    """Everything that the operators' folder says.
+
+    Parameters
+    ----------
+    regions, services, workspaces : mapping
+        By name.
+    links, objectives : tuple
+        In the order of the files.
+    data_rules, limits : ScopeIndex
+        By service and workspace.
+    policy : str, optional
+        Routing policy of the deployment; ``None`` for the default.
+    drained : frozenset of str
+        Names of the vms that operators drain.
+    """
 
     regions: Mapping[str, Region]
     services: Mapping[str, Service]
+    workspaces: Mapping[str, Workspace] = {}
+    links: tuple[Link, ...] = ()
+    data_rules: ScopeIndex[DataRule] = ScopeIndex()
+    limits: ScopeIndex[Limit] = ScopeIndex()
+    objectives: tuple[Objective, ...] = ()
+    policy: str | None = None
+    drained: frozenset[str] = frozenset()
 
     def find_service(self, name: str) -> Service | None:
         """Return the service called ``name``, if there is one."""
         return self.services.get(name)
+
+    def find_link(self, one: str, other: str) -> Link | None:
+        """Return the link between two regions, if it is described."""
+        joining = (link for link in self.links if link.joins(one, other))
+        return next(joining, None)
+
+    def find_objective(self, service: str) -> Objective:
+        """Return the objective of ``service``, or that of all services."""
+        by_service = {entry.service: entry for entry in self.objectives}
+        common = by_service.get(None, DEFAULT_OBJECTIVE)
+        return by_service.get(service, common)
+
+    def get_data_region(self, workspace: str, arrival: str) -> str:
+        """Return the region in which the data of a call live.
+
+        Parameters
+        ----------
+        workspace : str
+            Workspace of the caller; empty when there is none.
+        arrival : str
+            Region of the first gateway, for a workspace without a home.
+        """
+        known = self.workspaces.get(workspace)
+        return (known and known.home) or arrival
+
+    def list_allowed_regions(self, origin: DataOrigin) -> frozenset[str]:
+        """Return the regions in which the data of ``origin`` may be."""
+        rules = [
+            rule
+            for rule in self.data_rules.find(origin.service, origin.workspace)
+            if rule.region == origin.region
+        ]
+        return frozenset(
+            region
+            for region in self.regions
+            if all(rule.allows(region) for rule in rules)
+        )
+
+    def is_drained(self, vm: str) -> bool:
+        """Tell whether operators drain ``vm``."""
+        return vm in self.drained
--- a/packages/baobabhinge-settings/src/baobabhinge_settings/reading/__init__.py
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/reading/__init__.py
@@ -1,5 +1,5 @@
-"""Reading and merging the files of a settings folder."""
+"""Reading the files of a settings folder."""
 
 from baobabhinge_settings.reading.folder import SourceFile as SourceFile
 from baobabhinge_settings.reading.folder import read_folder as read_folder
-from baobabhinge_settings.reading.merging import merge_files as merge_files
+from baobabhinge_settings.reading.folder import sort_files as sort_files
--- a/packages/baobabhinge-settings/src/baobabhinge_settings/reading/folder.py
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/reading/folder.py
@@ -1,10 +1,15 @@
 """Files of a settings folder, in the byte order of their names."""
 
+from collections.abc import Iterable
 from pathlib import Path
 
 import msgspec
 
+from baobabhinge_settings.codes import FaultCode
+from baobabhinge_settings.errors import Fault, SettingsError
+
 FILE_PATTERN = '*.ini'
+MAX_FILE_BYTES = 256 << 10
 
 
 class SourceFile(msgspec.Struct, frozen=True):
@@ -34,12 +39,75 @@
     -------
     tuple of SourceFile
         Files in the byte order of their names.
+
+    Raises
+    ------
+    SettingsError
+        If the folder holds no such file, or files that can't be read.
     """
-    paths = sorted(folder.glob(FILE_PATTERN), key=_order_by_bytes)
-    return tuple(
-        SourceFile(path.name, path.read_text(encoding='utf-8'))
-        for path in paths
+    faults: list[Fault] = []
+    files = tuple(
+        SourceFile(path.name, _read_text(path, faults))
+        for path in sorted(folder.glob(FILE_PATTERN), key=_order_by_bytes)
     )
+    if not files:
+        faults.append(
+            Fault(
+                '',
+                0,
+                FaultCode.empty_folder,
+                f'{folder.name} has no file whose name ends in .ini',
+            ),
+        )
+    faults.extend(_check_names(files))
+    if faults:
+        raise SettingsError(faults)
+    return files
+
+
+def sort_files(files: Iterable[SourceFile]) -> tuple[SourceFile, ...]:
+    """Return ``files`` in the byte order of their names."""
+    return tuple(sorted(files, key=lambda source: source.name.encode()))
+
+
+def _check_names(files: Iterable[SourceFile]) -> list[Fault]:
+    return [
+        Fault(
+            source.name,
+            0,
+            FaultCode.not_ascii,
+            'name the file with ASCII letters, digits, "-" and "."',
+        )
+        for source in files
+        if not source.name.isascii()
+    ]
+
+
+def _read_text(path: Path, faults: list[Fault]) -> str:
+    try:
+        return _decode(path.name, path.read_bytes())
+    except SettingsError as bad:
+        faults.extend(bad.faults)
+    except OSError as unreadable:
+        reason = unreadable.strerror or 'it can not be read'
+        faults.append(
+            Fault(path.name, 0, FaultCode.file_unreadable, reason),
+        )
+    return ''
+
+
+def _decode(name: str, body: bytes) -> str:
+    if len(body) > MAX_FILE_BYTES:
+        message = f'the file has {len(body)} bytes; allowed: {MAX_FILE_BYTES}'
+        raise SettingsError([Fault(name, 0, FaultCode.file_too_large, message)])
+    try:
+        return body.decode()
+    except UnicodeDecodeError as bad:
+        line = body.count(b'\n', 0, bad.start) + 1
+        message = 'the file is not UTF-8; save it as UTF-8'
+        raise SettingsError(
+            [Fault(name, line, FaultCode.not_utf8, message)],
+        ) from bad
 
 
 def _order_by_bytes(path: Path) -> bytes:
--- /dev/null
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/reading/folding.py
@@ -0,0 +1,144 @@
+"""Sections of all files put on top of one another."""
+
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import msgspec
+
+from baobabhinge_settings.codes import FaultCode
+from baobabhinge_settings.errors import Fault
+from baobabhinge_settings.reading.typed import (
+    TypedFile,
+    TypedKey,
+    TypedSection,
+)
+
+
+class MergedSection(msgspec.Struct):
+    """One section of the whole.
+
+    Parameters
+    ----------
+    first : TypedSection
+        Section of the first file that has it.
+    keys : dict of str to TypedKey
+        Keys in force.
+    overridden : dict of str to list of TypedKey
+        Keys that a later file set again, the first one first.
+    unread : frozenset of str
+        Names of the keys that could not be read.
+    """
+
+    first: TypedSection
+    keys: dict[str, TypedKey]
+    overridden: dict[str, list[TypedKey]]
+    unread: frozenset[str]
+
+    @property
+    def title(self) -> str:
+        """Return the words of the header."""
+        return ' '.join((self.first.kind.name, *self.first.names))
+
+    @property
+    def place(self) -> str:
+        """Return the header and where it stands."""
+        first = self.first
+        return f'[{self.title}] of {first.source}, line {first.line}'
+
+    def build(self) -> Any:
+        """Return the typed value of the section."""
+        named = {key.key.attribute: key.parsed for key in self.keys.values()}
+        return self.first.kind.build(*self.first.names, **named)
+
+    def is_whole(self) -> bool:
+        """Tell whether every required key could be read."""
+        return not self.unread and all(
+            key.name in self.keys
+            for key in self.first.kind.keys.values()
+            if key.is_required
+        )
+
+    def get(self, key: str) -> Any:
+        """Return the typed value of ``key``, ``None`` if it is not set."""
+        typed = self.keys.get(key)
+        return typed.parsed if typed else None
+
+    def override(self, key: str, later: TypedKey) -> None:
+        """Put ``later`` in force for ``key``."""
+        earlier = self.keys.get(key)
+        if earlier is not None:
+            self.overridden.setdefault(key, []).append(earlier)
+        self.keys[key] = later
+
+    def report(self, code: FaultCode, message: str, key: str = '') -> Fault:
+        """Return a fault at ``key``, or else at the header."""
+        place = self.keys.get(key, self.first)
+        return Fault(place.source, place.line, code, message)
+
+
+SectionsByNames = dict[tuple[str, ...], MergedSection]
+
+
+class MergedFolder:
+    """Sections by kind and names."""
+
+    __slots__ = ('_by_kind', 'faults')
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._by_kind: dict[str, SectionsByNames] = {}
+        self.faults: list[Fault] = []
+
+    def list_kind(self, kind: str) -> Iterable[MergedSection]:
+        """Return the sections of one kind, in the order of the files."""
+        return self._by_kind.get(kind, {}).values()
+
+    def list_all(self) -> Iterator[MergedSection]:
+        """Return every section."""
+        for sections in self._by_kind.values():
+            yield from sections.values()
+
+    def find(self, kind: str, names: tuple[str, ...]) -> MergedSection | None:
+        """Return one section, if it is there."""
+        return self._by_kind.get(kind, {}).get(names)
+
+    def list_names(self, kind: str) -> list[str]:
+        """Return the names of the sections of one kind."""
+        names = self._by_kind.get(kind, {})
+        return sorted(map(' '.join, names))
+
+    def add_file(self, typed: TypedFile) -> None:
+        """Put the sections of the next file on top."""
+        self.faults.extend(typed.faults)
+        for section in typed.sections:
+            same_kind = self._by_kind.setdefault(section.kind.name, {})
+            merged = same_kind.get(section.names)
+            if merged is None:
+                same_kind[section.names] = MergedSection(
+                    section,
+                    dict(section.keys),
+                    {},
+                    section.unread,
+                )
+            else:
+                self._override(merged, section)
+
+    def _override(self, merged: MergedSection, later: TypedSection) -> None:
+        merged.unread |= later.unread
+        for name, typed in later.keys.items():
+            if typed.key.is_overridable:
+                merged.override(name, typed)
+            else:
+                self.faults.append(_refuse_override(merged, typed))
+
+
+def _refuse_override(merged: MergedSection, typed: TypedKey) -> Fault:
+    keys = merged.first.kind.keys.values()
+    allowed = sorted(key.name for key in keys if key.is_overridable)
+    listed = ', '.join(allowed) or 'no key'
+    return Fault(
+        typed.source,
+        typed.line,
+        FaultCode.override_not_allowed,
+        f'{merged.place} owns this key; a later file may set: {listed}',
+    )
--- /dev/null
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/reading/typed.py
@@ -0,0 +1,134 @@
+"""Sections of one file, checked against their kinds."""
+
+from typing import Any
+
+import msgspec
+
+from baobabhinge_settings.codes import FaultCode
+from baobabhinge_settings.errors import Fault, FieldError
+from baobabhinge_settings.reading.lines import RawFile, RawKey, RawSection
+from baobabhinge_settings.schema import (
+    Key,
+    SectionKind,
+    find_section_kind,
+    list_section_kinds,
+)
+from baobabhinge_settings.schema.names import parse_name
+
+
+class TypedKey(msgspec.Struct, frozen=True):
+    """One key with its typed value and its origin."""
+
+    key: Key
+    parsed: Any
+    text: str
+    source: str
+    line: int
+
+
+class TypedSection(msgspec.Struct, frozen=True):
+    """One section of a known kind.
+
+    Parameters
+    ----------
+    kind : SectionKind
+        Its kind.
+    names : tuple of str
+        Names in the header.
+    source, line : str, int
+        Where the header stands.
+    keys : dict of str to TypedKey
+        Keys that could be read.
+    unread : frozenset of str
+        Names of the keys that could not be read.
+    """
+
+    kind: SectionKind
+    names: tuple[str, ...]
+    source: str
+    line: int
+    keys: dict[str, TypedKey]
+    unread: frozenset[str]
+
+
+class TypedFile(msgspec.Struct, frozen=True):
+    """One file with its faults."""
+
+    name: str
+    sections: tuple[TypedSection, ...]
+    faults: tuple[Fault, ...]
+
+
+def read_typed(raw: RawFile) -> TypedFile:
+    """Check the sections of ``raw`` one by one."""
+    reader = _Reader(raw.name, raw.faults)
+    read = [reader.read_section(section) for section in raw.sections.values()]
+    sections = tuple(section for section in read if section is not None)
+    return TypedFile(raw.name, sections, tuple(reader.faults))
+
+
+class _Reader:
+    __slots__ = ('_source', 'faults')
+
+    def __init__(self, source: str, faults: list[Fault]) -> None:
+        self._source = source
+        self.faults = list(faults)
+
+    def read_section(self, raw: RawSection) -> TypedSection | None:
+        kind = find_section_kind(raw.kind)
+        if kind is None or len(raw.names) != len(kind.names):
+            self._report_header(raw, kind)
+            return None
+        try:
+            names = tuple(parse_name(word) for word in raw.names)
+        except FieldError as bad:
+            self._report(raw.line, bad.code, bad.message)
+            return None
+        keys = self._read_keys(kind, raw)
+        unread = frozenset(raw.keys) - frozenset(keys)
+        return TypedSection(
+            kind,
+            names,
+            self._source,
+            raw.line,
+            keys,
+            unread,
+        )
+
+    def _read_keys(
+        self,
+        kind: SectionKind,
+        raw: RawSection,
+    ) -> dict[str, TypedKey]:
+        read = [self._read_key(kind, key) for key in raw.keys.values()]
+        return {typed.key.name: typed for typed in read if typed is not None}
+
+    def _read_key(self, kind: SectionKind, raw: RawKey) -> TypedKey | None:
+        key = kind.keys.get(raw.name)
+        if key is None:
+            allowed = ', '.join(sorted(kind.keys))
+            self._report(
+                raw.line,
+                FaultCode.unknown_key,
+                f'[{kind.name}] has no key "{raw.name}"; allowed: {allowed}',
+            )
+            return None
+        try:
+            parsed = key.parse(raw.text)
+        except FieldError as bad:
+            self._report(raw.line, bad.code, f'{raw.name}: {bad.message}')
+            return None
+        return TypedKey(key, parsed, raw.text, self._source, raw.line)
+
+    def _report_header(self, raw: RawSection, kind: SectionKind | None) -> None:
+        kinds = [kind] if kind else list_section_kinds()
+        written = ' '.join((raw.kind, *raw.names))
+        allowed = ', '.join(f'[{known.describe()}]' for known in kinds)
+        self._report(
+            raw.line,
+            FaultCode.unknown_section,
+            f'[{written}] is not a section; allowed: {allowed}',
+        )
+
+    def _report(self, line: int, code: FaultCode, message: str) -> None:
+        self.faults.append(Fault(self._source, line, code, message))
--- /dev/null
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/schema/words.py
@@ -0,0 +1,77 @@
+"""Flags, choices and patterns."""
+
+import re
+from collections.abc import Callable, Iterable
+
+from baobabhinge_settings.codes import FaultCode
+from baobabhinge_settings.errors import FieldError
+from baobabhinge_settings.schema.names import check_ascii
+
+FLAGS = {'true': True, 'false': False}
+PATH_PATTERN = re.compile('/[!-~]*')
+WEIGHTS_PATH = re.compile('[A-Za-z0-9][A-Za-z0-9._/-]*')
+
+
+def parse_flag(text: str) -> bool:
+    """Return the flag written as ``true`` or ``false``.
+
+    Raises
+    ------
+    FieldError
+        If it is written in another way.
+    """
+    flag = FLAGS.get(text)
+    if flag is None:
+        raise FieldError(
+            FaultCode.bad_flag,
+            f'"{text}" is not allowed; allowed: true, false',
+        )
+    return flag
+
+
+def one_of(choices: Iterable[str]) -> Callable[[str], str]:
+    """Return a parser that takes one of ``choices``."""
+    known = tuple(choices)
+
+    def parse_choice(text: str) -> str:
+        if text in known:
+            return text
+        allowed = ', '.join(known)
+        raise FieldError(
+            FaultCode.bad_choice,
+            f'"{text}" is not allowed; allowed: {allowed}',
+        )
+
+    return parse_choice
+
+
+def parse_path(text: str) -> str:
+    """Return a path pattern such as ``/trades/*/confirm``.
+
+    Raises
+    ------
+    FieldError
+        If it does not start with a slash.
+    """
+    return _match(text, PATH_PATTERN, 'a path that starts with "/"')
+
+
+def parse_weights_path(text: str) -> str:
+    """Return a path in the weight store.
+
+    Raises
+    ------
+    FieldError
+        If it holds other signs than those of such a path.
+    """
+    return _match(text, WEIGHTS_PATH, 'letters, digits, ".", "_", "-" and "/"')
+
+
+def _match(text: str, form: re.Pattern[str], allowed: str) -> str:
+    check_ascii(text)
+    if form.fullmatch(text):
+        return text
+    raise FieldError(
+        FaultCode.bad_pattern,
+        f'"{text}" is not allowed; allowed: {allowed}',
+    )
--- /dev/null
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/sections/__init__.py
@@ -0,0 +1,17 @@
+"""The kinds of section that a folder may hold.
+
+Importing this package registers them.
+"""
+
+from baobabhinge_settings.sections import (
+    deployment as deployment,
+)
+from baobabhinge_settings.sections import (
+    regions as regions,
+)
+from baobabhinge_settings.sections import (
+    rules as rules,
+)
+from baobabhinge_settings.sections import (
+    services as services,
+)
--- /dev/null
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/sections/deployment.py
@@ -0,0 +1,64 @@
+"""Sections about the deployment as a whole."""
+
+from typing import Any
+
+import msgspec
+
+from baobabhinge_settings.model import Objective
+from baobabhinge_settings.schema import Key, Reference, register_section
+from baobabhinge_settings.schema.names import parse_name
+from baobabhinge_settings.schema.numbers import count_in
+from baobabhinge_settings.schema.words import parse_flag
+
+PERCENT = 'percent'
+
+
+class Deployment(msgspec.Struct, frozen=True):
+    """The ``[deployment]`` section."""
+
+    policy: str
+
+
+class Drain(msgspec.Struct, frozen=True):
+    """One ``[drain VM]`` section."""
+
+    vm: str
+    wanted: bool
+
+
+@register_section(
+    'deployment',
+    (),
+    Key('policy', parse_name, is_overridable=True),
+)
+def build_deployment(*, policy: str) -> Deployment:
+    """Build what holds for the whole deployment."""
+    return Deployment(policy)
+
+
+@register_section(
+    'drain',
+    (None,),
+    Key('wanted', parse_flag, is_overridable=True),
+)
+def build_drain(vm: str, *, wanted: bool) -> Drain:
+    """Build the wish that a vm takes no new work."""
+    return Drain(vm, wanted)
+
+
+@register_section(
+    'objective',
+    (None,),
+    Key(
+        'service',
+        parse_name,
+        is_required=False,
+        reference=Reference('service'),
+    ),
+    Key('cost', count_in(PERCENT), is_overridable=True),
+    Key('tail-latency', count_in(PERCENT), is_overridable=True),
+    Key('sent-away', count_in(PERCENT), is_overridable=True),
+)
+def build_objective(name: str, **options: Any) -> Objective:
+    """Build the weights of one service, or of all."""
+    return Objective(name, **options)
--- /dev/null
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/sections/services.py
@@ -0,0 +1,98 @@
+"""Sections about services."""
+
+from typing import Any
+
+import msgspec
+
+from baobabhinge_settings.model import (
+    Adapter,
+    ModelVersion,
+    Placement,
+    RunOnceRule,
+    Service,
+    ServiceKind,
+)
+from baobabhinge_settings.schema import Key, Reference, register_section
+from baobabhinge_settings.schema.names import parse_name, parse_names
+from baobabhinge_settings.schema.numbers import count_in, parse_duration
+from baobabhinge_settings.schema.words import (
+    one_of,
+    parse_path,
+    parse_weights_path,
+)
+
+SERVICE = Reference('service')
+VERSION = Reference('version', is_owned=True)
+VERSIONS_KEY = Key(
+    'versions',
+    parse_names,
+    is_required=False,
+    reference=VERSION,
+)
+WEIGHTS_KEY = Key('weights', parse_weights_path)
+METHODS = ('DELETE', 'GET', 'PATCH', 'POST', 'PUT')
+
+
+class Part(msgspec.Struct, frozen=True):
+    """A typed section that belongs to a service."""
+
+    service: str
+    entry: Placement | RunOnceRule | ModelVersion | Adapter
+
+
+@register_section(
+    'service',
+    (None,),
+    Key('kind', one_of(kind.value for kind in ServiceKind)),
+    Key('deadline', parse_duration, is_overridable=True),
+    Key(
+        'default-version',
+        parse_name,
+        is_required=False,
+        is_overridable=True,
+        reference=VERSION,
+    ),
+)
+def build_service(name: str, *, kind: str, **options: Any) -> Service:
+    """Build a service without its parts."""
+    return Service(name, ServiceKind(kind), **options)
+
+
+@register_section('version', (SERVICE, None), WEIGHTS_KEY)
+def build_version(service: str, name: str, *, weights: str) -> Part:
+    """Build a version of a model."""
+    return Part(service, ModelVersion(name, weights))
+
+
+@register_section('adapter', (SERVICE, None), WEIGHTS_KEY, VERSIONS_KEY)
+def build_adapter(service: str, name: str, **options: Any) -> Part:
+    """Build an adapter of a model."""
+    return Part(service, Adapter(name, **options))
+
+
+@register_section(
+    'placement',
+    (SERVICE, Reference('region')),
+    Key('replicas', count_in('vms'), is_overridable=True),
+    VERSIONS_KEY,
+    Key(
+        'adapters',
+        parse_names,
+        is_required=False,
+        reference=Reference('adapter', is_owned=True),
+    ),
+)
+def build_placement(service: str, region: str, **options: Any) -> Part:
+    """Build the placement of a service in a region."""
+    return Part(service, Placement(region, **options))
+
+
+@register_section(
+    'run-once',
+    (SERVICE, None),
+    Key('method', one_of(METHODS)),
+    Key('path', parse_path),
+)
+def build_run_once(service: str, _: str, *, method: str, path: str) -> Part:
+    """Build a rule about calls that may not be repeated."""
+    return Part(service, RunOnceRule(method, path))
