--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -1,24 +1,26 @@
 """The gateway as one tree of services."""
 
-import aiohttp
 from mode import Service
 
 from baobabhinge_coordination.generations import ReleaseReader
 from baobabhinge_gateway.callers import (
     CallRoutes,
+    ConnectionEnd,
     EntryReport,
+    HealthReport,
     StatusReport,
     build_call_server,
 )
-from baobabhinge_gateway.calls import Hop, headers
+from baobabhinge_gateway.calls import headers
 from baobabhinge_gateway.configuration import (
     ActiveConfiguration,
     ConfigurationWatcher,
 )
 from baobabhinge_gateway.fleet import FleetService, FleetView
-from baobabhinge_gateway.lifecycle import Lifecycle
+from baobabhinge_gateway.lifecycle import Drainer, create_lifecycle
 from baobabhinge_gateway.listening import Listener
-from baobabhinge_gateway.platform import Platform
+from baobabhinge_gateway.peers import PeerStack
+from baobabhinge_gateway.platform import Platform, build_http_session
 from baobabhinge_gateway.process import ProcessSettings
 from baobabhinge_gateway.routes import build_app
 
@@ -37,43 +39,57 @@
         super().__init__()
         self._settings = settings
         self._active = ActiveConfiguration()
-        self._lifecycle = Lifecycle()
+        self._lifecycle = create_lifecycle()
 
     async def on_start(self) -> None:
         """Start the parts, listeners last."""
-        http = await self.add_async_context(
-            aiohttp.ClientSession(
-                auto_decompress=False,
-                connector=aiohttp.TCPConnector(limit=0),
-            ),
-        )
+        http = await self.add_async_context(build_http_session())
         platform = Platform(http, self._settings.platform)
         fleet = await self._start_watchers(platform)
-        await self._start_listeners(platform, fleet)
+        peers = PeerStack(platform, fleet, self._lifecycle, self._active)
+        await self.add_runtime_dependency(peers)
+        await self._start_listeners(platform, fleet.view, peers)
 
-    async def _start_watchers(self, platform: Platform) -> FleetView:
-        identity = self._settings.identity
-        fleet = FleetService(Hop(identity.name, identity.region), platform)
+    async def _start_watchers(self, platform: Platform) -> FleetService:
+        fleet = FleetService(
+            self._settings.identity,
+            self._lifecycle,
+            platform,
+        )
         await self.add_runtime_dependency(fleet)
         await self.add_runtime_dependency(
             ConfigurationWatcher(self._active, ReleaseReader(platform.store)),
         )
-        return fleet.view
+        return fleet
 
     async def _start_listeners(
         self,
         platform: Platform,
         fleet: FleetView,
+        peers: PeerStack,
     ) -> None:
         identity = self._settings.identity
-        hop = Hop(identity.name, identity.region)
-        calls = build_call_server(hop, self._active, fleet, platform)
-        peer_app = build_app([CallRoutes(calls, headers.FORWARD_PREFIX)])
+        calls = build_call_server(
+            self._active,
+            fleet,
+            platform,
+            self._lifecycle,
+        )
+        end = ConnectionEnd(self._lifecycle)
+        peer_app = build_app(
+            [
+                end,
+                CallRoutes(calls, headers.FORWARD_PREFIX),
+                *peers.routes,
+            ],
+        )
         caller_app = build_app(
             [
+                end,
                 CallRoutes(calls),
-                EntryReport(identity.region, fleet),
-                StatusReport(hop, self._active, calls.measures),
+                HealthReport(self._active, self._lifecycle),
+                EntryReport(fleet, self._lifecycle),
+                StatusReport(fleet.home, self._active, calls.measures),
             ],
         )
         await self.add_runtime_dependency(
@@ -82,3 +98,4 @@
         await self.add_runtime_dependency(
             Listener(caller_app, identity.caller_address),
         )
+        await self.add_runtime_dependency(Drainer(self._lifecycle))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/attempts.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/attempts.py
@@ -1,7 +1,5 @@
 """Attempts of one call: which target is next, and what the caller is told."""
 
-from collections.abc import Iterable
-
 from baobabhinge_coordination.budgets import RetryBudget
 from baobabhinge_gateway.calls import Call, Hop
 from baobabhinge_gateway.errors import (
@@ -9,7 +7,8 @@
     NoBackendServerError,
     Outcome,
 )
-from baobabhinge_gateway.routing import Candidate, Router, Target
+from baobabhinge_gateway.routing import Router, Target
+from baobabhinge_gateway.routing.decisions import Candidate, Decision
 
 MAX_ATTEMPTS = 3
 
@@ -35,7 +34,15 @@
         The call with the places that earlier attempts have passed.
     """
 
-    __slots__ = ('_budget', '_failure', '_router', '_runs', '_tried', 'call')
+    __slots__ = (
+        '_budget',
+        '_failure',
+        '_ranked',
+        '_router',
+        '_runs',
+        '_tried',
+        'call',
+    )
 
     def __init__(
         self,
@@ -49,6 +56,7 @@
         self._budget = budget
         self._tried: set[str] = set()
         self._runs = 0
+        self._ranked: tuple[Candidate, ...] = ()
         self._failure: CallError | None = None
 
     def choose_candidate(self) -> Candidate:
@@ -63,7 +71,7 @@
         target = candidate.target
         if self._runs:
             self._check_retry(target)
-        else:
+        elif not self._tried:
             self._budget.deposit(target.vm.role)
         self._tried.add(target.vm.name)
         return candidate
@@ -73,6 +81,7 @@
         if isinstance(failure, NoBackendServerError):
             return
         self._runs += 1
+        self._ranked = ()
         if self._failure is None or failure.outcome is Outcome.unknown:
             self._failure = failure
         if target.is_remote:
@@ -80,7 +89,9 @@
             self.call = self.call.add_tried(passed)
 
     def _find_candidate(self) -> Candidate:
-        for candidate in self._rank_candidates():
+        if not self._ranked:
+            self._ranked = self._decide().candidates
+        for candidate in self._ranked:
             if not self._is_spent(candidate.target):
                 return candidate
         raise self._failure or NoBackendServerError(
@@ -92,11 +103,11 @@
             return True
         return target.is_remote and self.call.hops.has_region(target.vm.region)
 
-    def _rank_candidates(self) -> Iterable[Candidate]:
+    def _decide(self) -> Decision:
         try:
-            return self._router.decide(self.call).candidates
-        except CallError as none_left:
-            raise self._failure or none_left from none_left
+            return self._router.decide(self.call)
+        except CallError as refused:
+            raise self._failure or refused from refused
 
     def _check_retry(self, target: Target) -> None:
         is_allowed = self._runs < MAX_ATTEMPTS and self._budget.withdraw(
