--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/admission/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/admission/__init__.py
@@ -1,5 +1,6 @@
 """Refusing at once what would be answered late."""
 
+from baobabhinge_gateway.admission.quotas import Quotas as Quotas
 from baobabhinge_gateway.admission.shedding import Shedder as Shedder
 from baobabhinge_gateway.admission.workspaces import (
     WorkspaceShares as WorkspaceShares,
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/admission/quotas.py
@@ -0,0 +1,88 @@
+"""Limits on calls in flight and on rates, as the operators set them."""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+from datetime import timedelta
+
+import msgspec
+
+from baobabhinge_coordination.clock import Clock
+from baobabhinge_gateway.errors import LimitReachedError
+from baobabhinge_settings.model import Limit
+
+SECOND = timedelta(seconds=1)
+
+
+class _Bucket(msgspec.Struct):
+    level: float
+    updated: timedelta
+
+
+class Quotas:
+    """Count calls against limits; each gateway counts its own.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of the rates.
+    """
+
+    __slots__ = ('_buckets', '_clock', '_in_flight')
+
+    def __init__(self, clock: Clock) -> None:
+        """Start with no call counted."""
+        self._clock = clock
+        self._in_flight: Counter[str] = Counter()
+        self._buckets: dict[str, _Bucket] = {}
+
+    @contextmanager
+    def track(self, limits: Iterable[Limit]) -> Iterator[None]:
+        """Count one call against ``limits`` while the context is open.
+
+        Raises
+        ------
+        LimitReachedError
+            If one of the limits is reached; nothing is counted then.
+        """
+        counted = tuple(limits)
+        for limit in counted:
+            self._check(limit)
+        self._enter(counted)
+        try:
+            yield
+        finally:
+            self._in_flight.subtract(map(_get_name, counted))
+
+    def _check(self, limit: Limit) -> None:
+        count = self._in_flight[limit.name]
+        if limit.in_flight is not None and count >= limit.in_flight:
+            raise LimitReachedError(
+                f'limit {limit.name}: too many calls in flight',
+            )
+        if limit.rate is None:
+            return
+        missing = 1 - self._refill(limit.name, limit.rate).level
+        if missing > 0:
+            raise LimitReachedError(
+                f'limit {limit.name}: too many calls a second',
+                SECOND * (missing / limit.rate),
+            )
+
+    def _enter(self, counted: Iterable[Limit]) -> None:
+        self._in_flight.update(map(_get_name, counted))
+        for limit in counted:
+            if limit.rate is not None:
+                self._refill(limit.name, limit.rate).level -= 1
+
+    def _refill(self, name: str, rate: int) -> _Bucket:
+        now = self._clock.read_monotonic()
+        bucket = self._buckets.setdefault(name, _Bucket(rate, now))
+        gained = rate * ((now - bucket.updated) / SECOND)
+        bucket.level = min(rate, bucket.level + gained)
+        bucket.updated = now
+        return bucket
+
+
+def _get_name(limit: Limit) -> str:
+    return limit.name
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/admission/shedding.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/admission/shedding.py
@@ -8,7 +8,7 @@
 from baobabhinge_gateway.calls import Call
 from baobabhinge_gateway.errors import OverloadedError, WorkspaceShareError
 from baobabhinge_gateway.routing.decisions import Decision
-from baobabhinge_gateway.routing.objective import get_objective
+from baobabhinge_gateway.routing.objective import ObjectiveSource
 
 NOTHING = timedelta()
 LATE_FACTOR = 2
@@ -26,17 +26,21 @@
         Generator that spreads the times at which callers come back.
     shares : WorkspaceShares
         Calls in flight by workspace.
+    objectives : ObjectiveSource
+        Times that count as in time.
     """
 
-    __slots__ = ('_clock', '_random', '_shares')
+    __slots__ = ('_clock', '_objectives', '_random', '_shares')
 
     def __init__(
         self,
         clock: Clock,
         random: Random,
         shares: WorkspaceShares,
+        objectives: ObjectiveSource,
     ) -> None:
         """Keep the parts."""
+        self._objectives = objectives
         self._clock = clock
         self._random = random
         self._shares = shares
@@ -59,7 +63,8 @@
                 'the service is full and the workspace is above its share',
                 self._spread(best.wait),
             )
-        goal = get_objective(call.service).first_token * LATE_FACTOR
+        objective = self._objectives.find_objective(call.service.name)
+        goal = objective.first_token * LATE_FACTOR
         rest = call.terms.deadline - self._clock.read_monotonic()
         if best.first > min(goal, rest):
             raise OverloadedError(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/admission/tests/test_shedding.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/admission/tests/test_shedding.py
@@ -7,7 +7,11 @@
 from baobabhinge_gateway.admission import Shedder, WorkspaceShares
 from baobabhinge_gateway.errors import OverloadedError, WorkspaceShareError
 from baobabhinge_gateway.routing import Candidate, Decision
-from baobabhinge_gateway.routing.tests.builders import make_call, make_target
+from baobabhinge_gateway.routing.tests.builders import (
+    Rules,
+    make_call,
+    make_target,
+)
 
 SECOND = timedelta(seconds=1)
 SEED = 5
@@ -16,7 +20,12 @@
 def check(wait, call=None, shares=None, elapsed=0):
     clock = ManualClock()
     clock.advance(elapsed * SECOND)
-    shedder = Shedder(clock, Random(SEED), shares or WorkspaceShares())
+    shedder = Shedder(
+        clock,
+        Random(SEED),
+        shares or WorkspaceShares(),
+        Rules(),
+    )
     waits = wait * SECOND
     candidate = Candidate(make_target('w1'), wait=waits, first=waits)
     shedder.check(call or make_call(), Decision((candidate,)))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
@@ -4,21 +4,23 @@
 
 from baobabhinge_coordination.budgets import RetryBudget
 from baobabhinge_coordination.clock import Clock, SystemClock
+from baobabhinge_gateway.admission import Quotas
 from baobabhinge_gateway.callers.checks import ArrivalChecks
 from baobabhinge_gateway.callers.service import CallServer
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.execution import (
     Executors,
+    LimitedExecutor,
     RepeatableExecutor,
     RoutingBuilder,
 )
 from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.lifecycle import Lifecycle
 from baobabhinge_gateway.platform import Platform
+from baobabhinge_gateway.routing import RoutingRules
 
 RETRY_SHARE = 0.1
 RETRY_BURST = 10
-DEFAULT_POLICY = 'estimated-latency'
 
 
 def build_call_server(
@@ -33,27 +35,25 @@
         fleet.home,
         clock,
         active,
-        _build_executors(clock, fleet, platform),
+        _build_executors(clock, active, fleet, platform),
         ArrivalChecks(fleet, lifecycle),
     )
 
 
 def _build_executors(
     clock: Clock,
+    active: ActiveConfiguration,
     fleet: FleetView,
     platform: Platform,
 ) -> Executors:
-    builder = RoutingBuilder(clock, SystemRandom(), fleet, fleet)
-    region = fleet.home.region
-    routing = builder.build(region, DEFAULT_POLICY, platform.http)
+    rules = RoutingRules(active, fleet.home.region)
+    builder = RoutingBuilder(clock, SystemRandom(), fleet, rules)
+    routing = builder.build(platform.http)
     repeatable = RepeatableExecutor(
         routing.router,
         routing.dispatcher,
         RetryBudget(share=RETRY_SHARE, burst=RETRY_BURST),
         clock,
     )
-    return Executors(
-        model=repeatable,
-        plain=repeatable,
-        run_once=repeatable,
-    )
+    limited = LimitedExecutor(repeatable, Quotas(clock), rules)
+    return Executors(model=limited, plain=limited, run_once=limited)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
@@ -4,6 +4,9 @@
 from baobabhinge_gateway.errors.base import GatewayError as GatewayError
 from baobabhinge_gateway.errors.base import NotReachedError as NotReachedError
 from baobabhinge_gateway.errors.base import Outcome as Outcome
+from baobabhinge_gateway.errors.limits import (
+    LimitReachedError as LimitReachedError,
+)
 from baobabhinge_gateway.errors.limits import OverloadedError as OverloadedError
 from baobabhinge_gateway.errors.limits import (
     WorkspaceShareError as WorkspaceShareError,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/limits.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/limits.py
@@ -12,6 +12,13 @@
     status = HTTPStatus.SERVICE_UNAVAILABLE
 
 
+class LimitReachedError(CallError):
+    """A limit that the operators set is reached."""
+
+    code = 'limit-reached'
+    status = HTTPStatus.TOO_MANY_REQUESTS
+
+
 class WorkspaceShareError(CallError):
     """The workspace uses more than its share of a full service."""
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/__init__.py
@@ -3,6 +3,9 @@
 from baobabhinge_gateway.execution.assembly import (
     RoutingBuilder as RoutingBuilder,
 )
+from baobabhinge_gateway.execution.limited import (
+    LimitedExecutor as LimitedExecutor,
+)
 from baobabhinge_gateway.execution.protocol import Executor as Executor
 from baobabhinge_gateway.execution.protocol import Executors as Executors
 from baobabhinge_gateway.execution.repeatable import (
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/assembly.py
@@ -8,16 +8,15 @@
 from baobabhinge_gateway.admission import Shedder, WorkspaceShares
 from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.routing import (
+    ConfiguredPolicy,
     Dispatcher,
     PolicyParts,
     Router,
+    RoutingRules,
     TargetTracker,
-    create_policy,
 )
 from baobabhinge_gateway.routing.estimates import Estimator
-from baobabhinge_gateway.routing.loads import LoadSource
-
-LINK_BYTES_PER_SECOND = 8 << 20
+from baobabhinge_gateway.routing.limits import CandidateLimits
 
 
 class RoutingParts:
@@ -50,51 +49,49 @@
         Generator that breaks ties.
     fleet : FleetView
         Known vms.
-    loads : LoadSource
-        Lagged reports.
+    rules : RoutingRules
+        What the configuration in force says.
     """
 
-    __slots__ = ('_clock', '_fleet', '_loads', '_random')
+    __slots__ = ('_clock', '_fleet', '_random', '_rules')
 
     def __init__(
         self,
         clock: Clock,
         random: Random,
         fleet: FleetView,
-        loads: LoadSource,
+        rules: RoutingRules,
     ) -> None:
         """Keep the parts."""
         self._clock = clock
         self._random = random
         self._fleet = fleet
-        self._loads = loads
+        self._rules = rules
 
-    def build(
-        self,
-        region: str,
-        policy: str,
-        http: aiohttp.ClientSession,
-    ) -> RoutingParts:
-        """Return router and dispatcher of a gateway in ``region``."""
+    def build(self, http: aiohttp.ClientSession) -> RoutingParts:
+        """Return router and dispatcher over one client session."""
         shares = WorkspaceShares()
-        tracker = TargetTracker(self._clock, LINK_BYTES_PER_SECOND, shares)
-        chosen = create_policy(policy, self._build_parts(tracker))
-        shedder = Shedder(self._clock, self._random, shares)
+        tracker = TargetTracker(self._clock, self._rules, shares)
         return RoutingParts(
-            Router(region, self._fleet, chosen, tracker.in_flight, shedder),
+            Router(
+                self._fleet,
+                ConfiguredPolicy(self._rules, self._build_parts(tracker)),
+                tracker.in_flight,
+                Shedder(self._clock, self._random, shares, self._rules),
+            ),
             Dispatcher(http, self._clock, tracker),
         )
 
     def _build_parts(self, tracker: TargetTracker) -> PolicyParts:
         estimator = Estimator(
             tracker.in_flight,
-            self._loads,
+            self._fleet,
             tracker.observations,
         )
         return PolicyParts(
             self._clock,
             self._random,
             estimator,
-            tracker.circuits,
-            tracker.links,
+            CandidateLimits(tracker.circuits, tracker.links),
+            self._rules,
         )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/estimated.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/estimated.py
@@ -8,10 +8,10 @@
 from baobabhinge_gateway.routing.affinity import compute_prefix, prefer_cached
 from baobabhinge_gateway.routing.decisions import Candidate, Decision
 from baobabhinge_gateway.routing.hysteresis import AwaySwitch
-from baobabhinge_gateway.routing.limits import CandidateLimits
-from baobabhinge_gateway.routing.objective import Objective, get_objective
+from baobabhinge_gateway.routing.objective import score_run
 from baobabhinge_gateway.routing.registry import PolicyParts, register_policy
 from baobabhinge_gateway.routing.targets import Target
+from baobabhinge_settings.model import Objective
 
 NEVER = timedelta(days=1)
 
@@ -26,12 +26,11 @@
         What the policy decides from.
     """
 
-    __slots__ = ('_limits', '_parts', '_switches')
+    __slots__ = ('_parts', '_switches')
 
     def __init__(self, parts: PolicyParts) -> None:
         """Start with every service at home."""
         self._parts = parts
-        self._limits = CandidateLimits(parts.circuits, parts.links)
         self._switches: defaultdict[str, AwaySwitch] = defaultdict(
             lambda: AwaySwitch(parts.clock),
         )
@@ -53,9 +52,9 @@
         call: Call,
         targets: Sequence[Target],
     ) -> list[Candidate]:
-        objective = get_objective(call.service)
+        objective = self._find_objective(call)
         return [
-            self._limits.judge(call, self._estimate(target, objective))
+            self._parts.limits.judge(call, self._estimate(target, objective))
             for target in self._parts.random.sample(targets, len(targets))
         ]
 
@@ -77,19 +76,26 @@
         away: Sequence[Candidate],
     ) -> bool:
         first = min((candidate.first for candidate in home), default=NEVER)
-        goal = get_objective(call.service).first_token
+        goal = self._find_objective(call).first_token
         is_late = self._switches[call.service.name].update(first, goal)
         if not (home and away):
             return bool(away)
         return is_late and away[0].score < home[0].score
 
+    def _find_objective(self, call: Call) -> Objective:
+        return self._parts.objectives.find_objective(call.service.name)
+
     def _estimate(self, target: Target, objective: Objective) -> Candidate:
         estimate = self._parts.estimator.estimate(target)
         return Candidate(
             target,
             estimate.wait,
             estimate.first,
-            objective.score(estimate.first, is_remote=target.is_remote),
+            score_run(
+                objective,
+                estimate.first,
+                is_remote=target.is_remote,
+            ),
         )
 
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/links.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/links.py
@@ -1,6 +1,7 @@
 """Bytes that may be sent over the narrow links between regions."""
 
 from datetime import timedelta
+from typing import Protocol
 
 import msgspec
 
@@ -15,6 +16,13 @@
     updated: timedelta
 
 
+class LinkRates(Protocol):
+    """Where the rates of links come from."""
+
+    def compute_link_rate(self, region: str) -> float:
+        """Return the bytes a second that may go to ``region``."""
+
+
 class LinkBudget:
     """A token bucket of bytes for each other region.
 
@@ -22,16 +30,16 @@
     ----------
     clock : Clock
         Clock of the refilling.
-    bytes_per_second : int
+    rates : LinkRates
         Rate that this gateway may use of each link.
     """
 
-    __slots__ = ('_buckets', '_clock', '_rate')
+    __slots__ = ('_buckets', '_clock', '_rates')
 
-    def __init__(self, clock: Clock, bytes_per_second: int) -> None:
+    def __init__(self, clock: Clock, rates: LinkRates) -> None:
         """Start with full buckets."""
         self._clock = clock
-        self._rate = bytes_per_second
+        self._rates = rates
         self._buckets: dict[str, _Bucket] = {}
 
     def allows(self, region: str, size: int) -> bool:
@@ -44,9 +52,10 @@
 
     def _refill(self, region: str) -> _Bucket:
         now = self._clock.read_monotonic()
-        full = self._rate * (BURST / SECOND)
+        rate = self._rates.compute_link_rate(region)
+        full = rate * (BURST / SECOND)
         bucket = self._buckets.setdefault(region, _Bucket(full, now))
-        gained = self._rate * ((now - bucket.updated) / SECOND)
+        gained = rate * ((now - bucket.updated) / SECOND)
         bucket.level = min(full, bucket.level + gained)
         bucket.updated = now
         return bucket
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/objective.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/objective.py
@@ -1,41 +1,40 @@
-"""What a service's operators weigh."""
+"""The weighted objective that operators set for a service."""
 
 from datetime import timedelta
+from typing import Protocol
 
-import msgspec
-
-from baobabhinge_settings.model import Service
+from baobabhinge_settings.model import Objective
 
 SECOND = timedelta(seconds=1)
+WHOLE_PERCENT = 100
 
 
-class Objective(msgspec.Struct, frozen=True):
-    """Goal and weights of one service.
-
-    Parameters
-    ----------
-    first_token : timedelta
-        Time to the first piece of an answer that counts as in time.
-    tail_latency : float
-        Weight of each second of lateness.
-    cost : float
-        Weight of one run; a run in another region counts twice.
-    sent_away : float
-        Weight of leaving the region.
-    """
+class ObjectiveSource(Protocol):
+    """Where the objectives come from."""
 
-    first_token: timedelta = timedelta(milliseconds=1100)
-    tail_latency: float = 1
-    cost: float = 0.1
-    sent_away: float = 0.1
+    def find_objective(self, service: str) -> Objective:
+        """Return the objective of ``service``."""
 
-    def score(self, first: timedelta, *, is_remote: bool) -> float:
-        """Return the weighted objective of one run; smaller is better."""
-        late = max(timedelta(), first - self.first_token) / SECOND
-        away = self.cost + self.sent_away if is_remote else 0
-        return self.tail_latency * late + away
 
+def score_run(
+    objective: Objective,
+    first: timedelta,
+    *,
+    is_remote: bool,
+) -> float:
+    """Return the weighted objective of one run; smaller is better.
 
-def get_objective(service: Service) -> Objective:
-    """Return what the operators of ``service`` weigh."""
-    return Objective()
+    Parameters
+    ----------
+    objective : Objective
+        Goal and weights.
+    first : timedelta
+        Expected time to the first piece of the answer; each second past the
+        goal counts one.
+    is_remote : bool
+        Whether the run is in another region: then its cost counts twice, and
+        leaving the region counts one.
+    """
+    late = max(timedelta(), first - objective.first_token) / SECOND
+    away = objective.cost + objective.sent_away if is_remote else 0
+    return (objective.tail_latency * late + away) / WHOLE_PERCENT
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/registry.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/registry.py
@@ -7,10 +7,10 @@
 from baobabhinge_coordination.clock import Clock
 from baobabhinge_gateway.calls import Call
 from baobabhinge_gateway.errors import GatewayError
-from baobabhinge_gateway.routing.circuits import Circuits
 from baobabhinge_gateway.routing.decisions import Decision
 from baobabhinge_gateway.routing.estimates import Estimator
-from baobabhinge_gateway.routing.links import LinkBudget
+from baobabhinge_gateway.routing.limits import CandidateLimits
+from baobabhinge_gateway.routing.objective import ObjectiveSource
 from baobabhinge_gateway.routing.targets import Target
 
 
@@ -32,28 +32,28 @@
         Generator that breaks ties.
     estimator : Estimator
         Expected times of targets.
-    circuits : Circuits
-        Places that rest after failures.
-    links : LinkBudget
-        Bytes that may leave the region.
+    limits : CandidateLimits
+        Circuits and link budgets.
+    objectives : ObjectiveSource
+        Goals and weights.
     """
 
-    __slots__ = ('circuits', 'clock', 'estimator', 'links', 'random')
+    __slots__ = ('clock', 'estimator', 'limits', 'objectives', 'random')
 
     def __init__(
         self,
         clock: Clock,
         random: Random,
         estimator: Estimator,
-        circuits: Circuits,
-        links: LinkBudget,
+        limits: CandidateLimits,
+        objectives: ObjectiveSource,
     ) -> None:
         """Keep the parts."""
         self.clock = clock
         self.random = random
         self.estimator = estimator
-        self.circuits = circuits
-        self.links = links
+        self.limits = limits
+        self.objectives = objectives
 
 
 PolicyFactory = Callable[[PolicyParts], RoutingPolicy]
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/router.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/router.py
@@ -16,10 +16,8 @@
 
     Parameters
     ----------
-    region : str
-        Region of this gateway.
     fleet : FleetView
-        Known vms.
+        Known vms, and this gateway.
     policy : RoutingPolicy
         Order of the targets.
     in_flight : InFlight
@@ -39,7 +37,6 @@
 
     def __init__(
         self,
-        region: str,
         fleet: FleetView,
         policy: RoutingPolicy,
         in_flight: InFlight,
@@ -47,7 +44,7 @@
     ) -> None:
         """Keep the parts."""
         self._gate = gate
-        self._region = region
+        self._region = fleet.home.region
         self._fleet = fleet
         self._policy = policy
         self._in_flight = in_flight
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/rules.py
@@ -0,0 +1,56 @@
+"""What the configuration in force says about routing."""
+
+from typing import Protocol
+
+from baobabhinge_settings import Settings
+from baobabhinge_settings.model import Limit, Objective
+
+BITS_PER_BYTE = 8
+USABLE_SHARE = 0.8
+UNKNOWN_BANDWIDTH = 1_000_000_000
+
+
+class SettingsSource(Protocol):
+    """Where the settings in force come from."""
+
+    def require_settings(self) -> Settings:
+        """Return the settings in force."""
+
+
+class RoutingRules:
+    """Queries on the settings in force.
+
+    Parameters
+    ----------
+    source : SettingsSource
+        Where the settings come from.
+    region : str
+        Region of this gateway.
+    """
+
+    __slots__ = ('_region', '_source')
+
+    def __init__(self, source: SettingsSource, region: str) -> None:
+        """Keep the parts."""
+        self._source = source
+        self._region = region
+
+    def find_objective(self, service: str) -> Objective:
+        """Return what the operators of ``service`` weigh."""
+        return self._source.require_settings().find_objective(service)
+
+    def find_policy(self) -> str | None:
+        """Return the routing policy that operators chose, if any."""
+        return self._source.require_settings().policy
+
+    def find_limits(self, service: str, workspace: str) -> list[Limit]:
+        """Return the limits that count calls of a workspace."""
+        settings = self._source.require_settings()
+        return settings.limits.find(service, workspace)
+
+    def compute_link_rate(self, region: str) -> float:
+        """Return the bytes a second that may go to ``region``."""
+        settings = self._source.require_settings()
+        link = settings.find_link(self._region, region)
+        bandwidth = link.bandwidth if link else UNKNOWN_BANDWIDTH
+        return bandwidth * USABLE_SHARE / BITS_PER_BYTE
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/tests/builders.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/tests/builders.py
@@ -9,11 +9,17 @@
 from baobabhinge_gateway.admission import WorkspaceShares
 from baobabhinge_gateway.calls import Call, HopList, Terms
 from baobabhinge_gateway.routing.estimates import Estimator
+from baobabhinge_gateway.routing.limits import CandidateLimits
 from baobabhinge_gateway.routing.registry import PolicyParts, create_policy
 from baobabhinge_gateway.routing.targets import Target
 from baobabhinge_gateway.routing.tracking import TargetTracker
 from baobabhinge_platform.machines import Role, Vm
-from baobabhinge_settings.model import Placement, Service, ServiceKind
+from baobabhinge_settings.model import (
+    Objective,
+    Placement,
+    Service,
+    ServiceKind,
+)
 
 SEED = 11
 SERVICE = Service(
@@ -43,13 +49,31 @@
         return self.reports.get(vm.name)
 
 
+class Rules:
+    """Rules that are the same for every service and region."""
+
+    def __init__(self, link_bytes=0, objective=None):
+        self._link_bytes = link_bytes
+        self._objective = objective or Objective('all', None, 10, 80, 10)
+
+    def find_objective(self, service):
+        return self._objective
+
+    def compute_link_rate(self, region):
+        return self._link_bytes
+
+
 class World:
     """A policy with a manual clock and fixed reports."""
 
     def __init__(self, policy='estimated-latency', link_bytes=1000000):
         self.clock = ManualClock()
         self.loads = Loads()
-        self.tracker = TargetTracker(self.clock, link_bytes, WorkspaceShares())
+        self.tracker = TargetTracker(
+            self.clock,
+            Rules(link_bytes),
+            WorkspaceShares(),
+        )
         estimator = Estimator(
             self.tracker.in_flight,
             self.loads,
@@ -59,8 +83,8 @@
             self.clock,
             Random(SEED),
             estimator,
-            self.tracker.circuits,
-            self.tracker.links,
+            CandidateLimits(self.tracker.circuits, self.tracker.links),
+            Rules(link_bytes),
         )
         self.policy = create_policy(policy, parts)
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/tests/test_estimates.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/tests/test_estimates.py
@@ -6,8 +6,9 @@
 from baobabhinge_gateway.routing.averages import PeakAverage
 from baobabhinge_gateway.routing.counters import InFlight
 from baobabhinge_gateway.routing.loads import estimate_occupancy
-from baobabhinge_gateway.routing.objective import Objective
+from baobabhinge_gateway.routing.objective import score_run
 from baobabhinge_gateway.routing.tests.builders import Report
+from baobabhinge_settings.model import Objective
 
 SECOND = timedelta(seconds=1)
 
@@ -55,13 +56,13 @@
 @pytest.mark.parametrize(
     ('objective', 'home_first', 'leaves'),
     [
-        (Objective(tail_latency=1, cost=0.1, sent_away=0.1), 1, False),
-        (Objective(tail_latency=1, cost=0.1, sent_away=0.1), 2, True),
-        (Objective(tail_latency=0.2, cost=0.5, sent_away=0.5), 2, False),
-        (Objective(tail_latency=0.2, cost=0.5, sent_away=0.5), 8, True),
+        (Objective('dealers', None, 10, 80, 10), 1, False),
+        (Objective('dealers', None, 10, 80, 10), 2, True),
+        (Objective('planners', None, 40, 20, 40), 2, False),
+        (Objective('planners', None, 40, 20, 40), 8, True),
     ],
 )
 def test_weights_say_when_leaving_pays(objective, home_first, leaves):
-    home = objective.score(home_first * SECOND, is_remote=False)
-    away = objective.score(SECOND / 5, is_remote=True)
+    home = score_run(objective, home_first * SECOND, is_remote=False)
+    away = score_run(objective, SECOND / 5, is_remote=True)
     assert (away < home) is leaves
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/tracking.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/tracking.py
@@ -10,7 +10,7 @@
 from baobabhinge_gateway.routing.counters import InFlight
 from baobabhinge_gateway.routing.decisions import Candidate
 from baobabhinge_gateway.routing.gates import Accounts
-from baobabhinge_gateway.routing.links import LinkBudget
+from baobabhinge_gateway.routing.links import LinkBudget, LinkRates
 from baobabhinge_gateway.routing.observations import Observations
 from baobabhinge_gateway.routing.timing import ExchangeTimer
 
@@ -44,14 +44,14 @@
     def __init__(
         self,
         clock: Clock,
-        link_bytes_per_second: int,
+        rates: LinkRates,
         accounts: Accounts,
     ) -> None:
         """Start without exchanges."""
         self._clock = clock
         self.in_flight = InFlight(clock)
         self.circuits = Circuits(clock)
-        self.links = LinkBudget(clock, link_bytes_per_second)
+        self.links = LinkBudget(clock, rates)
         self.observations = Observations(clock)
         self.accounts = accounts
 
--- a/packages/baobabhinge-settings/src/baobabhinge_settings/model/rules.py
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/model/rules.py
@@ -1,5 +1,7 @@
 """Workspaces, data rules, limits and objectives."""
 
+from datetime import timedelta
+
 import msgspec
 
 
@@ -102,6 +104,8 @@
         Service that it is for; ``None`` stands for all others.
     cost, tail_latency, sent_away : int
         Weights, in percent.
+    first_token : timedelta
+        Time to the first piece of an answer that counts as in time.
     """
 
     name: str
@@ -109,3 +113,4 @@
     cost: int = 34
     tail_latency: int = 33
     sent_away: int = 33
+    first_token: timedelta = timedelta(milliseconds=1100)
--- a/packages/baobabhinge-settings/src/baobabhinge_settings/sections/deployment.py
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/sections/deployment.py
@@ -7,7 +7,7 @@
 from baobabhinge_settings.model import Objective
 from baobabhinge_settings.schema import Key, Reference, register_section
 from baobabhinge_settings.schema.names import parse_name
-from baobabhinge_settings.schema.numbers import count_in
+from baobabhinge_settings.schema.numbers import count_in, parse_duration
 from baobabhinge_settings.schema.words import parse_flag
 
 PERCENT = 'percent'
@@ -58,6 +58,12 @@
     Key('cost', count_in(PERCENT), is_overridable=True),
     Key('tail-latency', count_in(PERCENT), is_overridable=True),
     Key('sent-away', count_in(PERCENT), is_overridable=True),
+    Key(
+        'first-token',
+        parse_duration,
+        is_required=False,
+        is_overridable=True,
+    ),
 )
 def build_objective(name: str, **options: Any) -> Objective:
     """Build the weights of one service, or of all."""
