--- a/packages/baobabhinge-standins/src/baobabhinge_standins/keyvalue/app.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/keyvalue/app.py
@@ -33,7 +33,7 @@
 
     def build(self) -> web.Application:
         """Return the application with its routes."""
-        faults = FaultSwitch()
+        faults = FaultSwitch(SystemClock())
         app = web.Application(
             middlewares=[faults.build_middleware()],
             client_max_size=MAX_BODY_BYTES,
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/keyvalue/faults.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/keyvalue/faults.py
@@ -6,10 +6,20 @@
 import msgspec
 from aiohttp import web
 
+from baobabhinge_coordination.clock import Clock
+from baobabhinge_standins.keyvalue.calls import (
+    READS,
+    CallCounts,
+    CallKind,
+    RateLimit,
+    classify,
+)
+
 FAULTS_PATH = '/-/faults'
 CALLS_PATH = '/-/calls'
 PROTOCOL_PREFIX = '/v1/'
-WRITE = 'PUT'
+WRITES_PER_SECOND = 400
+READS_PER_SECOND = 2000
 
 Answerer = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -24,23 +34,36 @@
     slow_seconds : float
         Wait before each call, in seconds.
     lose_answers : int
-        Number of writes to come whose answer is lost after their effect.
+        Number of writes to come whose connection is cut after their effect.
+    writes_per_second, reads_per_second : int
+        Rates above which calls are answered with status 429; sessions count
+        as writes and watches as reads.
     """
 
     down: bool = False
     slow_seconds: float = 0
     lose_answers: int = 0
+    writes_per_second: int = WRITES_PER_SECOND
+    reads_per_second: int = READS_PER_SECOND
 
 
 class FaultSwitch:
-    """Count calls and bring the present faults about."""
+    """Count calls, limit their rates and bring the present faults about.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of the rates.
+    """
 
-    __slots__ = ('_calls', '_faults')
+    __slots__ = ('_counts', '_faults', '_reads', '_writes')
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
         """Start without faults."""
-        self._calls = {'GET': 0, WRITE: 0}
+        self._counts = CallCounts()
         self._faults = StoreFaults()
+        self._reads = RateLimit(clock, READS_PER_SECOND)
+        self._writes = RateLimit(clock, WRITES_PER_SECOND)
 
     def add_routes(self, app: web.Application) -> None:
         """Add the paths that set faults and report calls."""
@@ -66,20 +89,39 @@
         request: web.Request,
         answer: Answerer,
     ) -> web.StreamResponse:
-        self._calls[request.method] += 1
+        kind = classify(request)
+        self._count(kind)
         await asyncio.sleep(self._faults.slow_seconds)
         if self._faults.down:
             raise web.HTTPInternalServerError
         response = await answer(request)
-        if request.method == WRITE and self._faults.lose_answers:
+        if kind is CallKind.write and self._faults.lose_answers:
             self._faults.lose_answers -= 1
-            raise web.HTTPInternalServerError
+            _cut(request)
         return response
 
+    def _count(self, kind: CallKind) -> None:
+        counted = getattr(self._counts, kind)
+        setattr(self._counts, kind, counted + 1)
+        limit = self._reads if kind in READS else self._writes
+        if not limit.admit():
+            self._counts.limited += 1
+            raise web.HTTPTooManyRequests
+
     async def _set_faults(self, request: web.Request) -> web.Response:
         body = await request.read()
         self._faults = msgspec.json.decode(body, type=StoreFaults)
+        self._writes.per_second = self._faults.writes_per_second
+        self._reads.per_second = self._faults.reads_per_second
         return web.Response()
 
     async def _report_calls(self, request: web.Request) -> web.Response:
-        return web.json_response(self._calls)
+        return web.Response(
+            body=msgspec.json.encode(self._counts),
+            content_type='application/json',
+        )
+
+
+def _cut(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.abort()
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/machines/__main__.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/machines/__main__.py
@@ -2,6 +2,7 @@
 
 import defopt
 
+from baobabhinge_coordination.clock import SystemClock
 from baobabhinge_standins.machines.app import DocumentApp
 from baobabhinge_standins.serving import serve
 
@@ -14,7 +15,7 @@
     port
         TCP port on the loopback address.
     """
-    serve(DocumentApp().build(), port)
+    serve(DocumentApp(SystemClock()).build(), port)
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of the weight store."""
