Spread load reports by heartbeats and index the list of vms

Cause: one gateway polls a backend server, all of the region route to it; and each question to the list of vms walked all of it. A list that has not changed is not decoded again. Red before the fix of list_polled: "AttributeError: Listed object has no attribute vms" in four tests.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/gateways.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/gateways.py
@@ -7,8 +7,9 @@
     MembershipView,
     MemberState,
 )
+from baobabhinge_gateway.fleet.index import VmIndex
 from baobabhinge_gateway.fleet.ownrecord import convert_member
-from baobabhinge_platform.machines import Role, Vm, VmState
+from baobabhinge_platform.machines import Vm, VmState
 
 
 class GatewayRoll:
@@ -30,30 +31,26 @@
         """Keep the membership."""
         self._members = members
 
-    def combine(self, region: str, vms: Sequence[Vm]) -> Sequence[Vm]:
+    def combine(self, region: str, index: VmIndex) -> Sequence[Vm]:
         """Return the gateways of one region that take new calls.
 
         Parameters
         ----------
         region : str
             The region.
-        vms : sequence of Vm
+        index : VmIndex
             The list of vms as last seen.
         """
-        listed = {
-            vm.name: vm
-            for vm in vms
-            if vm.role is Role.gateway and vm.region == region
-        }
+        listed = {vm.name: vm for vm in index.list_gateways(region)}
         for member in self._members.table.list_region(region):
             if member.name not in listed and self._is_addressed(member):
                 listed[member.name] = convert_member(member)
         return [vm for vm in listed.values() if self._takes_calls(vm)]
 
-    def list_regions(self, vms: Sequence[Vm]) -> Sequence[str]:
+    def list_regions(self, index: VmIndex) -> Sequence[str]:
         """Return the regions in which a gateway is known."""
-        listed = {vm.region for vm in vms if vm.role is Role.gateway}
-        return sorted(listed.union(self._members.table.list_regions()))
+        known = self._members.table.list_regions()
+        return sorted({*known, *index.list_gateway_regions()})
 
     def _is_addressed(self, member: Member) -> bool:
         return member.region == self._members.own.region
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/polling.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/polling.py
@@ -59,6 +59,8 @@
     async def _poll(self) -> None:
         while not self.should_stop:
             share = list_share(self._fleet)
+            listed = {vm.name for vm in self._fleet.list_polled()}
+            self._reports.forget_others(frozenset(listed))
             await asyncio.gather(*[self._ask(vm) for vm in share])
             await self.sleep(POLL_INTERVAL)
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/service.py
@@ -33,6 +33,8 @@
         Names and addresses of this gateway.
     members : MembershipView
         Gateways as they tell each other.
+    reports : LoadReports
+        Load of the backend servers of the region.
     watcher : VmWatcher
         The platform's list as last seen.
     view : FleetView
@@ -50,13 +52,13 @@
         clock = SystemClock()
         self._http = platform.http
         self.identity = identity
-        self._reports = LoadReports(clock)
+        self.reports = LoadReports(clock)
         self.members = build_members(identity, lifecycle, clock)
         self.watcher = VmWatcher(platform.vm_list)
         self.view = FleetView(
             Hop(identity.name, identity.region),
             self.watcher,
-            self._reports,
+            self.reports,
             GatewayRoll(self.members),
         )
 
@@ -64,5 +66,5 @@
         """Start the parts."""
         await self.add_runtime_dependency(self.watcher)
         await self.add_runtime_dependency(
-            LoadPoller(self._http, self.view, self._reports),
+            LoadPoller(self._http, self.view, self.reports),
         )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/tests/test_gateways.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/tests/test_gateways.py
@@ -7,6 +7,7 @@
     MemberState,
 )
 from baobabhinge_gateway.fleet.gateways import GatewayRoll
+from baobabhinge_gateway.fleet.index import VmIndex
 from baobabhinge_platform.machines import Role, Vm, VmState
 
 OWN = 'west-1'
@@ -28,7 +29,7 @@
     view = MembershipView(build_member(OWN), ManualClock())
     for member in members:
         view.table.put(member)
-    return [vm.name for vm in GatewayRoll(view).combine(region, vms)]
+    return [vm.name for vm in GatewayRoll(view).combine(region, VmIndex(vms))]
 
 
 @pytest.mark.parametrize(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/tests/test_reports.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/tests/test_reports.py
@@ -5,8 +5,14 @@
 from baobabhinge_coordination.clock import ManualClock
 from baobabhinge_coordination.membership import Member, MembershipView
 from baobabhinge_gateway.calls import Hop
-from baobabhinge_gateway.fleet import FleetView, LoadReport, LoadReports
+from baobabhinge_gateway.fleet import (
+    FleetView,
+    LoadPart,
+    LoadReport,
+    LoadReports,
+)
 from baobabhinge_gateway.fleet.gateways import GatewayRoll
+from baobabhinge_gateway.fleet.index import VmIndex
 from baobabhinge_gateway.fleet.polling import decode_load, list_share
 from baobabhinge_gateway.fleet.reports import REPORT_LIFETIME
 from baobabhinge_platform.machines import Role, Vm, VmState
@@ -20,7 +26,7 @@
 
 class Listed:
     def __init__(self, *vms):
-        self.vms = vms
+        self.index = VmIndex(vms)
 
 
 def build_vm(name, role=Role.engine, state=VmState.live):
@@ -85,6 +91,22 @@
     assert polled == [vm.name for vm in engines]
 
 
+def test_reports_spread_with_their_age_and_stay_in_the_region():
+    vm = build_vm('e1')
+    clock = ManualClock()
+    parts = []
+    for name in ('g1', 'g2'):
+        reports = LoadReports(clock)
+        view = FleetView(Hop(name, 'west'), Listed(vm), reports, ROLL)
+        parts.append((LoadPart(view, reports), reports))
+    (first, near), (second, far) = parts
+    near.put('e1', build_report(running=7, age=SECOND))
+    clock.advance(SECOND)
+    second.absorb(None, first.compose())
+    assert far.find(vm) == build_report(running=7, age=SECOND * 2)
+    assert first.stays_home
+
+
 def test_the_age_on_the_wire_is_kept():
     body = b'{"running":1,"waiting":2,"slots":8,"age_ms":250}'
     expected = LoadReport(1, 2, 8, False, timedelta(milliseconds=250))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
@@ -6,7 +6,7 @@
 from baobabhinge_gateway.fleet.gateways import GatewayRoll
 from baobabhinge_gateway.fleet.reports import LoadReport, LoadReports
 from baobabhinge_gateway.fleet.watcher import VmWatcher
-from baobabhinge_platform.machines import Role, Vm, VmState
+from baobabhinge_platform.machines import Vm, VmState
 
 
 class FleetView:
@@ -51,35 +51,34 @@
         """
         return [
             vm
-            for vm in self._watcher.vms
-            if vm.service == service
-            and vm.region == region
-            and self._takes_work(vm)
+            for vm in self._watcher.index.list_backends(service, region)
+            if self._takes_work(vm)
         ]
 
     def list_polled(self) -> Sequence[Vm]:
         """Return every backend server of this region, leaving ones too."""
-        return [
-            vm
-            for vm in self._watcher.vms
-            if vm.region == self.home.region and vm.role is not Role.gateway
-        ]
+        return self._watcher.index.list_regional(self.home.region)
 
     def list_gateways(self, region: str | None = None) -> Sequence[Vm]:
         """Return the gateways of one region, or of all, that take calls.
 
         Dead, suspected, leaving and draining ones are left out.
         """
-        vms = self._watcher.vms
-        regions = self._roll.list_regions(vms) if region is None else [region]
-        return [vm for name in regions for vm in self._roll.combine(name, vms)]
+        index = self._watcher.index
+        if region is not None:
+            return self._roll.combine(region, index)
+        return [
+            vm
+            for name in self._roll.list_regions(index)
+            for vm in self._roll.combine(name, index)
+        ]
 
     def find_report(self, vm: Vm) -> LoadReport | None:
         """Return the newest load report of ``vm``, if one is known."""
         return self._reports.find(vm)
 
     def _takes_work(self, vm: Vm) -> bool:
-        if vm.role is Role.gateway or vm.state is not VmState.live:
+        if vm.state is not VmState.live:
             return False
         report = self._reports.find(vm)
         return report is None or not report.draining
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/watcher.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/watcher.py
@@ -5,6 +5,7 @@
 import structlog
 from mode import Service
 
+from baobabhinge_gateway.fleet.index import VmIndex
 from baobabhinge_platform.machines import Vm, VmList, VmListError
 
 POLL_INTERVAL = timedelta(milliseconds=500)
@@ -22,15 +23,16 @@
 
     Attributes
     ----------
-    vms : tuple of Vm
-        Every listed vm.
+    index : VmIndex
+        The list as last seen.
     """
 
     def __init__(self, vm_list: VmList) -> None:
         """Start with no vm known."""
         super().__init__()
         self._vm_list = vm_list
-        self.vms: tuple[Vm, ...] = ()
+        self._vms: tuple[Vm, ...] = ()
+        self.index = VmIndex()
 
     async def on_start(self) -> None:
         """Read the list once before the gateway serves."""
@@ -44,6 +46,10 @@
 
     async def _refresh(self) -> None:
         try:
-            self.vms = await self._vm_list.read()
+            vms = await self._vm_list.read()
         except VmListError as bad:
             log.warning('vm-list-unreadable', reason=type(bad).__name__)
+            return
+        if vms is not self._vms:
+            self._vms = vms
+            self.index = VmIndex(vms)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/addresses.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/addresses.py
@@ -4,7 +4,6 @@
 
 from baobabhinge_coordination.membership import Contact, MembershipView
 from baobabhinge_gateway.fleet import VmWatcher
-from baobabhinge_platform.machines import Role
 
 
 class PeerAddresses:
@@ -39,11 +38,12 @@
     def list_contacts(self) -> Sequence[Contact]:
         """Return every gateway that the settings or the list name."""
         home = self._members.own.region
+        index = self._watcher.index
         seeds = [Contact('', home, address) for address in self._seeds]
         listed = [
             Contact(vm.name, vm.region, vm.address)
-            for vm in self._watcher.vms
-            if vm.role is Role.gateway
+            for region in index.list_gateway_regions()
+            for vm in index.list_gateways(region)
         ]
         return [*seeds, *listed]
 
@@ -51,7 +51,5 @@
         """Return ``host:port`` of a gateway, or ``None`` if it has none."""
         if contact.region == self._members.own.region and contact.address:
             return contact.address
-        for vm in self._watcher.vms:
-            if vm.name == contact.name:
-                return vm.address
-        return None
+        vm = self._watcher.index.by_name.get(contact.name)
+        return None if vm is None else vm.address
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/assembly.py
@@ -6,7 +6,7 @@
 
 from baobabhinge_coordination.clock import SystemClock
 from baobabhinge_gateway.configuration import ActiveConfiguration
-from baobabhinge_gateway.fleet import FleetService
+from baobabhinge_gateway.fleet import FleetService, LoadPart
 from baobabhinge_gateway.lifecycle import Lifecycle
 from baobabhinge_gateway.peers.news import NewsService
 from baobabhinge_gateway.peers.node import PeerNode
@@ -54,6 +54,7 @@
             SystemClock(),
             random,
         )
+        self.node.parts.add(LoadPart(fleet.view, fleet.reports))
         self.routes = (self.node.routes, ReleaseRoutes(active))
         self._parts = (
             ReleaseFetcher(platform.http, active, self.node),
--- a/packages/baobabhinge-platform/src/baobabhinge_platform/machines/listing.py
+++ b/packages/baobabhinge-platform/src/baobabhinge_platform/machines/listing.py
@@ -47,15 +47,17 @@
         Address of the list, with its path.
     """
 
-    __slots__ = ('_address', '_http')
+    __slots__ = ('_address', '_body', '_http', '_vms')
 
     def __init__(self, http: aiohttp.ClientSession, address: str) -> None:
         """Keep the session; no call is made."""
         self._http = http
         self._address = address
+        self._body = b''
+        self._vms: tuple[Vm, ...] = ()
 
     async def read(self) -> tuple[Vm, ...]:
-        """Return every listed vm.
+        """Return every listed vm; the same tuple if nothing has changed.
 
         Raises
         ------
@@ -65,14 +67,20 @@
         limit = aiohttp.ClientTimeout(total=READ_TIMEOUT.total_seconds())
         try:
             async with self._http.get(self._address, timeout=limit) as answer:
-                return _decode(answer.status, await answer.read())
+                return self._take(answer.status, await answer.read())
         except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as bad:
             raise VmListError(str(bad)) from bad
 
+    def _take(self, status: int, body: bytes) -> tuple[Vm, ...]:
+        if status != HTTPStatus.OK:
+            raise VmListError(f'the list of vms answered with status {status}')
+        if body != self._body:
+            self._vms = _decode(body)
+            self._body = body
+        return self._vms
 
-def _decode(status: int, body: bytes) -> tuple[Vm, ...]:
-    if status != HTTPStatus.OK:
-        raise VmListError(f'the list of vms answered with status {status}')
+
+def _decode(body: bytes) -> tuple[Vm, ...]:
     groups = msgspec.json.decode(body, type=list[_TargetGroup])
     return tuple(
         _convert(address, group.labels)
