--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -5,17 +5,19 @@
 from baobabhinge_coordination.generations import ReleaseReader
 from baobabhinge_gateway.callers import (
     CallRoutes,
+    ConnectionEnd,
     EntryReport,
+    HealthReport,
     StatusReport,
     build_call_server,
 )
-from baobabhinge_gateway.calls import Hop, headers
+from baobabhinge_gateway.calls import headers
 from baobabhinge_gateway.configuration import (
     ActiveConfiguration,
     ConfigurationWatcher,
 )
 from baobabhinge_gateway.fleet import FleetService, FleetView
-from baobabhinge_gateway.lifecycle import Lifecycle
+from baobabhinge_gateway.lifecycle import Drainer, create_lifecycle
 from baobabhinge_gateway.listening import Listener
 from baobabhinge_gateway.peers import PeerStack
 from baobabhinge_gateway.platform import Platform, build_http_session
@@ -37,7 +39,7 @@
         super().__init__()
         self._settings = settings
         self._active = ActiveConfiguration()
-        self._lifecycle = Lifecycle()
+        self._lifecycle = create_lifecycle()
 
     async def on_start(self) -> None:
         """Start the parts, listeners last."""
@@ -67,19 +69,27 @@
         peers: PeerStack,
     ) -> None:
         identity = self._settings.identity
-        hop = Hop(identity.name, identity.region)
-        calls = build_call_server(hop, self._active, fleet, platform)
+        calls = build_call_server(
+            self._active,
+            fleet,
+            platform,
+            self._lifecycle,
+        )
+        end = ConnectionEnd(self._lifecycle)
         peer_app = build_app(
             [
+                end,
                 CallRoutes(calls, headers.FORWARD_PREFIX),
                 *peers.routes,
             ],
         )
         caller_app = build_app(
             [
+                end,
                 CallRoutes(calls),
-                EntryReport(identity.region, fleet),
-                StatusReport(hop, self._active, calls.measures),
+                HealthReport(self._active, self._lifecycle),
+                EntryReport(fleet, self._lifecycle),
+                StatusReport(fleet.home, self._active, calls.measures),
             ],
         )
         await self.add_runtime_dependency(
@@ -88,3 +98,4 @@
         await self.add_runtime_dependency(
             Listener(caller_app, identity.caller_address),
         )
+        await self.add_runtime_dependency(Drainer(self._lifecycle))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/opening.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/opening.py
@@ -1,6 +1,7 @@
 """Opening the exchange of one attempt, and refusals in place of an answer."""
 
 from contextlib import AbstractAsyncContextManager, AsyncExitStack
+from datetime import timedelta
 from http import HTTPStatus
 
 from baobabhinge_gateway.backends import Answer
@@ -15,6 +16,8 @@
 from baobabhinge_gateway.routing import Target
 from baobabhinge_settings.model import ServiceKind
 
+EVENT_PATIENCE = timedelta(seconds=2)
+LEAST_PATIENCE = timedelta(milliseconds=100)
 ENGINE_FAILURES = frozenset(
     (
         HTTPStatus.TOO_MANY_REQUESTS,
@@ -26,6 +29,22 @@
 )
 
 
+def measure_patience(call: Call, rest: timedelta) -> Patience:
+    """Return the longest silences of one attempt.
+
+    Half of the time left is kept for the attempts after it.
+
+    Parameters
+    ----------
+    call : Call
+        The call.
+    rest : timedelta
+        Time left until its deadline.
+    """
+    first = max(LEAST_PATIENCE, rest / 2)
+    return Patience(first, EVENT_PATIENCE if call.streamed else first)
+
+
 async def open_within(
     stack: AsyncExitStack,
     exchange: AbstractAsyncContextManager[Answer],
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/members.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/members.py
@@ -1,6 +1,7 @@
 """The vms of a deployment."""
 
 import enum
+from pathlib import Path
 
 import msgspec
 
@@ -57,12 +58,27 @@
         """Return ``host:port`` for callers."""
         return f'{HOST}:{self.caller_port}'
 
-    def list_options(self) -> tuple[str, ...]:
-        """Return the options of the stand-in that runs on this vm."""
-        return (f'--port={self.port}', f'--name={self.name}')
-
-    def render_target(self) -> dict[str, object]:
-        """Return the target group of this vm for the list of vms."""
+    def list_options(self, journal: Path) -> tuple[str, ...]:
+        """Return the options of the stand-in that runs on this vm.
+
+        Parameters
+        ----------
+        journal : Path
+            File that keeps its list of runs.
+        """
+        options = (f'--port={self.port}', f'--journal={journal}')
+        if self.role is Role.engine:
+            return options
+        return (*options, f'--name={self.name}')
+
+    def render_target(self, address: str) -> dict[str, object]:
+        """Return the target group of this vm for the list of vms.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port`` at which the reader of the list reaches this vm.
+        """
         labels = {
             'vm': self.name,
             'region': self.region,
@@ -73,7 +89,7 @@
         }
         if self.caller_port:
             labels['caller_address'] = self.caller_address
-        return {'targets': [self.address], 'labels': labels}
+        return {'targets': [address], 'labels': labels}
 
 
 class Roster:
@@ -89,6 +105,10 @@
         """Return the member called ``name``."""
         return self._members[name]
 
+    def remove(self, name: str) -> None:
+        """Forget the member called ``name``."""
+        self._members.pop(name)
+
     def list_all(self) -> list[Member]:
         """Return every member."""
         return list(self._members.values())
