--- /dev/null
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/backoff/tests/test_pauses.py
@@ -0,0 +1,25 @@
+import random
+from datetime import timedelta
+
+from baobabhinge_coordination.backoff import Backoff
+
+SEED = 51
+
+
+def test_pauses_grow_to_a_bound_and_begin_again_after_a_success():
+    longest = timedelta(seconds=30)
+    backoff = Backoff(random.Random(SEED), timedelta(seconds=1), longest)
+    pauses = [backoff.draw_pause() for _ in range(200)]
+    assert timedelta(seconds=20) < max(pauses) < longest
+    backoff.reset()
+    assert backoff.draw_pause() < timedelta(seconds=1)
+
+
+def test_callers_that_failed_together_come_back_spread_out():
+    pauses = []
+    for caller in range(1000):
+        backoff = Backoff(random.Random(f'{SEED}/{caller}'))
+        for _ in range(10):
+            pause = backoff.draw_pause()
+        pauses.append(int(pause.total_seconds()))
+    assert max(map(pauses.count, range(30))) < 60
