--- a/packages/baobabhinge-standins/src/baobabhinge_standins/demo/__main__.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/demo/__main__.py
@@ -1,58 +1,62 @@
 """Run the demo."""
 
-import asyncio
 import sys
 import tempfile
 from datetime import timedelta
 from pathlib import Path
 
-import aiohttp
 import defopt
 
-from baobabhinge_coordination.clock import SystemClock
-from baobabhinge_standins.demo.player import Player
-from baobabhinge_standins.demo.records import Records, Verdict
-from baobabhinge_standins.demo.script import read_script
-from baobabhinge_standins.fleet import PLANS, Deployment, run_deployment
+from baobabhinge_standins.demo.running import run_demo
+from baobabhinge_standins.demo.table import DemoEnd, render_table
+from baobabhinge_standins.fleet import PLANS
+from baobabhinge_standins.stopping import run_until_stopped
 
-EXAMPLES = Path('examples')
-INTERVAL = timedelta(milliseconds=50)
-DEFAULT_SECONDS = 15
+DEFAULT_SECONDS = 20
+DEFAULT_RATE = 25
+EXIT_STOPPED = 130
 
 
 def main(
-    deployment: str = 'tsukushi', *, seconds: int = DEFAULT_SECONDS
+    deployment: str = 'tsukushi',
+    *,
+    seconds: int = DEFAULT_SECONDS,
+    rate: int = DEFAULT_RATE,
 ) -> None:
     """Run one deployment as real processes and play its requests.
 
+    Exit codes: 0 if every request was answered whole or told that it was not
+    run and none ran twice, 1 if not, 2 for an unknown deployment, 130 if the
+    demo was stopped.
+
     Parameters
     ----------
     deployment
         ``tsukushi`` or ``kranfelder``.
     seconds
         How long requests are sent, in seconds.
+    rate
+        Requests sent a second.
     """
+    if deployment not in PLANS:
+        known = ', '.join(PLANS)
+        sys.stderr.write(f'no deployment {deployment}; known: {known}\n')
+        sys.exit(2)
     span = timedelta(seconds=seconds)
-    records = asyncio.run(_run(deployment, span))
-    sys.stdout.write(f'{records.outcomes}\n')
-    all_answered = set(records.outcomes) == {Verdict.answered}
-    sys.exit(0 if all_answered else 1)
-
-
-async def _run(name: str, span: timedelta) -> Records:
     with tempfile.TemporaryDirectory() as folder:
-        async with run_deployment(PLANS[name], Path(folder)) as running:
-            await running.publish_folder(EXAMPLES / name / 'settings')
-            await running.wait_ready()
-            return await _play(running, name, span)
-
-
-async def _play(running: Deployment, name: str, span: timedelta) -> Records:
-    script = read_script(EXAMPLES / name / 'requests.jsonl')
-    async with aiohttp.ClientSession() as http:
-        player = Player(running, http, SystemClock())
-        await player.play(script, INTERVAL, span)
-    return player.records
+        end = run_until_stopped(
+            run_demo(PLANS[deployment], Path(folder), span, rate),
+        )
+    sys.exit(_report(end))
+
+
+def _report(end: DemoEnd | None) -> int:
+    if end is None:
+        sys.stderr.write('stopped\n')
+        return EXIT_STOPPED
+    table = render_table(end)
+    sys.stdout.write(f'{table}\n')
+    return 0 if end.is_success else 1
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/demo/running.py
@@ -0,0 +1,82 @@
+"""The course of a demo."""
+
+import asyncio
+from datetime import timedelta
+from pathlib import Path
+
+import aiohttp
+
+from baobabhinge_coordination.clock import SystemClock
+from baobabhinge_standins.demo.player import Player
+from baobabhinge_standins.demo.table import DemoEnd, Summary
+from baobabhinge_standins.fleet import (
+    Deployment,
+    DeploymentPlan,
+    run_deployment,
+)
+from baobabhinge_standins.output import show_line
+from baobabhinge_standins.traffic import HttpSender, Records, read_script
+from baobabhinge_standins.traffic.audit import (
+    count_doubled,
+    measure_sent_away,
+    read_journals,
+)
+from baobabhinge_standins.traffic.costs import measure_cost
+
+EXAMPLES = Path('examples')
+ONE_SECOND = timedelta(seconds=1)
+
+
+async def run_demo(
+    plan: DeploymentPlan,
+    folder: Path,
+    span: timedelta,
+    rate: int,
+) -> DemoEnd:
+    """Start a deployment, play its script and return what became of it.
+
+    Parameters
+    ----------
+    plan : DeploymentPlan
+        Deployment to start.
+    folder : Path
+        Folder of logs and journals.
+    span : timedelta
+        How long requests are sent.
+    rate : int
+        Requests sent a second.
+    """
+    show_line(f'{plan.name}: starting {len(plan.gateways)} regions')
+    async with run_deployment(plan, folder) as running:
+        await running.publish_folder(EXAMPLES / plan.name / 'settings')
+        await running.wait_ready()
+        show_line('every gateway serves')
+        records = await _play(running, plan, span, ONE_SECOND / rate)
+        return DemoEnd(records, await _summarize(running, records))
+
+
+async def _play(
+    running: Deployment,
+    plan: DeploymentPlan,
+    span: timedelta,
+    interval: timedelta,
+) -> Records:
+    script = read_script(EXAMPLES / plan.name)
+    clock = SystemClock()
+    async with aiohttp.ClientSession() as http:
+        player = Player(running, HttpSender(http, clock), clock)
+        progress = asyncio.create_task(player.show_progress())
+        try:
+            await player.play(script, interval, span)
+        finally:
+            progress.cancel()
+    return player.records
+
+
+async def _summarize(running: Deployment, records: Records) -> Summary:
+    journals = await read_journals(running)
+    return Summary(
+        count_doubled(journals, records.samples),
+        measure_sent_away(journals, records.samples),
+        await measure_cost(running, journals),
+    )
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/engine/messages.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/messages.py
@@ -57,7 +57,7 @@
 
     def generate_token(self, index: int) -> str:
         """Return the token at ``index``; it depends on the prompt alone."""
-        seed = f'{self.model}\n{self.join_prompt()}\n{index}'
+        seed = f'{self.join_prompt()}\n{index}'
         word = hashlib.sha256(seed.encode()).hexdigest()[:TOKEN_CHARS]
         return f'{word} '
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
@@ -68,7 +68,7 @@
         self._folder = folder
         self._http = http
         self.backends = Backends(http)
-        self.platform = Platform(http)
+        self.platform = Platform(http, has_weights=plan.has_weights)
         self.processes = processes
         self.roster = Roster()
         self.links = Links(http, self.platform.links_address)
@@ -94,6 +94,7 @@
                         self._folder / f'{member.name}.journal',
                     ),
                     *plan.options,
+                    *self.platform.list_options(plan.role),
                 )
                 for member in members
             ),
@@ -101,10 +102,12 @@
 
     async def prepare_gateways(self) -> None:
         """Open the links of every gateway and write the lists of vms."""
+        gateways = self.roster.list_by(Role.gateway)
         await self._views.open_store_links(
-            self.roster.list_by(Role.gateway),
+            gateways,
             self.platform.store_address,
         )
+        await self._views.open_caller_links(gateways)
         await self.vm_lists.publish()
 
     async def start_gateway(self, name: str) -> None:
@@ -115,9 +118,11 @@
         path.write_text(self.platform.render_process_settings(member, store))
         await self.processes.start(name, GATEWAY_MODULE, f'--settings={path}')
 
-    async def publish_vm_list(self) -> None:
-        """Write the list of vms as the roster stands."""
-        await self.vm_lists.publish()
+    def choose_entry(self, region: str, number: int) -> str:
+        """Return where callers of a region reach one of its gateways."""
+        gateways = self.roster.list_by(Role.gateway, region)
+        gateway = gateways[number % len(gateways)]
+        return self._views.get_caller_address(gateway)
 
     async def publish_folder(self, folder: Path) -> None:
         """Publish ``folder`` with the operators' command.
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/plans.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/plans.py
@@ -51,6 +51,11 @@
     faulty_backends, faulty_peers : bool
         Whether backend servers and gateways of the own region are reached
         through links too, so that each of these can fail by itself.
+    caller_latency : timedelta
+        One-way latency between callers and gateways; callers use links if
+        it is not zero.
+    has_weights : bool
+        Whether engines read weights from a weight store.
     """
 
     name: str
@@ -61,6 +66,8 @@
     store_region: str = ''
     faulty_backends: bool = False
     faulty_peers: bool = False
+    caller_latency: timedelta = timedelta()
+    has_weights: bool = False
 
     @property
     def home_of_store(self) -> str:
@@ -103,6 +110,8 @@
         ),
         wan_latency=WAN_LATENCY,
         link_bits_per_second=GIGABIT,
+        caller_latency=timedelta(milliseconds=3),
+        has_weights=True,
     ),
     'kranfelder': DeploymentPlan(
         name='kranfelder',
@@ -121,5 +130,7 @@
         ),
         wan_latency=WAN_LATENCY,
         link_bits_per_second=70 * MEGABIT,
+        caller_latency=timedelta(milliseconds=1),
+        has_weights=True,
     ),
 }
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/platform.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/platform.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from baobabhinge_standins.control import ControlClient
-from baobabhinge_standins.fleet.members import Member
+from baobabhinge_standins.fleet.members import Member, Role
 from baobabhinge_standins.fleet.ports import HOST, reserve_port
 from baobabhinge_standins.fleet.processes import ProcessGroup
 from baobabhinge_standins.fleet.readiness import wait_port
@@ -15,6 +15,7 @@
 STORE = 'keyvalue'
 LISTS = 'lists'
 LINKS = 'links'
+WEIGHTS = 'weights'
 
 
 class StandInPort(msgspec.Struct, frozen=True):
@@ -30,9 +31,11 @@
         return f'http://{HOST}:{self.port}'
 
 
-def choose_ports() -> dict[str, StandInPort]:
+def choose_ports(*, has_weights: bool) -> dict[str, StandInPort]:
     """Return the stand-ins of the platform by name, with free ports."""
     modules = {STORE: 'keyvalue', LISTS: 'machines', LINKS: 'links'}
+    if has_weights:
+        modules[WEIGHTS] = WEIGHTS
     return {
         name: StandInPort(name, f'{PACKAGE}.{module}', reserve_port())
         for name, module in modules.items()
@@ -52,9 +55,14 @@
 
     __slots__ = ('_ports', 'lists', 'store')
 
-    def __init__(self, http: aiohttp.ClientSession) -> None:
+    def __init__(
+        self,
+        http: aiohttp.ClientSession,
+        *,
+        has_weights: bool,
+    ) -> None:
         """Choose ports; start nothing yet."""
-        self._ports = choose_ports()
+        self._ports = choose_ports(has_weights=has_weights)
         self.lists = ControlClient(http, self._ports[LISTS].address)
         self.store = ControlClient(http, self.store_address)
 
@@ -68,6 +76,13 @@
         """Return the address of the control interface of the links."""
         return self._ports[LINKS].address
 
+    def list_options(self, role: Role) -> tuple[str, ...]:
+        """Return the options by which a backend server finds the platform."""
+        weights = self._ports.get(WEIGHTS)
+        if weights is None or role is not Role.engine:
+            return ()
+        return (f'--weights={weights.address}',)
+
     async def start(self, processes: ProcessGroup) -> None:
         """Start the stand-ins and wait until they listen."""
         ports = self._ports.values()
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/views.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/views.py
@@ -9,6 +9,7 @@
 from baobabhinge_standins.links import LinkOrder, Links
 
 STORE = 'store'
+CALLERS = 'callers'
 MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -38,8 +39,9 @@
     ) -> None:
         """Open a link from each gateway to the key-value service."""
         region = self._plan.home_of_store
+        target = address.removeprefix('http://')
         self._ports |= await self._links.add(
-            self._order(gateway, STORE, region, address.removeprefix('http://'))
+            _order(self._plan, gateway, STORE, region, target)
             for gateway in gateways
         )
 
@@ -50,14 +52,35 @@
     ) -> None:
         """Open the missing links from a gateway to ``members``."""
         orders = [
-            self._order(viewer, member.name, member.region, member.address)
+            _order(
+                self._plan, viewer, member.name, member.region, member.address
+            )
             for member in members
-            if self._is_linked(viewer, member)
+            if _is_linked(self._plan, viewer, member)
         ]
         missing = [order for order in orders if order.name not in self._ports]
         if missing:
             self._ports |= await self._links.add(missing)
 
+    async def open_caller_links(self, gateways: Iterable[Member]) -> None:
+        """Open a link from the callers to each gateway, if the plan says so."""
+        if self._plan.caller_latency:
+            self._ports |= await self._links.add(
+                LinkOrder(
+                    name_link(CALLERS, gateway.name),
+                    gateway.caller_address,
+                    gateway.region,
+                    gateway.region,
+                    self._plan.caller_latency / MILLISECOND,
+                )
+                for gateway in gateways
+            )
+
+    def get_caller_address(self, gateway: Member) -> str:
+        """Return the address at which callers reach ``gateway``."""
+        port = self._ports.get(name_link(CALLERS, gateway.name))
+        return f'{HOST}:{port}' if port else gateway.caller_address
+
     def get_address(self, viewer: Member, member: Member) -> str:
         """Return the address at which ``viewer`` reaches ``member``."""
         port = self._ports.get(name_link(viewer.name, member.name))
@@ -68,35 +91,37 @@
         port = self._ports[name_link(viewer.name, STORE)]
         return f'http://{HOST}:{port}'
 
-    def _is_linked(self, viewer: Member, member: Member) -> bool:
-        if viewer.name == member.name:
-            return False
-        if viewer.region != member.region:
-            return True
-        if member.role is Role.gateway:
-            return self._plan.faulty_peers
-        return self._plan.faulty_backends
-
-    def _order(
-        self,
-        viewer: Member,
-        name: str,
-        region: str,
-        address: str,
-    ) -> LinkOrder:
-        link = name_link(viewer.name, name)
-        if viewer.region == region:
-            return LinkOrder(link, address, region, region)
-        return LinkOrder(
-            link,
-            address,
-            viewer.region,
-            region,
-            self._plan.wan_latency / MILLISECOND,
-            self._plan.link_bits_per_second,
-        )
-
 
 def name_link(source: str, destination: str) -> str:
     """Return the name of the link between two members."""
     return f'{source}>{destination}'
+
+
+def _is_linked(plan: DeploymentPlan, viewer: Member, member: Member) -> bool:
+    if viewer.name == member.name:
+        return False
+    if viewer.region != member.region:
+        return True
+    if member.role is Role.gateway:
+        return plan.faulty_peers
+    return plan.faulty_backends
+
+
+def _order(
+    plan: DeploymentPlan,
+    viewer: Member,
+    name: str,
+    region: str,
+    target: str,
+) -> LinkOrder:
+    link = name_link(viewer.name, name)
+    if viewer.region == region:
+        return LinkOrder(link, target, region, region)
+    return LinkOrder(
+        link,
+        target,
+        viewer.region,
+        region,
+        plan.wan_latency / MILLISECOND,
+        plan.link_bits_per_second,
+    )
