Publish by merging with what others published, and never guess the outcome

Cause: a lost race was refused even when other files had changed; a lost answer of the swap was reported as a failure; texts were never removed; there was no record of who changed what. Now: changes name the text they started from; other files are merged and the whole is checked again; the identifier is read back after a lost answer, and a swap that may still come keeps the outcome open until the manifest has another revision; unused keys are deleted only at the revision that was seen before the own swap; records are kept for 1,000 generations; what a peer lacks is sent as the difference to the publication that it names. The operators' command is split into commands and queries.

--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/__init__.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/__init__.py
@@ -1,15 +1,63 @@
 """Configurations that are accepted whole and never go back."""
 
+from baobabhinge_coordination.generations.audit import (
+    AuditedFile as AuditedFile,
+)
+from baobabhinge_coordination.generations.audit import (
+    AuditReader as AuditReader,
+)
+from baobabhinge_coordination.generations.audit import (
+    AuditRecord as AuditRecord,
+)
+from baobabhinge_coordination.generations.deltas import (
+    DeltaMismatchError as DeltaMismatchError,
+)
+from baobabhinge_coordination.generations.deltas import (
+    ReleaseDelta as ReleaseDelta,
+)
+from baobabhinge_coordination.generations.deltas import (
+    apply_delta as apply_delta,
+)
+from baobabhinge_coordination.generations.deltas import (
+    select_newer as select_newer,
+)
+from baobabhinge_coordination.generations.digests import (
+    compute_digest as compute_digest,
+)
+from baobabhinge_coordination.generations.errors import (
+    BaseUnknownError as BaseUnknownError,
+)
+from baobabhinge_coordination.generations.errors import (
+    PublishConflictError as PublishConflictError,
+)
+from baobabhinge_coordination.generations.errors import (
+    PublishError as PublishError,
+)
+from baobabhinge_coordination.generations.errors import (
+    PublishRacedError as PublishRacedError,
+)
+from baobabhinge_coordination.generations.errors import (
+    PublishUnavailableError as PublishUnavailableError,
+)
+from baobabhinge_coordination.generations.errors import (
+    PublishUnknownError as PublishUnknownError,
+)
 from baobabhinge_coordination.generations.messages import Manifest as Manifest
 from baobabhinge_coordination.generations.messages import (
     ManifestFile as ManifestFile,
 )
+from baobabhinge_coordination.generations.messages import (
+    Publication as Publication,
+)
 from baobabhinge_coordination.generations.messages import Release as Release
 from baobabhinge_coordination.generations.messages import (
     ReleaseFile as ReleaseFile,
 )
-from baobabhinge_coordination.generations.publishing import (
-    PublishConflictError as PublishConflictError,
+from baobabhinge_coordination.generations.planning import (
+    FileChange as FileChange,
+)
+from baobabhinge_coordination.generations.planning import (
+    PublishRequest as PublishRequest,
 )
 from baobabhinge_coordination.generations.publishing import (
     Publisher as Publisher,
@@ -17,3 +65,6 @@
 from baobabhinge_coordination.generations.reading import (
     ReleaseReader as ReleaseReader,
 )
+from baobabhinge_coordination.generations.watchers import (
+    is_watcher as is_watcher,
+)
--- /dev/null
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/audit.py
@@ -0,0 +1,159 @@
+"""Records of the accepted changes, kept in the key-value service."""
+
+from collections.abc import Iterable, Sequence
+from datetime import datetime
+
+import msgspec
+
+from baobabhinge_coordination.generations.errors import BaseUnknownError
+from baobabhinge_coordination.generations.messages import (
+    MANIFEST_KEY,
+    Manifest,
+)
+from baobabhinge_coordination.generations.planning import map_digests
+from baobabhinge_coordination.generations.reading import decode_manifest
+from baobabhinge_coordination.store import KeyValueStore
+
+AUDIT_PREFIX = 'baobabhinge/audit/'
+RECORDS_KEPT = 1000
+GENERATION_DIGITS = 12
+
+
+class AuditedFile(msgspec.Struct, frozen=True):
+    """A change of one file; an empty digest stands for no file."""
+
+    name: str
+    before: str
+    after: str
+
+
+class AuditRecord(msgspec.Struct, frozen=True):
+    """One accepted publication.
+
+    Parameters
+    ----------
+    publish_id, author : str
+        Which publication, and who made it.
+    instant : datetime
+        When, on the clock of its author.
+    from_generation, to_generation : int
+        Generations before and after.
+    files : tuple of AuditedFile
+        What was changed.
+    attempt : int
+        How often its author tried before.
+    """
+
+    publish_id: str
+    author: str
+    instant: datetime
+    from_generation: int
+    to_generation: int
+    files: tuple[AuditedFile, ...]
+    attempt: int = 0
+
+
+def name_record(generation: int, publish_id: str) -> str:
+    """Return the key of the record of one publication."""
+    number = str(generation).zfill(GENERATION_DIGITS)
+    return f'{AUDIT_PREFIX}{number}/{publish_id}'
+
+
+def parse_generation(key: str) -> int:
+    """Return the generation in the key of a record."""
+    return int(key.removeprefix(AUDIT_PREFIX).partition('/')[0])
+
+
+def compare_manifests(
+    before: Manifest,
+    after: Manifest,
+) -> tuple[AuditedFile, ...]:
+    """Return what changed from one manifest to another, by name."""
+    old = map_digests(before)
+    new = map_digests(after)
+    return tuple(
+        AuditedFile(name, old.get(name, ''), new.get(name, ''))
+        for name in sorted({*old, *new})
+        if old.get(name) != new.get(name)
+    )
+
+
+class AuditReader:
+    """Read the records of accepted publications.
+
+    Parameters
+    ----------
+    store : KeyValueStore
+        The key-value service.
+    """
+
+    __slots__ = ('_store',)
+
+    def __init__(self, store: KeyValueStore) -> None:
+        """Keep the store; no call is made."""
+        self._store = store
+
+    async def read_last(self, limit: int) -> Sequence[AuditRecord]:
+        """Return at most ``limit`` records, the newest one first."""
+        stored = await self._store.read(MANIFEST_KEY)
+        keys = await self._list_accepted(decode_manifest(stored.body))
+        bodies = [await self._store.read(key) for key in keys[:limit]]
+        return [
+            msgspec.json.decode(record.body, type=AuditRecord)
+            for record in bodies
+            if record.revision
+        ]
+
+    async def read_current_digests(self) -> dict[str, str]:
+        """Return the digest of each file in force."""
+        stored = await self._store.read(MANIFEST_KEY)
+        return map_digests(decode_manifest(stored.body))
+
+    async def read_digests(self, generation: int) -> dict[str, str]:
+        """Return the digest of each file that ``generation`` had.
+
+        Raises
+        ------
+        BaseUnknownError
+            If the records do not reach back that far.
+        """
+        stored = await self._store.read(MANIFEST_KEY)
+        manifest = decode_manifest(stored.body)
+        records = await self.read_last(manifest.generation - generation)
+        return _walk_back(manifest, records, generation)
+
+    async def _list_accepted(self, manifest: Manifest) -> Sequence[str]:
+        recent = {
+            name_record(known.generation, known.publish_id)
+            for known in manifest.history
+        }
+        oldest = min(
+            (known.generation for known in manifest.history), default=0
+        )
+        listed = await self._store.list_keys(AUDIT_PREFIX)
+        return sorted(
+            (
+                key
+                for key in listed
+                if key in recent or parse_generation(key) < oldest
+            ),
+            reverse=True,
+        )
+
+
+def _walk_back(
+    manifest: Manifest,
+    records: Iterable[AuditRecord],
+    generation: int,
+) -> dict[str, str]:
+    digests = map_digests(manifest)
+    reached = manifest.generation
+    for record in records:
+        if reached > generation and record.to_generation == reached:
+            reached = record.from_generation
+            digests.update(
+                (audited.name, audited.before) for audited in record.files
+            )
+    if reached != generation:
+        raise BaseUnknownError(generation)
+    return {name: digest for name, digest in digests.items() if digest}
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/publishing.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/publishing.py
@@ -1,81 +1,152 @@
-"""Publishing a changed folder as the next generation."""
+"""Publishing changes as the next generation."""
 
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
+from datetime import timedelta
 
-import msgspec
-
-from baobabhinge_coordination.errors import CoordinationError
-from baobabhinge_coordination.generations.digests import compute_digest
+from baobabhinge_coordination.clock import Clock
+from baobabhinge_coordination.generations.attempts import Attempt, Doubt
+from baobabhinge_coordination.generations.errors import (
+    BodyMissingError,
+    PublishUnavailableError,
+)
 from baobabhinge_coordination.generations.messages import (
-    BODY_PREFIX,
     MANIFEST_KEY,
-    Manifest,
-    ManifestFile,
+    Publication,
     ReleaseFile,
 )
-from baobabhinge_coordination.generations.reading import decode_manifest
-from baobabhinge_coordination.store import KeyValueStore
+from baobabhinge_coordination.generations.planning import (
+    PublishRequest,
+    plan_next,
+)
+from baobabhinge_coordination.generations.reading import (
+    ReleaseReader,
+    decode_manifest,
+)
+from baobabhinge_coordination.generations.writing import ManifestWriter
+from baobabhinge_coordination.store import (
+    KeyValueStore,
+    StoreAnswerLostError,
+    StoreError,
+)
 
+MAX_ATTEMPTS = 20
+READ_BACK_PAUSE = timedelta(milliseconds=500)
 
-class PublishConflictError(CoordinationError):
-    """Another publication was accepted meanwhile."""
+Checker = Callable[[Sequence[ReleaseFile]], None]
+Pause = Callable[[timedelta], Awaitable[None]]
 
 
 class Publisher:
-    """Write bodies, then swap the manifest.
+    """Check the merged whole, write bodies, then swap the manifest.
 
     Parameters
     ----------
     store : KeyValueStore
         The key-value service.
-    author : str
-        Who publishes.
+    check : callable
+        Raises an error of its own when the files can't be in force together.
+    clock : Clock
+        Clock of the audit records.
+    pause : callable
+        Waits for a duration.
     """
 
-    __slots__ = ('_author', '_store')
+    __slots__ = ('_check', '_pause', '_reader', '_store', '_writer')
 
-    def __init__(self, store: KeyValueStore, author: str) -> None:
-        """Keep the store; no call is made."""
+    def __init__(
+        self,
+        store: KeyValueStore,
+        check: Checker,
+        clock: Clock,
+        pause: Pause,
+    ) -> None:
+        """Keep the parts; no call is made."""
         self._store = store
-        self._author = author
+        self._reader = ReleaseReader(store)
+        self._writer = ManifestWriter(store, clock)
+        self._check = check
+        self._pause = pause
 
-    async def publish(
-        self,
-        files: Sequence[ReleaseFile],
-        publish_id: str,
-    ) -> int:
-        """Make ``files`` the next generation.
-
-        Parameters
-        ----------
-        files : sequence of ReleaseFile
-            The whole folder.
-        publish_id : str
-            Identifier of this publication, new for each.
+    async def publish(self, request: PublishRequest) -> Publication:
+        """Make the changes of ``request`` part of the next generation.
+
+        Changes of other files that were accepted meanwhile are kept, and the
+        merged whole is checked again.
 
         Returns
         -------
-        int
-            The accepted generation.
+        Publication
+            The accepted generation, or the one in force if nothing changes.
 
         Raises
         ------
         PublishConflictError
-            If another publication was accepted meanwhile.
+            If someone else changed the same files; nothing was changed.
+        PublishRacedError
+            If others came first each time; nothing was changed.
+        PublishUnavailableError
+            If the service failed; nothing was changed.
+        PublishUnknownError
+            If the changes may have been accepted.
         """
+        doubt = Doubt()
+        for number in range(MAX_ATTEMPTS):
+            accepted = await self._try_or_wait(request, doubt, number)
+            if accepted is not None:
+                return accepted
+        raise doubt.build_error(request.publish_id)
+
+    async def _try_or_wait(
+        self,
+        request: PublishRequest,
+        doubt: Doubt,
+        number: int,
+    ) -> Publication | None:
+        try:
+            return await self._try_once(request, doubt, number)
+        except BodyMissingError:
+            return None
+        except StoreError as failed:
+            if not doubt.is_open:
+                raise PublishUnavailableError(str(failed)) from failed
+        await self._pause(READ_BACK_PAUSE)
+        return None
+
+    async def _try_once(
+        self,
+        request: PublishRequest,
+        doubt: Doubt,
+        number: int,
+    ) -> Publication | None:
         stored = await self._store.read(MANIFEST_KEY)
-        manifest = Manifest(
-            decode_manifest(stored.body).generation + 1,
-            publish_id,
-            tuple([await self._write_body(source) for source in files]),
-        )
-        encoded = msgspec.json.encode(manifest)
-        if await self._store.swap(MANIFEST_KEY, encoded, stored.revision):
-            return manifest.generation
-        raise PublishConflictError('another publication came first; try again')
-
-    async def _write_body(self, source: ReleaseFile) -> ManifestFile:
-        digest = compute_digest(source.text)
-        key = f'{BODY_PREFIX}{digest}'
-        await self._store.swap(key, source.text.encode(), 0)
-        return ManifestFile(source.name, digest, self._author)
+        manifest = decode_manifest(stored.body)
+        accepted = manifest.find_publication(request.publish_id)
+        if accepted is not None:
+            return accepted
+        doubt.settle(stored.revision)
+        planned = plan_next(manifest, request)
+        if planned is manifest:
+            return Publication(manifest.generation, manifest.publish_id)
+        attempt = Attempt(request, manifest, planned, stored.revision, number)
+        await self._check_whole(attempt)
+        return await self._swap(attempt, doubt)
+
+    async def _check_whole(self, attempt: Attempt) -> None:
+        release = await self._reader.load(attempt.manifest)
+        self._check(attempt.merge_files(release))
+
+    async def _swap(
+        self,
+        attempt: Attempt,
+        doubt: Doubt,
+    ) -> Publication | None:
+        await self._writer.prepare(attempt)
+        try:
+            swapped = await self._writer.swap(attempt)
+        except StoreAnswerLostError:
+            doubt.open(attempt.revision)
+            raise
+        if not swapped:
+            return None
+        await self._writer.clean_up()
+        return attempt.planned.history[-1]
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/reading.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/reading.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from baobabhinge_coordination.generations.errors import BodyMissingError
 from baobabhinge_coordination.generations.messages import (
     BODY_PREFIX,
     MANIFEST_KEY,
@@ -12,7 +13,23 @@
     Release,
     ReleaseFile,
 )
-from baobabhinge_coordination.store import KeyValueStore
+from baobabhinge_coordination.store import ABSENT_REVISION, KeyValueStore
+
+
+class FileBody(msgspec.Struct, frozen=True):
+    """A text as it is stored.
+
+    Parameters
+    ----------
+    text : str
+        Text of the file.
+    writer : str
+        Publication and attempt that wrote it last; it makes each writing
+        change the stored bytes, and so the revision.
+    """
+
+    text: str
+    writer: str
 
 
 class ReleaseReader:
@@ -29,7 +46,7 @@
     def __init__(self, store: KeyValueStore) -> None:
         """Start before the first manifest."""
         self._store = store
-        self._revision = 0
+        self._revision = ABSENT_REVISION
         self._texts: dict[str, str] = {}
 
     async def read_current(self) -> Release | None:
@@ -37,22 +54,34 @@
         stored = await self._store.read(MANIFEST_KEY)
         if not stored.revision:
             return None
-        return await self._load(decode_manifest(stored.body))
+        return await self.load(decode_manifest(stored.body))
 
     async def wait_newer(self, patience: timedelta) -> Release | None:
-        """Return the next release, or ``None`` when ``patience`` ends."""
+        """Return the next release, or ``None`` when ``patience`` ends.
+
+        ``None`` comes at once when the service holds no manifest.
+        """
         stored = await self._store.watch(
             MANIFEST_KEY,
             self._revision,
             patience,
         )
-        if stored.revision <= self._revision:
+        if stored.revision == self._revision:
             return None
-        release = await self._load(decode_manifest(stored.body))
+        release = None
+        if stored.revision:
+            release = await self.load(decode_manifest(stored.body))
         self._revision = stored.revision
         return release
 
-    async def _load(self, manifest: Manifest) -> Release:
+    async def load(self, manifest: Manifest) -> Release:
+        """Return the release of ``manifest``.
+
+        Raises
+        ------
+        BodyMissingError
+            If a newer manifest has replaced it meanwhile.
+        """
         files = [await self._load_file(listed) for listed in manifest.files]
         kept = {listed.digest for listed in manifest.files}
         self._texts = {
@@ -60,15 +89,25 @@
             for digest, text in self._texts.items()
             if digest in kept
         }
-        return Release(manifest.generation, tuple(files))
+        return Release(
+            manifest.generation,
+            tuple(files),
+            manifest.removed,
+            manifest.history,
+        )
 
     async def _load_file(self, listed: ManifestFile) -> ReleaseFile:
         text = self._texts.get(listed.digest)
         if text is None:
-            stored = await self._store.read(f'{BODY_PREFIX}{listed.digest}')
-            text = stored.body.decode()
+            text = await self._read_text(listed)
             self._texts[listed.digest] = text
-        return ReleaseFile(listed.name, text)
+        return ReleaseFile(listed.name, text, listed.generation)
+
+    async def _read_text(self, listed: ManifestFile) -> str:
+        stored = await self._store.read(f'{BODY_PREFIX}{listed.digest}')
+        if not stored.revision:
+            raise BodyMissingError(f'the text of {listed.name} was replaced')
+        return msgspec.json.decode(stored.body, type=FileBody).text
 
 
 def decode_manifest(body: bytes) -> Manifest:
--- /dev/null
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/tests/test_deltas.py
@@ -0,0 +1,55 @@
+"""What a peer with an older release gets."""
+
+import asyncio
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from baobabhinge_coordination.generations import (
+    Manifest,
+    Publication,
+    Release,
+    ReleaseReader,
+    apply_delta,
+    compute_digest,
+    select_newer,
+)
+from baobabhinge_coordination.generations.planning import plan_next
+from baobabhinge_coordination.generations.tests.builders import build_request
+from baobabhinge_coordination.generations.tests.memory import MemoryStore
+from baobabhinge_coordination.generations.tests.test_races import EDITS
+
+
+def build_release(manifest, texts):
+    reader = ReleaseReader(MemoryStore())
+    reader._texts = {compute_digest(text): text for text in texts}
+    return asyncio.run(reader.load(manifest))
+
+
+def list_releases(all_edits):
+    """Return the releases that edits of files lead to, one after another."""
+    manifest = Manifest()
+    releases = [Release()]
+    for number, edits in enumerate(all_edits):
+        digests = {listed.name: listed.digest for listed in manifest.files}
+        request = build_request(str(number), edits, digests)
+        manifest = plan_next(manifest, request)
+        releases.append(build_release(manifest, ('x', 'y', 'z')))
+    return releases
+
+
+@given(st.lists(EDITS, max_size=12), st.data())
+def test_delta_leads_to_the_release(all_edits, drawn):
+    releases = list_releases(all_edits)
+    older = drawn.draw(st.sampled_from(releases))
+    newer = releases[-1]
+    delta = select_newer(newer, older.publication)
+    assert apply_delta(older, delta) == newer
+    if older.generation:
+        assert not set(delta.files).intersection(older.files)
+
+
+def test_delta_of_another_history_is_the_whole_release():
+    release = Release(3, (), (), (Publication(2, 'x'), Publication(3, 'y')))
+    assert not select_newer(release, Publication(2, 'other')).since.generation
+    assert select_newer(release, Publication(2, 'x')).since.generation == 2
--- /dev/null
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/tests/test_races.py
@@ -0,0 +1,131 @@
+"""Racing publications with lost answers and failures, in any order."""
+
+import asyncio
+
+from hypothesis import event, given, settings
+from hypothesis import strategies as st
+
+from baobabhinge_coordination.generations import (
+    Publication,
+    PublishConflictError,
+    PublishRacedError,
+    PublishUnavailableError,
+    PublishUnknownError,
+    compute_digest,
+)
+from baobabhinge_coordination.generations.messages import BODY_PREFIX
+from baobabhinge_coordination.generations.tests.builders import (
+    build_publisher,
+    build_request,
+    publish_now,
+    read_manifest,
+)
+from baobabhinge_coordination.generations.tests.memory import (
+    FAULTS,
+    NO_FAULT,
+    MemoryStore,
+    run_interleaved,
+)
+
+NAMES = st.sampled_from(('10.ini', '20.ini', '30.ini'))
+TEXTS = st.one_of(st.none(), st.sampled_from(('x', 'y', 'z')))
+EDITS = st.dictionaries(NAMES, TEXTS, min_size=1)
+NOT_ACCEPTED = (
+    PublishConflictError,
+    PublishRacedError,
+    PublishUnavailableError,
+)
+
+
+class WatchedStore(MemoryStore):
+    """Checks after each write that the manifest has all its bodies."""
+
+    def _swap(self, key, body, expected):
+        before = read_manifest(self)
+        done = super()._swap(key, body, expected)
+        self._check(before)
+        return done
+
+    def _delete(self, key, expected):
+        before = read_manifest(self)
+        done = super()._delete(key, expected)
+        self._check(before)
+        return done
+
+    def _check(self, before):
+        manifest = read_manifest(self)
+        assert manifest == before or manifest.generation > before.generation
+        for listed in manifest.files:
+            assert f'{BODY_PREFIX}{listed.digest}' in self.rows
+
+
+class Turns:
+    """Faults and turns that a test draws."""
+
+    def __init__(self, drawn):
+        self._drawn = drawn
+        self._faulty_calls = drawn.draw(st.integers(0, 12), 'faulty calls')
+
+    def draw_fault(self, method, key):
+        if not self._faulty_calls:
+            return NO_FAULT
+        self._faulty_calls -= 1
+        return self._drawn.draw(st.sampled_from(FAULTS), 'fault')
+
+    def draw_index(self, count):
+        return self._drawn.draw(st.integers(0, count - 1), 'turn')
+
+
+def check_outcome(manifest, request, outcome):
+    """Check the outcome against what the store holds."""
+    event(type(outcome).__name__)
+    known = manifest.find_publication(request.publish_id)
+    if isinstance(outcome, NOT_ACCEPTED):
+        assert known is None
+    elif not isinstance(outcome, PublishUnknownError):
+        assert isinstance(outcome, Publication), outcome
+        assert outcome.publish_id != request.publish_id or known == outcome
+
+
+def replay(manifest, requests):
+    """Return the digests that the accepted requests lead to, in their order.
+
+    Each has to have started from what was in force, or to change nothing.
+    """
+    by_id = {request.publish_id: request for request in requests}
+    digests = {}
+    for publication in manifest.history:
+        for change in by_id[publication.publish_id].changes:
+            in_force = digests.get(change.name, '')
+            assert in_force in {change.before, change.after}
+            digests[change.name] = change.after
+    return {name: digest for name, digest in digests.items() if digest}
+
+
+@settings(max_examples=400, deadline=None)
+@given(st.lists(EDITS, min_size=2, max_size=4), st.data())
+def test_races_and_faults_lose_and_double_nothing(all_edits, drawn):
+    """Acceptance is never claimed or denied wrongly, and texts are kept."""
+    store = WatchedStore()
+    first = build_request('first', {'10.ini': 'w'}, {})
+    publish_now(store, first)
+    turns = Turns(drawn)
+    store.draw_fault = turns.draw_fault
+    digests = {'10.ini': compute_digest('w')}
+    requests = [
+        build_request(str(number), edits, digests)
+        for number, edits in enumerate(all_edits)
+    ]
+
+    async def run():
+        pending = [
+            build_publisher(store).publish(request) for request in requests
+        ]
+        return await run_interleaved(store, turns.draw_index, *pending)
+
+    outcomes = asyncio.run(run())
+    manifest = read_manifest(store)
+    for request, outcome in zip(requests, outcomes, strict=True):
+        check_outcome(manifest, request, outcome)
+    found = {listed.name: listed.digest for listed in manifest.files}
+    assert found == replay(manifest, [first, *requests])
--- /dev/null
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/writing.py
@@ -0,0 +1,85 @@
+"""Writing what a publication consists of."""
+
+from collections.abc import Sequence
+from contextlib import suppress
+
+import msgspec
+
+from baobabhinge_coordination.clock import Clock
+from baobabhinge_coordination.generations.attempts import Attempt
+from baobabhinge_coordination.generations.audit import (
+    AuditRecord,
+    compare_manifests,
+    name_record,
+)
+from baobabhinge_coordination.generations.messages import (
+    BODY_PREFIX,
+    MANIFEST_KEY,
+)
+from baobabhinge_coordination.generations.reading import FileBody
+from baobabhinge_coordination.generations.sweeping import Sweeper
+from baobabhinge_coordination.store import (
+    KeyValueStore,
+    StoredValue,
+    StoreError,
+)
+
+
+class ManifestWriter:
+    """Write bodies and record, swap the manifest, sweep unused keys.
+
+    Parameters
+    ----------
+    store : KeyValueStore
+        The key-value service.
+    clock : Clock
+        Clock of the audit records.
+    """
+
+    __slots__ = ('_clock', '_observed', '_store', '_sweeper')
+
+    def __init__(self, store: KeyValueStore, clock: Clock) -> None:
+        """Keep the parts; no call is made."""
+        self._store = store
+        self._clock = clock
+        self._sweeper = Sweeper(store)
+        self._observed: Sequence[StoredValue] = ()
+
+    async def prepare(self, attempt: Attempt) -> None:
+        """Write everything that the planned manifest refers to."""
+        for change in attempt.request.changes:
+            if change.text is not None:
+                body = FileBody(change.text, attempt.writer)
+                await self._overwrite(f'{BODY_PREFIX}{change.after}', body)
+        record = self._build_record(attempt)
+        key = name_record(record.to_generation, record.publish_id)
+        await self._overwrite(key, record)
+        self._observed = await self._sweeper.observe(attempt.planned)
+
+    async def swap(self, attempt: Attempt) -> bool:
+        """Replace the manifest if it is still the one in force."""
+        encoded = msgspec.json.encode(attempt.planned)
+        return await self._store.swap(MANIFEST_KEY, encoded, attempt.revision)
+
+    async def clean_up(self) -> None:
+        """Remove what was unused before the swap; a failure is harmless."""
+        with suppress(StoreError):
+            await self._sweeper.remove(self._observed)
+
+    def _build_record(self, attempt: Attempt) -> AuditRecord:
+        return AuditRecord(
+            attempt.request.publish_id,
+            attempt.request.author,
+            self._clock.read_instant(),
+            attempt.manifest.generation,
+            attempt.planned.generation,
+            compare_manifests(attempt.manifest, attempt.planned),
+            attempt.number,
+        )
+
+    async def _overwrite(self, key: str, body: msgspec.Struct) -> None:
+        encoded = msgspec.json.encode(body)
+        written = False
+        while not written:
+            stored = await self._store.read(key)
+            written = await self._store.swap(key, encoded, stored.revision)
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/store/__init__.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/store/__init__.py
@@ -7,6 +7,9 @@
 from baobabhinge_coordination.store.errors import (
     StoreUnavailableError as StoreUnavailableError,
 )
+from baobabhinge_coordination.store.protocol import (
+    ABSENT_REVISION as ABSENT_REVISION,
+)
 from baobabhinge_coordination.store.protocol import (
     KeyValueStore as KeyValueStore,
 )
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/store/protocol.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/store/protocol.py
@@ -52,6 +52,12 @@
     async def swap(self, key: str, body: bytes, expected: int) -> bool:
         """Write ``body`` if the revision still is ``expected``."""
 
+    async def delete(self, key: str, expected: int) -> bool:
+        """Delete ``key`` if the revision still is ``expected``."""
+
+    async def list_keys(self, prefix: str) -> list[str]:
+        """Return the keys that start with ``prefix``, in their order."""
+
 
 class LeaseStore(Protocol):
     """Leases, and keys held under them.
--- /dev/null
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/addresses.py
@@ -0,0 +1,97 @@
+"""The operator's settings file: addresses, and who the author is."""
+
+import configparser
+import getpass
+import os
+from pathlib import Path
+
+import msgspec
+
+from baobabhinge_operator.errors import OperatorSettingsError
+
+PATH_VARIABLE = 'BAOBABHINGE_SETTINGS'
+DEFAULT_PATH = 'baobabhinge.ini'
+SECTION = 'operator'
+UNUSABLE = (OSError, ValueError, KeyError, configparser.Error)
+
+
+class Addresses(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The ``[operator]`` section.
+
+    Parameters
+    ----------
+    author : str
+        Who publishes; the name of the login if it is not set.
+    key_value : str
+        Base URL of the key-value service.
+    gateways : str
+        ``host:port`` of some gateways, with commas between them.
+    """
+
+    author: str = ''
+    key_value: str = ''
+    gateways: str = ''
+
+    @property
+    def publisher(self) -> str:
+        """Return who publishes."""
+        return self.author or getpass.getuser()
+
+    def list_gateways(self, given: str | None) -> list[str]:
+        """Return the gateways to ask, ``given`` ones before the written ones.
+
+        Raises
+        ------
+        OperatorSettingsError
+            If there are none.
+        """
+        listed = (given or self.gateways).split(',')
+        gateways = [address.strip() for address in listed if address.strip()]
+        if gateways:
+            return gateways
+        raise OperatorSettingsError(
+            'no gateway is named; give --gateway or the key "gateways"',
+        )
+
+    def choose_store(self, given: str | None) -> str:
+        """Return the address of the key-value service.
+
+        Raises
+        ------
+        OperatorSettingsError
+            If there is none.
+        """
+        address = given or self.key_value
+        if address:
+            return address
+        raise OperatorSettingsError(
+            'no key-value service is named; give --key-value or the key'
+            ' "key-value"',
+        )
+
+
+def read_addresses() -> Addresses:
+    """Read the operator's settings file, if there is one.
+
+    Raises
+    ------
+    OperatorSettingsError
+        If it can't be read or has unknown keys.
+    """
+    path = Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
+    if not path.exists():
+        return Addresses()
+    try:
+        return _parse(path.read_text(encoding='utf-8'))
+    except UNUSABLE as bad:
+        raise OperatorSettingsError(f'{path}: {bad}') from bad
+
+
+def _parse(text: str) -> Addresses:
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read_string(text)
+    keys = {
+        key.replace('-', '_'): written
+        for key, written in parser[SECTION].items()
+    }
+    return msgspec.convert(keys, type=Addresses)
--- a/packages/baobabhinge-operator/src/baobabhinge_operator/cli.py
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/cli.py
@@ -1,82 +1,57 @@
-"""Commands of the operators."""
+"""The command line."""
 
 import asyncio
-import getpass
+import functools
 import sys
-import uuid
-from collections.abc import Coroutine
-from pathlib import Path
+from collections.abc import Awaitable, Callable
 
-import aiohttp
 import defopt
 
-from baobabhinge_coordination.errors import CoordinationError
-from baobabhinge_coordination.generations import (
-    Publisher,
-    ReleaseFile,
-    ReleaseReader,
+from baobabhinge_operator import commands, queries
+from baobabhinge_operator.exits import FAILURE_TYPES, find_failure
+from baobabhinge_operator.queries.checking import CheckReportError
+
+AsyncCommand = Callable[..., Awaitable[str]]
+COMMANDS: tuple[AsyncCommand, ...] = (
+    queries.check,
+    queries.diff,
+    commands.publish,
+    queries.show,
+    queries.explain,
+    queries.history,
+    queries.status,
+    commands.drain,
+    queries.entries,
+    commands.restore,
 )
-from baobabhinge_platform.store import ConsulStore, ConsulTransport
-from baobabhinge_settings import merge_files, read_folder
-
-EXIT_REFUSED = 1
-
-
-def publish(folder: Path, *, key_value: str) -> None:
-    """Make a folder of settings the next generation.
-
-    Parameters
-    ----------
-    folder
-        Folder that holds the ``.ini`` files.
-    key_value
-        Address of the key-value service.
-    """
-    _run(_publish(folder, key_value))
-
-
-def show(*, key_value: str) -> None:
-    """Print the settings that run.
-
-    Parameters
-    ----------
-    key_value
-        Address of the key-value service.
-    """
-    _run(_show(key_value))
-
-
-async def _publish(folder: Path, key_value: str) -> str:
-    files = read_folder(folder)
-    merge_files(files)
-    async with aiohttp.ClientSession() as http:
-        publisher = Publisher(
-            ConsulStore(ConsulTransport(http, key_value)), getpass.getuser()
-        )
-        generation = await publisher.publish(
-            [ReleaseFile(source.name, source.text) for source in files],
-            uuid.uuid4().hex,
-        )
-    return f'generation {generation}'
-
-
-async def _show(key_value: str) -> str:
-    async with aiohttp.ClientSession() as http:
-        reader = ReleaseReader(ConsulStore(ConsulTransport(http, key_value)))
-        release = await reader.read_current()
-    if release is None:
-        return 'nothing is published'
-    return '\n'.join(f'# {part.name}\n{part.text}' for part in release.files)
-
-
-def _run(command: Coroutine[None, None, str]) -> None:
-    try:
-        sys.stdout.write(f'{asyncio.run(command)}\n')
-    except CoordinationError as bad:
-        sys.stderr.write(f'{bad}\n')
-        sys.exit(EXIT_REFUSED)
 
 
 def run() -> None:
     """Read the command line and run one command."""
-    defopt.run([publish, show])
+    defopt.run(
+        [_make_synchronous(command) for command in COMMANDS],
+        no_negated_flags=True,
+        show_defaults=False,
+        argparse_kwargs={'prog': 'baobabhinge'},
+    )
+
+
+def _make_synchronous(command: AsyncCommand) -> Callable[..., None]:
+    @functools.wraps(command)
+    def run_command(*args: object, **options: object) -> None:
+        try:
+            shown = asyncio.run(_await(command(*args, **options)))
+        except CheckReportError as report:
+            sys.stdout.write(f'{report}\n')
+            sys.exit(find_failure(report).exit_code)
+        except FAILURE_TYPES as failed:
+            failure = find_failure(failed)
+            sys.stderr.write(f'{failure.code}: {failed}\n')
+            sys.exit(failure.exit_code)
+        sys.stdout.write(f'{shown}\n')
+
+    return run_command
+
+
+async def _await(pending: Awaitable[str]) -> str:
+    return await pending
--- /dev/null
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/commands/__init__.py
@@ -0,0 +1,5 @@
+"""Commands: they change what runs."""
+
+from baobabhinge_operator.commands.draining import drain as drain
+from baobabhinge_operator.commands.publishing import publish as publish
+from baobabhinge_operator.commands.restoring import restore as restore
--- /dev/null
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/commands/accepting.py
@@ -0,0 +1,60 @@
+"""Bringing changes to the key-value service."""
+
+import asyncio
+import uuid
+from collections.abc import Iterable, Sequence
+from datetime import timedelta
+
+from baobabhinge_coordination.clock import SystemClock
+from baobabhinge_coordination.generations import (
+    FileChange,
+    Publication,
+    Publisher,
+    PublishRequest,
+    ReleaseFile,
+)
+from baobabhinge_coordination.store import KeyValueStore
+from baobabhinge_operator.addresses import read_addresses
+from baobabhinge_settings import SourceFile, merge_files
+
+
+def build_request(
+    changes: Iterable[FileChange],
+    publish_id: str | None = None,
+    above: int = 0,
+) -> PublishRequest:
+    """Return a request of this operator, with a new identifier."""
+    return PublishRequest(
+        publish_id or uuid.uuid4().hex,
+        read_addresses().publisher,
+        tuple(changes),
+        above,
+    )
+
+
+def check_whole(files: Sequence[ReleaseFile]) -> None:
+    """Refuse files that can't be in force together.
+
+    Raises
+    ------
+    SettingsError
+        With every fault.
+    """
+    merge_files(SourceFile(listed.name, listed.text) for listed in files)
+
+
+async def accept(store: KeyValueStore, request: PublishRequest) -> str:
+    """Publish a request and return what the command says at its end."""
+    publisher = Publisher(store, check_whole, SystemClock(), _pause)
+    accepted = await publisher.publish(request)
+    return _describe(request, accepted)
+
+
+def _describe(request: PublishRequest, accepted: Publication) -> str:
+    if accepted.publish_id == request.publish_id:
+        return f'accepted as generation {accepted.generation}'
+    return f'nothing to change; generation {accepted.generation} is in force'
+
+
+async def _pause(duration: timedelta) -> None:
+    await asyncio.sleep(duration.total_seconds())
--- /dev/null
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/commands/draining.py
@@ -0,0 +1,91 @@
+"""Draining a vm."""
+
+from collections.abc import Iterable
+from contextlib import suppress
+
+from baobabhinge_coordination.generations import (
+    FileChange,
+    PublishConflictError,
+    PublishRacedError,
+    ReleaseReader,
+    compute_digest,
+)
+from baobabhinge_coordination.store import KeyValueStore
+from baobabhinge_operator.commands.accepting import (
+    accept,
+    build_request,
+)
+from baobabhinge_operator.errors import VmNameError
+from baobabhinge_operator.reaching import open_store
+from baobabhinge_settings.drains import (
+    DRAINS_FILE,
+    list_drained,
+    render_drains,
+)
+from baobabhinge_settings.errors import FieldError
+from baobabhinge_settings.schema.names import parse_name
+
+MAX_CONFLICTS = 10
+
+
+async def drain(
+    vm: str,
+    *,
+    undo: bool = False,
+    key_value: str | None = None,
+) -> str:
+    """Let a vm get no new work; what it runs now is finished.
+
+    The wish is written to the published file 90-drains.ini, so it is in force
+    in every region like any other change, and ``history`` shows it.
+
+    Exit codes: as for ``publish``.
+
+    Parameters
+    ----------
+    vm
+        Name of the vm: a gateway or a backend server.
+    undo
+        Let the vm get new work again.
+    key_value
+        Address of the key-value service.
+    """
+    _check_name(vm)
+    async with open_store(key_value) as store:
+        for _ in range(MAX_CONFLICTS):
+            with suppress(PublishConflictError):
+                return await _change_drains(store, vm, undo=undo)
+    raise PublishRacedError
+
+
+async def _change_drains(
+    store: KeyValueStore,
+    vm: str,
+    *,
+    undo: bool,
+) -> str:
+    text = await _read_drains(store)
+    wanted = list_drained(text) - {vm}
+    if not undo:
+        wanted |= {vm}
+    request = build_request([_replace_drains(text, wanted)])
+    return await accept(store, request)
+
+
+def _replace_drains(text: str, wanted: Iterable[str]) -> FileChange:
+    before = compute_digest(text) if text else ''
+    return FileChange(DRAINS_FILE, before, render_drains(wanted))
+
+
+async def _read_drains(store: KeyValueStore) -> str:
+    release = await ReleaseReader(store).read_current()
+    files = release.files if release else ()
+    texts = (source.text for source in files if source.name == DRAINS_FILE)
+    return next(texts, '')
+
+
+def _check_name(vm: str) -> None:
+    try:
+        parse_name(vm)
+    except FieldError as bad:
+        raise VmNameError(bad.message) from bad
--- /dev/null
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/commands/publishing.py
@@ -0,0 +1,74 @@
+"""Publishing a folder."""
+
+from pathlib import Path
+
+from baobabhinge_coordination.generations import (
+    AuditReader,
+    FileChange,
+)
+from baobabhinge_coordination.store import KeyValueStore
+from baobabhinge_operator.commands.accepting import (
+    accept,
+    build_request,
+)
+from baobabhinge_operator.reaching import open_store
+from baobabhinge_settings import read_folder
+
+Texts = dict[str, str | None]
+
+
+async def publish(
+    folder: Path,
+    *,
+    delete: list[str] | None = None,
+    base: int | None = None,
+    publish_id: str | None = None,
+    key_value: str | None = None,
+) -> str:
+    """Put the files of a folder in force, on top of what others published.
+
+    Files that others published and that are not in the folder stay as they
+    are. The merged whole is checked; a refused change changes nothing.
+
+    Exit codes: 0 accepted, 1 refused with every fault, 2 wrong usage,
+    3 someone else changed the same files, 4 the key-value service does not
+    answer and nothing was changed, 5 it may have been accepted.
+
+    Parameters
+    ----------
+    folder
+        Folder that holds the ``.ini`` files.
+    delete
+        Names of published files to remove.
+    base
+        Generation that the folder was copied from; files that only others
+        changed since then are left alone. Default: the one in force now.
+    publish_id
+        Identifier of an earlier try that ended with exit code 5.
+    key_value
+        Address of the key-value service.
+    """
+    texts: Texts = {source.name: source.text for source in read_folder(folder)}
+    texts.update(dict.fromkeys(delete or ()))
+    async with open_store(key_value) as store:
+        changes = await _list_changes(store, texts, base)
+        request = build_request(changes, publish_id)
+        return await accept(store, request)
+
+
+async def _list_changes(
+    store: KeyValueStore,
+    texts: Texts,
+    base: int | None,
+) -> list[FileChange]:
+    reader = AuditReader(store)
+    digests = await (
+        reader.read_current_digests()
+        if base is None
+        else reader.read_digests(base)
+    )
+    changes = [
+        FileChange(name, digests.get(name, ''), text)
+        for name, text in texts.items()
+    ]
+    return [change for change in changes if change.after != change.before]
--- /dev/null
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/commands/restoring.py
@@ -0,0 +1,47 @@
+"""Publishing after the key-value service lost what it held."""
+
+from pathlib import Path
+
+from baobabhinge_coordination.generations import AuditReader, FileChange
+from baobabhinge_operator.commands.accepting import (
+    accept,
+    build_request,
+)
+from baobabhinge_operator.reaching import open_store
+from baobabhinge_settings import read_folder
+
+
+async def restore(
+    folder: Path,
+    *,
+    above: int,
+    key_value: str | None = None,
+) -> str:
+    """Publish a folder in place of an older copy, above a generation.
+
+    For a key-value service that came back empty or from an older copy: the
+    gateways go on with the newest generation that they have seen and ignore
+    lower ones, so the next one has to be above it (see ``status``).
+
+    Exit codes: as for ``publish``.
+
+    Parameters
+    ----------
+    folder
+        Folder with every file that is to be in force.
+    above
+        Highest generation that a gateway has.
+    key_value
+        Address of the key-value service.
+    """
+    files = {source.name: source.text for source in read_folder(folder)}
+    async with open_store(key_value) as store:
+        digests = await AuditReader(store).read_current_digests()
+        request = build_request(
+            [
+                FileChange(name, digests.get(name, ''), files.get(name))
+                for name in sorted({*files, *digests})
+            ],
+            above=above,
+        )
+        return await accept(store, request)
--- /dev/null
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/queries/answers.py
@@ -0,0 +1,46 @@
+"""What gateways answer to queries."""
+
+import msgspec
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """One gateway that callers may use."""
+
+    vm: str
+    region: str
+    address: str
+
+
+class EntryList(msgspec.Struct, frozen=True):
+    """Gateways, the best one first."""
+
+    ttl_seconds: int
+    entries: list[Entry]
+
+
+class GatewayStatus(msgspec.Struct, frozen=True):
+    """What one gateway says about itself.
+
+    Parameters
+    ----------
+    vm, region : str
+        Which gateway.
+    generation : int
+        Generation in force there; 0 if it does not answer.
+    draining : bool
+        Whether it is leaving.
+    refused_generation : int
+        Newer generation that it can't read; 0 for none.
+    leases : list of str
+        Duties that it holds.
+    answers : bool
+        Whether it answers.
+    """
+
+    vm: str
+    region: str
+    generation: int = 0
+    draining: bool = False
+    refused_generation: int = 0
+    leases: list[str] = []
+    answers: bool = True
--- /dev/null
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/reaching.py
@@ -0,0 +1,82 @@
+"""Connections to the key-value service and to gateways."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import aiohttp
+import msgspec
+
+from baobabhinge_coordination.generations import Release, ReleaseReader
+from baobabhinge_operator.addresses import read_addresses
+from baobabhinge_operator.errors import (
+    GatewayUnreachableError,
+    NothingPublishedError,
+)
+from baobabhinge_platform.store import ConsulStore, ConsulTransport
+
+READ_TIMEOUT = timedelta(seconds=5)
+
+
+@asynccontextmanager
+async def open_store(given: str | None) -> AsyncIterator[ConsulStore]:
+    """Yield the key-value service.
+
+    Parameters
+    ----------
+    given : str, optional
+        Address that goes before that of the settings file.
+    """
+    address = read_addresses().choose_store(given)
+    async with aiohttp.ClientSession() as http:
+        yield ConsulStore(ConsulTransport(http, address))
+
+
+async def read_release(given: str | None) -> Release:
+    """Return the release in force.
+
+    Raises
+    ------
+    NothingPublishedError
+        If there is none.
+    """
+    async with open_store(given) as store:
+        release = await ReleaseReader(store).read_current()
+    if release is None:
+        raise NothingPublishedError('nothing is published yet')
+    return release
+
+
+async def fetch_first(addresses: list[str], path: str) -> bytes:
+    """Return what the first gateway that answers says.
+
+    Raises
+    ------
+    GatewayUnreachableError
+        If none answers.
+    """
+    for address in addresses:
+        body = await fetch(address, path)
+        if body is not None:
+            return body
+    listed = ', '.join(addresses)
+    raise GatewayUnreachableError(f'none of these answers: {listed}')
+
+
+async def fetch(address: str, path: str) -> bytes | None:
+    """Return what a gateway says, or ``None`` if it does not answer."""
+    limit = aiohttp.ClientTimeout(total=READ_TIMEOUT.total_seconds())
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=limit) as http,
+            http.get(f'http://{address}{path}', raise_for_status=True) as got,
+        ):
+            return await got.read()
+    except (aiohttp.ClientError, TimeoutError):
+        return None
+
+
+def render_json(report: object) -> str:
+    """Return ``report`` as indented JSON."""
+    encoded = msgspec.json.encode(report)
+    return msgspec.json.format(encoded, indent=2).decode()
--- a/packages/baobabhinge-platform/src/baobabhinge_platform/store/values.py
+++ b/packages/baobabhinge-platform/src/baobabhinge_platform/store/values.py
@@ -66,6 +66,21 @@
             StoreCall(WRITE, f'kv/{key}', query, body),
         )
 
+    async def delete(self, key: str, expected: int) -> bool:
+        """Delete ``key`` if the revision still is ``expected``."""
+        query = {'cas': str(expected)}
+        return await self._transport.put_flag(
+            StoreCall('DELETE', f'kv/{key}', query),
+        )
+
+    async def list_keys(self, prefix: str) -> list[str]:
+        """Return the keys that start with ``prefix``, in their order."""
+        call = StoreCall('GET', f'kv/{prefix}', {'keys': ''})
+        async with self._transport.open(call) as answer:
+            if answer.status == HTTPStatus.NOT_FOUND:
+                return []
+            return msgspec.json.decode(await answer.read(), type=list[str])
+
     async def _get(self, key: str, call: StoreCall) -> StoredValue:
         async with self._transport.open(call) as answer:
             if answer.status == HTTPStatus.NOT_FOUND:
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/keyvalue/app.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/keyvalue/app.py
@@ -9,12 +9,13 @@
 
 from baobabhinge_coordination.clock import SystemClock
 from baobabhinge_standins.keyvalue.faults import FaultSwitch
+from baobabhinge_standins.keyvalue.rows import Row
 from baobabhinge_standins.keyvalue.sessionroutes import (
     SessionRoutes,
     parse_seconds,
 )
 from baobabhinge_standins.keyvalue.sessions import Sessions
-from baobabhinge_standins.keyvalue.table import Row, Table
+from baobabhinge_standins.keyvalue.table import Table
 
 DEFAULT_WAIT = '10s'
 MAX_BODY_BYTES = 1 << 20
@@ -42,10 +43,13 @@
         SessionRoutes(self._sessions).add_to(app)
         app.router.add_get(KEY_PATH, self._read)
         app.router.add_put(KEY_PATH, self._write)
+        app.router.add_delete(KEY_PATH, self._delete)
         return app
 
     async def _read(self, request: web.Request) -> web.Response:
         key = request.match_info['key']
+        if 'keys' in request.query:
+            return _render_keys(self._table.rows.list_keys(key))
         after = int(request.query.get('index', '0'))
         if after:
             wait = parse_seconds(request.query.get('wait', DEFAULT_WAIT))
@@ -70,6 +74,15 @@
             self._table.changed.notify_all()
         return web.json_response(done)
 
+    async def _delete(self, request: web.Request) -> web.Response:
+        done = self._table.delete(
+            request.match_info['key'],
+            int(request.query['cas']),
+        )
+        async with self._table.changed:
+            self._table.changed.notify_all()
+        return web.json_response(done)
+
     def _apply(self, key: str, body: bytes, query: Mapping[str, str]) -> bool:
         taker = query.get('acquire')
         if taker is not None:
@@ -81,6 +94,12 @@
         return self._table.swap(key, body, int(cas) if cas else None)
 
 
+def _render_keys(keys: list[str]) -> web.Response:
+    if not keys:
+        raise web.HTTPNotFound
+    return web.json_response(keys)
+
+
 def _render(key: str, row: Row) -> dict[str, object]:
     rendered: dict[str, object] = {
         'Key': key,
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/keyvalue/faults.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/keyvalue/faults.py
@@ -1,6 +1,7 @@
 """Faults of the key-value service that a test switches on."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -9,7 +10,7 @@
 FAULTS_PATH = '/-/faults'
 CALLS_PATH = '/-/calls'
 PROTOCOL_PREFIX = '/v1/'
-WRITE = 'PUT'
+WRITES = frozenset(('PUT', 'DELETE'))
 
 Answerer = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -39,7 +40,7 @@
 
     def __init__(self) -> None:
         """Start without faults."""
-        self._calls = {'GET': 0, WRITE: 0}
+        self._calls: Counter[str] = Counter()
         self._faults = StoreFaults()
 
     def add_routes(self, app: web.Application) -> None:
@@ -71,7 +72,7 @@
         if self._faults.down:
             raise web.HTTPInternalServerError
         response = await answer(request)
-        if request.method == WRITE and self._faults.lose_answers:
+        if request.method in WRITES and self._faults.lose_answers:
             self._faults.lose_answers -= 1
             raise web.HTTPInternalServerError
         return response
@@ -82,4 +83,4 @@
         return web.Response()
 
     async def _report_calls(self, request: web.Request) -> web.Response:
-        return web.json_response(self._calls)
+        return web.json_response({'GET': 0, 'PUT': 0} | self._calls)
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/keyvalue/table.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/keyvalue/table.py
@@ -2,19 +2,10 @@
 
 import asyncio
 
-import msgspec
-
+from baobabhinge_standins.keyvalue.rows import Row, Rows
 from baobabhinge_standins.keyvalue.sessions import Sessions
 
 
-class Row(msgspec.Struct):
-    """One stored value."""
-
-    body: bytes
-    revision: int
-    session: str | None = None
-
-
 class Table:
     """Rows by key; each write raises the revision of the whole table.
 
@@ -22,20 +13,26 @@
     ----------
     sessions : Sessions
         Sessions under which keys are held.
+
+    Attributes
+    ----------
+    rows : Rows
+        The rows.
+    changed : asyncio.Condition
+        Told after each write.
     """
 
-    __slots__ = ('_revision', '_rows', '_sessions', 'changed')
+    __slots__ = ('_sessions', 'changed', 'rows')
 
     def __init__(self, sessions: Sessions) -> None:
         """Start empty."""
         self._sessions = sessions
-        self._rows: dict[str, Row] = {}
-        self._revision = 0
+        self.rows = Rows()
         self.changed = asyncio.Condition()
 
     def find(self, key: str) -> Row | None:
         """Return the row of ``key``, without a lapsed session."""
-        row = self._rows.get(key)
+        row = self.rows.get(key)
         if row is None or row.session is None:
             return row
         if not self._sessions.is_alive(row.session):
@@ -44,7 +41,7 @@
 
     def revision_of(self, key: str) -> int:
         """Return the revision of ``key``, 0 if it is absent."""
-        row = self._rows.get(key)
+        row = self.rows.get(key)
         return row.revision if row else 0
 
     def swap(self, key: str, body: bytes, expected: int | None) -> bool:
@@ -52,7 +49,14 @@
         if expected not in {None, self.revision_of(key)}:
             return False
         row = self.find(key)
-        self._write(key, body, row.session if row else None)
+        self.rows.write(key, body, row.session if row else None)
+        return True
+
+    def delete(self, key: str, expected: int) -> bool:
+        """Delete if the revision is ``expected``."""
+        if expected != self.revision_of(key):
+            return False
+        self.rows.remove(key)
         return True
 
     def acquire(self, key: str, body: bytes, session: str) -> bool:
@@ -64,7 +68,7 @@
             session,
         }:
             return False
-        self._write(key, body, session)
+        self.rows.write(key, body, session)
         return True
 
     def release(self, key: str, session: str) -> bool:
@@ -72,9 +76,5 @@
         row = self.find(key)
         if row is None or row.session != session:
             return False
-        self._write(key, row.body, None)
+        self.rows.write(key, row.body, None)
         return True
-
-    def _write(self, key: str, body: bytes, session: str | None) -> None:
-        self._revision += 1
-        self._rows[key] = Row(body, self._revision, session)
