--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
@@ -3,9 +3,10 @@
 from collections.abc import Sequence
 
 from baobabhinge_gateway.calls import Hop
+from baobabhinge_gateway.fleet.gateways import GatewayRoll
 from baobabhinge_gateway.fleet.reports import LoadReport, LoadReports
 from baobabhinge_gateway.fleet.watcher import VmWatcher
-from baobabhinge_platform.machines import Role, Vm, VmState
+from baobabhinge_platform.machines import Vm, VmState
 
 
 class FleetView:
@@ -19,6 +20,8 @@
         The platform's list as last seen.
     reports : LoadReports
         Load of the backend servers of this region.
+    roll : GatewayRoll
+        Combines the list with what the gateways say themselves.
 
     Attributes
     ----------
@@ -26,16 +29,18 @@
         This gateway.
     """
 
-    __slots__ = ('_reports', '_watcher', 'home')
+    __slots__ = ('_reports', '_roll', '_watcher', 'home')
 
     def __init__(
         self,
         home: Hop,
         watcher: VmWatcher,
         reports: LoadReports,
+        roll: GatewayRoll,
     ) -> None:
         """Keep the parts."""
         self.home = home
+        self._roll = roll
         self._watcher = watcher
         self._reports = reports
 
@@ -46,28 +51,26 @@
         """
         return [
             vm
-            for vm in self._watcher.vms
-            if vm.service == service
-            and vm.region == region
-            and self._takes_work(vm)
+            for vm in self._watcher.index.list_backends(service, region)
+            if self._takes_work(vm)
         ]
 
     def list_polled(self) -> Sequence[Vm]:
         """Return every backend server of this region, leaving ones too."""
-        return [
-            vm
-            for vm in self._watcher.vms
-            if vm.region == self.home.region and vm.role is not Role.gateway
-        ]
+        return self._watcher.index.list_regional(self.home.region)
 
     def list_gateways(self, region: str | None = None) -> Sequence[Vm]:
-        """Return the live gateways of one region, or of all."""
+        """Return the gateways of one region, or of all, that take calls.
+
+        Dead, suspected, leaving and draining ones are left out.
+        """
+        index = self._watcher.index
+        if region is not None:
+            return self._roll.combine(region, index)
         return [
             vm
-            for vm in self._watcher.vms
-            if vm.role is Role.gateway
-            and region in {None, vm.region}
-            and vm.state is VmState.live
+            for name in self._roll.list_regions(index)
+            for vm in self._roll.combine(name, index)
         ]
 
     def find_report(self, vm: Vm) -> LoadReport | None:
@@ -75,7 +78,7 @@
         return self._reports.find(vm)
 
     def _takes_work(self, vm: Vm) -> bool:
-        if vm.role is Role.gateway or vm.state is not VmState.live:
+        if vm.state is not VmState.live:
             return False
         report = self._reports.find(vm)
         return report is None or not report.draining
