Keep serving the older settings when newer ones can't be read, and let two gateways a region watch

Cause: a release that merge_files refused raised inside the watcher and ended it; every gateway held a watch (a waiting watch is a call); without a manifest the watcher asked without pause. Now a refusal is kept and told in /v1/status, the release is handed on to peers, the two gateways of a region with the highest rendezvous weight watch, and the others are told by heartbeats; a newer release sets the urgent heartbeats off at once.

--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/reading.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/reading.py
@@ -49,6 +49,11 @@
         self._revision = ABSENT_REVISION
         self._texts: dict[str, str] = {}
 
+    @property
+    def has_manifest(self) -> bool:
+        """Return whether the newest watch found a manifest."""
+        return self._revision != ABSENT_REVISION
+
     async def read_current(self) -> Release | None:
         """Return the release that the service holds now, if any."""
         stored = await self._store.read(MANIFEST_KEY)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/status.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/status.py
@@ -10,11 +10,30 @@
 
 
 class Status(msgspec.Struct, frozen=True):
-    """Body of ``GET /v1/status``."""
+    """Body of ``GET /v1/status``.
+
+    Parameters
+    ----------
+    vm, region : str
+        This gateway.
+    generation : int
+        Generation in force here; 0 before the first.
+    refused_generation : int
+        Newer generation that this gateway can't read; 0 for none.
+    refused_faults : list of str
+        Why it can't.
+    watches_manifest : bool
+        Whether it holds a watch on the key-value service.
+    outcomes, latencies : dict
+        Calls by outcome, and percentiles.
+    """
 
     vm: str
     region: str
     generation: int
+    refused_generation: int
+    refused_faults: list[str]
+    watches_manifest: bool
     outcomes: dict[str, int]
     latencies: dict[str, LatencySummary]
 
@@ -55,6 +74,9 @@
             self._hop.gateway,
             self._hop.region,
             self._active.generation,
+            self._active.refusal.generation,
+            [fault.render() for fault in self._active.refusal.faults],
+            self._active.is_watching,
             dict(self._measures.outcomes),
             self._measures.summarize(),
         )
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/tests/test_active.py
@@ -0,0 +1,146 @@
+"""What comes into force, and what does not."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from baobabhinge_coordination.generations import Release, ReleaseFile
+from baobabhinge_coordination.store import (
+    StoreAnswerLostError,
+    StoreUnavailableError,
+)
+from baobabhinge_gateway.calls import Hop
+from baobabhinge_gateway.configuration import ActiveConfiguration
+from baobabhinge_gateway.configuration.watcher import (
+    NO_PAUSE,
+    RANK_INTERVAL,
+    RETRY_INTERVAL,
+    ConfigurationWatcher,
+)
+from baobabhinge_gateway.errors import NotConfiguredError
+
+TEXT = """[region west]
+failure-domains = west-a
+[service llm]
+kind = model
+deadline = {seconds} s
+[placement llm west]
+replicas = 1 vms
+"""
+UNREADABLE = '[region west]\nfailure-domains = west-a\n[shape west]\n'
+
+
+def build_release(generation, text=None):
+    text = text or TEXT.format(seconds=generation)
+    return Release(generation, (ReleaseFile('10.ini', text, generation),))
+
+
+def get_deadline(active):
+    return active.require_settings().services['llm'].deadline
+
+
+@given(st.lists(st.integers(1, 9), min_size=1))
+def test_generation_never_goes_down(generations):
+    active = ActiveConfiguration()
+    highest = 0
+    for generation in generations:
+        is_newer = generation > highest
+        assert active.adopt(build_release(generation)) is is_newer
+        highest = max(highest, generation)
+        assert active.generation == highest
+        assert get_deadline(active) == timedelta(seconds=highest)
+
+
+def test_release_that_can_not_be_read_is_kept_for_peers_only():
+    active = ActiveConfiguration()
+    told = []
+    active.subscribe(lambda: told.append(active.release.generation))
+    active.adopt(build_release(1))
+    assert not active.adopt(build_release(2, UNREADABLE))
+    assert active.generation == 1
+    assert get_deadline(active) == timedelta(seconds=1)
+    assert active.release.generation == 2
+    assert active.refusal.generation == 2
+    assert [fault.line for fault in active.refusal.faults] == [1, 3]
+    assert active.adopt(build_release(3))
+    assert not active.refusal.generation
+    assert told == [1, 2, 3]
+
+
+def test_nothing_is_in_force_before_the_first():
+    with pytest.raises(NotConfiguredError):
+        ActiveConfiguration().require_settings()
+
+
+class Reader:
+    """Answers with what it was given, one after another."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.has_manifest = False
+        self.calls = []
+
+    async def wait_newer(self, patience):
+        return self._answer('watch')
+
+    async def read_current(self):
+        return self._answer('read')
+
+    def _answer(self, call):
+        self.calls.append(call)
+        answer = self.answers.pop(0)
+        self.has_manifest = isinstance(answer, Release)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class Fleet:
+    """A region with these gateways beside the first one."""
+
+    def __init__(self, *names):
+        self.home = Hop('west-1', 'west')
+        self._names = names
+
+    def list_gateways(self, region=None):
+        return [Named(name) for name in self._names]
+
+
+class Named:
+    def __init__(self, name):
+        self.name = name
+
+
+MANY = tuple(f'west-{number}' for number in range(1, 40))
+
+
+@pytest.mark.parametrize(
+    ('names', 'answer', 'pause', 'calls', 'generation'),
+    [
+        ((), build_release(1), NO_PAUSE, ['watch'], 1),
+        ((), build_release(1, UNREADABLE), NO_PAUSE, ['watch'], 0),
+        ((), None, RANK_INTERVAL, ['watch'], 0),
+        ((), StoreUnavailableError(), RETRY_INTERVAL, ['watch'], 0),
+        (MANY, build_release(1), RANK_INTERVAL, ['read'], 1),
+        (MANY, StoreAnswerLostError(), RETRY_INTERVAL, ['read'], 0),
+    ],
+)
+def test_one_step_of_the_watcher(names, answer, pause, calls, generation):
+    active = ActiveConfiguration()
+    reader = Reader(answer)
+    watcher = ConfigurationWatcher(active, reader, Fleet(*names))
+    assert asyncio.run(watcher._learn()) == pause
+    assert reader.calls == calls
+    assert active.generation == generation
+
+
+def test_configured_gateway_that_is_no_watcher_asks_nothing():
+    active = ActiveConfiguration()
+    active.adopt(build_release(1))
+    reader = Reader()
+    watcher = ConfigurationWatcher(active, reader, Fleet(*MANY))
+    assert asyncio.run(watcher._learn()) == RANK_INTERVAL
+    assert not reader.calls
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/watcher.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/watcher.py
@@ -1,22 +1,51 @@
 """Learning newer configurations from the key-value service."""
 
+from collections.abc import Sequence
 from datetime import timedelta
+from typing import Protocol
 
+import msgspec
 import structlog
 from mode import Service
 
-from baobabhinge_coordination.generations import ReleaseReader
+from baobabhinge_coordination.generations import (
+    Release,
+    ReleaseReader,
+    is_watcher,
+)
 from baobabhinge_coordination.store import StoreError
+from baobabhinge_gateway.calls import Hop
 from baobabhinge_gateway.configuration.active import ActiveConfiguration
+from baobabhinge_platform.machines import Vm
 
+NO_PAUSE = timedelta()
 RETRY_INTERVAL = timedelta(milliseconds=500)
+RANK_INTERVAL = timedelta(seconds=1)
 WATCH_PATIENCE = timedelta(seconds=20)
 
 log = structlog.get_logger(__name__)
 
 
+class GatewayList(Protocol):
+    """Gateways as this one sees them.
+
+    Attributes
+    ----------
+    home : Hop
+        This gateway.
+    """
+
+    home: Hop
+
+    def list_gateways(self, region: str | None = None) -> Sequence[Vm]:
+        """Return the live ones of one region, this one among them or not."""
+
+
 class ConfigurationWatcher(Service):
-    """Hold one watch on the manifest.
+    """Hold a watch on the manifest if this gateway is among the watchers.
+
+    The other gateways of the region learn from their peers. One that has no
+    configuration yet reads the manifest until it has one.
 
     Parameters
     ----------
@@ -24,28 +53,49 @@
         Where newer releases go.
     reader : ReleaseReader
         Reader of releases.
+    fleet : GatewayList
+        Gateways of the region.
     """
 
     def __init__(
         self,
         active: ActiveConfiguration,
         reader: ReleaseReader,
+        fleet: GatewayList,
     ) -> None:
         """Watch nothing yet."""
         super().__init__()
         self._active = active
         self._reader = reader
+        self._fleet = fleet
 
     @Service.task
     async def _watch(self) -> None:
         while not self.should_stop:
-            try:
-                await self._take_next()
-            except StoreError as bad:
-                log.warning('store-unreachable', reason=type(bad).__name__)
-                await self.sleep(RETRY_INTERVAL)
-
-    async def _take_next(self) -> None:
-        release = await self._reader.wait_newer(WATCH_PATIENCE)
+            pause = await self._learn()
+            await self.sleep(pause)
+
+    async def _learn(self) -> timedelta:
+        self._active.is_watching = self._ranks_among_watchers()
+        try:
+            release = await self._read()
+        except (StoreError, msgspec.MsgspecError) as bad:
+            log.warning('manifest-unread', reason=type(bad).__name__)
+            return RETRY_INTERVAL
         if release is not None and self._active.adopt(release):
             log.info('configuration-adopted', generation=release.generation)
+        if self._active.is_watching and self._reader.has_manifest:
+            return NO_PAUSE
+        return RANK_INTERVAL
+
+    def _ranks_among_watchers(self) -> bool:
+        home = self._fleet.home
+        live = [vm.name for vm in self._fleet.list_gateways(home.region)]
+        return is_watcher(home.gateway, live)
+
+    async def _read(self) -> Release | None:
+        if self._active.is_watching:
+            return await self._reader.wait_newer(WATCH_PATIENCE)
+        if self._active.generation:
+            return None
+        return await self._reader.read_current()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -58,7 +58,11 @@
         )
         await self.add_runtime_dependency(fleet)
         await self.add_runtime_dependency(
-            ConfigurationWatcher(self._active, ReleaseReader(platform.store)),
+            ConfigurationWatcher(
+                self._active,
+                ReleaseReader(platform.store),
+                fleet.view,
+            ),
         )
         return fleet
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/assembly.py
@@ -55,6 +55,7 @@
             random,
         )
         self.node.parts.add(LoadPart(fleet.view, fleet.reports))
+        active.subscribe(self.node.parts.urgent.set)
         self.routes = (self.node.routes, ReleaseRoutes(active))
         self._parts = (
             ReleaseFetcher(platform.http, active, self.node),
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/releases.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/releases.py
@@ -47,12 +47,13 @@
         self.newer = asyncio.Event()
 
     def compose(self) -> bytes:
-        """Return the generation in force."""
-        return msgspec.json.encode(self._active.generation)
+        """Return the newest generation seen."""
+        return msgspec.json.encode(self._active.release.generation)
 
     def absorb(self, sender: Member, body: bytes) -> None:
         """Note a peer whose generation is newer."""
-        if msgspec.json.decode(body, type=int) > self._active.generation:
+        told = msgspec.json.decode(body, type=int)
+        if told > self._active.release.generation:
             self.holder = sender.contact
             self.newer.set()
 
