Run calls that may not be repeated at the owner of their key

Keys come from POST /v1/keys; an entry passes the call on to the owner, the owner records its intent at a witness of the same region, runs the call in a task of its own, keeps the outcome and copies it to the witness. aiohttp sends a PUT or DELETE again when a connection closes before the answer (client.py, also on a new connection): a middleware stops that.

--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/minting.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/minting.py
@@ -90,10 +90,9 @@
         return self._window.witness
 
     @property
-    def is_current(self) -> bool:
-        """Tell whether the window is young enough to make keys."""
-        age = self._clock.read_monotonic() - self._window.opened
-        return age < self._retention.epoch_span
+    def age(self) -> timedelta:
+        """Return the time since the present window was asked for."""
+        return self._clock.read_monotonic() - self._window.opened
 
     def adopt(self, window: Window) -> None:
         """Make the next keys in ``window``."""
@@ -108,7 +107,7 @@
         KeysExhaustedError
             If the window has no room or is too old.
         """
-        if not self.is_current:
+        if self.age > self._retention.epoch_span:
             raise KeysExhaustedError('the present epoch is too old')
         if self._made + count > self._retention.keys_per_epoch:
             raise KeysExhaustedError('the present epoch has no room')
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/exchange.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/exchange.py
@@ -1,6 +1,6 @@
 """One HTTP exchange, closed if it is abandoned."""
 
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Iterator, Sequence
 from contextlib import asynccontextmanager, contextmanager
 from datetime import timedelta
 
@@ -45,6 +45,7 @@
 async def open_exchange(
     http: aiohttp.ClientSession,
     outbound: Outbound,
+    middlewares: Sequence[aiohttp.ClientMiddlewareType] = (),
 ) -> AsyncIterator[Answer]:
     """Send ``outbound`` and yield the answer.
 
@@ -72,6 +73,7 @@
             data=outbound.body,
             timeout=limit,
             allow_redirects=False,
+            middlewares=middlewares,
         ) as response:
             with _closing_unless_read(response):
                 yield _build_answer(response)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/__init__.py
@@ -4,6 +4,9 @@
     build_call_server as build_call_server,
 )
 from baobabhinge_gateway.callers.callroutes import CallRoutes as CallRoutes
+from baobabhinge_gateway.callers.callroutes import (
+    build_forward_routes as build_forward_routes,
+)
 from baobabhinge_gateway.callers.entries import EntryReport as EntryReport
 from baobabhinge_gateway.callers.health import ConnectionEnd as ConnectionEnd
 from baobabhinge_gateway.callers.health import HealthReport as HealthReport
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
@@ -8,6 +8,7 @@
 from baobabhinge_gateway.callers.service import CallServer
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.execution import (
+    Executor,
     Executors,
     RepeatableExecutor,
     RoutingBuilder,
@@ -26,34 +27,31 @@
     fleet: FleetView,
     platform: Platform,
     lifecycle: Lifecycle,
+    run_once: Executor,
 ) -> CallServer:
     """Return the server of calls of one gateway."""
     clock = SystemClock()
+    repeatable = _build_repeatable(clock, fleet, platform)
     return CallServer(
         fleet.home,
         clock,
         active,
-        _build_executors(clock, fleet, platform),
+        Executors(model=repeatable, plain=repeatable, run_once=run_once),
         ArrivalChecks(fleet, lifecycle),
     )
 
 
-def _build_executors(
+def _build_repeatable(
     clock: Clock,
     fleet: FleetView,
     platform: Platform,
-) -> Executors:
+) -> RepeatableExecutor:
     builder = RoutingBuilder(clock, SystemRandom(), fleet, fleet)
     region = fleet.home.region
     routing = builder.build(region, DEFAULT_POLICY, platform.http)
-    repeatable = RepeatableExecutor(
+    return RepeatableExecutor(
         routing.router,
         routing.dispatcher,
         RetryBudget(share=RETRY_SHARE, burst=RETRY_BURST),
         clock,
     )
-    return Executors(
-        model=repeatable,
-        plain=repeatable,
-        run_once=repeatable,
-    )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/callroutes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/callroutes.py
@@ -3,6 +3,7 @@
 from aiohttp import web
 
 from baobabhinge_gateway.callers.service import CallServer
+from baobabhinge_gateway.calls.headers import FORWARD_PREFIX
 
 PLAIN_PATH = '/services/{service}/{rest:.*}'
 MODEL_PATHS = ('/v1/chat/completions', '/v1/completions')
@@ -40,3 +41,8 @@
             self._calls.serve_plain,
             expect_handler=self._calls.expect_body,
         )
+
+
+def build_forward_routes(calls: CallServer) -> CallRoutes:
+    """Return the paths by which other gateways pass calls on."""
+    return CallRoutes(calls, FORWARD_PREFIX)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/keyed.py
@@ -0,0 +1,27 @@
+"""Refusals of calls whose key was not looked at."""
+
+from aiohttp import web
+
+from baobabhinge_gateway.calls import headers
+from baobabhinge_gateway.errors import CallError, KeyedRefusalError
+from baobabhinge_gateway.execution import EXECUTED
+
+PLAIN_MARK = '/services/'
+
+
+def weaken_refusal(request: web.Request, refusal: CallError) -> CallError:
+    """Return what may be said about the call of ``request``.
+
+    A gateway that refuses an attempt before it has looked at its key does not
+    know whether an earlier attempt with this key has run.
+    """
+    if request.get(EXECUTED) or not _has_key(request):
+        return refusal
+    return KeyedRefusalError(refusal)
+
+
+def _has_key(request: web.Request) -> bool:
+    if headers.RUN_ONCE_KEY in request.headers:
+        return True
+    is_plain = PLAIN_MARK in request.path
+    return is_plain and headers.IDEMPOTENCY_KEY in request.headers
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/problems.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/problems.py
@@ -9,6 +9,7 @@
 import structlog
 from aiohttp import web
 
+from baobabhinge_gateway.callers.keyed import weaken_refusal
 from baobabhinge_gateway.calls.headers import OUTCOME, REQUEST_ID
 from baobabhinge_gateway.errors import CallError, InternalError
 from baobabhinge_gateway.errors.http import describe_http_error
@@ -67,7 +68,7 @@
             return self._refuse(request, fault)
 
     def _refuse(self, request: web.Request, fault: Exception) -> web.Response:
-        error = _describe(fault)
+        error = weaken_refusal(request, _describe(fault))
         request_id = request.get('request_id', '')
         log.info('call-refused', code=error.code, request_id=request_id)
         response = self.render(error, request_id)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
@@ -21,7 +21,7 @@
     CallerLostError,
     CallError,
 )
-from baobabhinge_gateway.execution import Executor, Executors
+from baobabhinge_gateway.execution import EXECUTED, Executor, Executors
 from baobabhinge_gateway.telemetry import Measures
 
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -105,6 +105,7 @@
         request: web.Request,
         call: Call,
     ) -> web.StreamResponse:
+        request[EXECUTED] = True
         try:
             response = await executor.execute(request, call)
         except (AnswerCutError, CallerLostError) as lost:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -10,8 +10,8 @@
     HealthReport,
     StatusReport,
     build_call_server,
+    build_forward_routes,
 )
-from baobabhinge_gateway.calls import headers
 from baobabhinge_gateway.configuration import (
     ActiveConfiguration,
     ConfigurationWatcher,
@@ -22,7 +22,13 @@
 from baobabhinge_gateway.peers import PeerStack
 from baobabhinge_gateway.platform import Platform, build_http_session
 from baobabhinge_gateway.process import ProcessSettings
-from baobabhinge_gateway.routes import build_app
+from baobabhinge_gateway.routes import Routes, build_app
+from baobabhinge_gateway.runonce import (
+    KeyRoutes,
+    PeerRoutes,
+    RunOnceExecutor,
+    build_run_once,
+)
 
 
 class Gateway(Service):
@@ -68,34 +74,33 @@
         fleet: FleetView,
         peers: PeerStack,
     ) -> None:
-        identity = self._settings.identity
+        incarnation = self._lifecycle.incarnation
+        run_once = build_run_once(fleet, platform, incarnation)
+        await self.add_runtime_dependency(run_once)
         calls = build_call_server(
             self._active,
             fleet,
             platform,
             self._lifecycle,
+            RunOnceExecutor(run_once),
         )
-        end = ConnectionEnd(self._lifecycle)
-        peer_app = build_app(
-            [
-                end,
-                CallRoutes(calls, headers.FORWARD_PREFIX),
-                *peers.routes,
-            ],
-        )
-        caller_app = build_app(
-            [
-                end,
-                CallRoutes(calls),
-                HealthReport(self._active, self._lifecycle),
-                EntryReport(fleet, self._lifecycle),
-                StatusReport(fleet.home, self._active, calls.measures),
-            ],
-        )
-        await self.add_runtime_dependency(
-            Listener(peer_app, identity.peer_address),
+        identity = self._settings.identity
+        await self._listen(
+            identity.peer_address,
+            build_forward_routes(calls),
+            PeerRoutes(run_once.memory, run_once.inquirer),
+            *peers.routes,
         )
-        await self.add_runtime_dependency(
-            Listener(caller_app, identity.caller_address),
+        await self._listen(
+            identity.caller_address,
+            CallRoutes(calls),
+            KeyRoutes(run_once, identity.region),
+            HealthReport(self._active, self._lifecycle),
+            EntryReport(fleet, self._lifecycle),
+            StatusReport(fleet.home, self._active, calls.measures),
         )
         await self.add_runtime_dependency(Drainer(self._lifecycle))
+
+    async def _listen(self, address: str, *parts: Routes) -> None:
+        app = build_app([ConnectionEnd(self._lifecycle), *parts])
+        await self.add_runtime_dependency(Listener(app, address))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
@@ -30,6 +30,21 @@
 from baobabhinge_gateway.errors.requests import (
     UnknownServiceError as UnknownServiceError,
 )
+from baobabhinge_gateway.errors.runonce import (
+    AnswerNotKeptError as AnswerNotKeptError,
+)
+from baobabhinge_gateway.errors.runonce import BadKeyError as BadKeyError
+from baobabhinge_gateway.errors.runonce import (
+    KeyedRefusalError as KeyedRefusalError,
+)
+from baobabhinge_gateway.errors.runonce import (
+    KeyRequiredError as KeyRequiredError,
+)
+from baobabhinge_gateway.errors.runonce import KeyReusedError as KeyReusedError
+from baobabhinge_gateway.errors.runonce import (
+    KeysUnavailableError as KeysUnavailableError,
+)
+from baobabhinge_gateway.errors.runonce import NotRunError as NotRunError
 from baobabhinge_gateway.errors.serving import (
     AnswerBrokenError as AnswerBrokenError,
 )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/__init__.py
@@ -3,6 +3,7 @@
 from baobabhinge_gateway.execution.assembly import (
     RoutingBuilder as RoutingBuilder,
 )
+from baobabhinge_gateway.execution.protocol import EXECUTED as EXECUTED
 from baobabhinge_gateway.execution.protocol import Executor as Executor
 from baobabhinge_gateway.execution.protocol import Executors as Executors
 from baobabhinge_gateway.execution.repeatable import (
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/protocol.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/protocol.py
@@ -7,6 +7,9 @@
 from baobabhinge_gateway.calls import Call
 from baobabhinge_settings.model import ServiceKind
 
+# Mark of a request that has come to its executor, which knows its outcome.
+EXECUTED = 'executed'
+
 
 class Executor(Protocol):
     """Run calls of one kind."""
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
@@ -74,6 +74,14 @@
         regions = self._roll.list_regions(vms) if region is None else [region]
         return [vm for name in regions for vm in self._roll.combine(name, vms)]
 
+    def find_gateway(self, name: str) -> Vm | None:
+        """Return the gateway called ``name``, live or leaving."""
+        known = [*self._watcher.vms, *self.list_gateways(self.home.region)]
+        for vm in known:
+            if vm.name == name and vm.role is Role.gateway:
+                return vm
+        return None
+
     def find_report(self, vm: Vm) -> LoadReport | None:
         """Return the newest load report of ``vm``, if one is known."""
         return self._reports.find(vm)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/keeping.py
@@ -0,0 +1,114 @@
+"""Keeping a witness, and forgetting what is past its age."""
+
+import asyncio
+from collections.abc import Sequence
+from datetime import timedelta
+from random import Random
+
+import structlog
+from mode import Service
+
+from baobabhinge_coordination.runonce import OpenEpoch, Window
+from baobabhinge_gateway.fleet import FleetView
+from baobabhinge_gateway.runonce.environment import Environment
+from baobabhinge_gateway.runonce.peerclient import PeerSilentError
+from baobabhinge_gateway.runonce.state import RunOnceState
+from baobabhinge_platform.machines import Vm
+
+CHECK_INTERVAL = timedelta(seconds=1)
+RENEWALS_PER_SPAN = 2
+
+log = structlog.get_logger(__name__)
+
+
+class WitnessChooser:
+    """Order the gateways that can witness for this one.
+
+    Parameters
+    ----------
+    fleet : FleetView
+        Known vms.
+    random : Random
+        Generator that spreads owners over witnesses.
+    """
+
+    __slots__ = ('_fleet', '_random')
+
+    def __init__(self, fleet: FleetView, random: Random) -> None:
+        """Keep the parts."""
+        self._fleet = fleet
+        self._random = random
+
+    def list_candidates(self) -> Sequence[Vm]:
+        """Return other gateways of the region, other failure domains first."""
+        home = self._fleet.home
+        near = self._fleet.list_gateways(home.region)
+        domains = {vm.failure_domain for vm in near if vm.name == home.gateway}
+        others = [vm for vm in near if vm.name != home.gateway]
+        shuffled = self._random.sample(others, len(others))
+        return sorted(shuffled, key=lambda vm: vm.failure_domain in domains)
+
+
+class WitnessKeeper(Service):
+    """Open an epoch at a witness before the present one is too old.
+
+    Parameters
+    ----------
+    state : RunOnceState
+        What this gateway remembers.
+    environment : Environment
+        Surroundings.
+    """
+
+    def __init__(
+        self,
+        state: RunOnceState,
+        environment: Environment,
+    ) -> None:
+        """Ask nobody yet."""
+        super().__init__()
+        self._state = state
+        self._chooser = WitnessChooser(environment.fleet, environment.random)
+        self._peers = environment.peers
+        self._clock = environment.clock
+        self._is_due = asyncio.Event()
+
+    def replace_witness(self) -> None:
+        """Look for another witness soon: the present one was silent."""
+        self._is_due.set()
+
+    async def on_start(self) -> None:
+        """Open the first epoch if a witness is there."""
+        await self._renew()
+
+    @Service.task
+    async def _keep(self) -> None:
+        while not self.should_stop:
+            await self.sleep(CHECK_INTERVAL)
+            self._state.drop_expired()
+            if self._needs_renewal():
+                await self._renew()
+
+    def _needs_renewal(self) -> bool:
+        mint = self._state.mint
+        span = self._state.retention.epoch_span / RENEWALS_PER_SPAN
+        return self._is_due.is_set() or mint.witness is None or mint.age > span
+
+    async def _renew(self) -> None:
+        self._is_due.clear()
+        started = self._clock.read_monotonic()
+        for vm in self._chooser.list_candidates():
+            window = await self._open(vm, started)
+            if window is not None:
+                self._state.mint.adopt(window)
+                return
+        log.warning('no-witness')
+        self._state.mint.adopt(Window(started))
+
+    async def _open(self, vm: Vm, started: timedelta) -> Window | None:
+        order = OpenEpoch(self._state.party)
+        try:
+            opened = await self._peers.open_epoch(vm.address, order)
+        except PeerSilentError:
+            return None
+        return Window(started, opened.witness, opened.epoch)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/keyroutes.py
@@ -0,0 +1,116 @@
+"""Paths by which callers take keys and ask for outcomes."""
+
+from datetime import timedelta
+
+import msgspec
+from aiohttp import web
+
+from baobabhinge_coordination.runonce import (
+    AskOutcome,
+    KeysExhaustedError,
+    MalformedKeyError,
+    decode_key,
+    encode_key,
+)
+from baobabhinge_gateway.errors import (
+    BadKeyError,
+    KeysUnavailableError,
+    MalformedCallError,
+    OutcomeUnknownError,
+)
+from baobabhinge_gateway.runonce.parts import RunOnceParts
+
+KEYS_PATH = '/v1/keys'
+MAX_COUNT = 1000
+SECOND = timedelta(seconds=1)
+JSON_TYPE = 'application/json'
+
+
+class KeyOrder(msgspec.Struct, frozen=True):
+    """Body of ``POST /v1/keys``."""
+
+    count: int = 1
+
+
+class KeyBatch(msgspec.Struct, frozen=True):
+    """Answer to ``POST /v1/keys``.
+
+    Parameters
+    ----------
+    keys : list of str
+        New keys.
+    ttl_seconds : int
+        Time for which they can be used, in seconds.
+    witnessed : bool
+        Whether a second gateway can vouch for them.
+    """
+
+    keys: list[str]
+    ttl_seconds: int
+    witnessed: bool
+
+
+class KeyRoutes:
+    """Handlers of the key paths.
+
+    Parameters
+    ----------
+    parts : RunOnceParts
+        Mint, and ways to owners and witnesses.
+    region : str
+        Region of this gateway; outcomes of others stay there.
+    """
+
+    __slots__ = ('_parts', '_region')
+
+    def __init__(self, parts: RunOnceParts, region: str) -> None:
+        """Keep the parts."""
+        self._parts = parts
+        self._region = region
+
+    def add_to(self, app: web.Application) -> None:
+        """Add the paths."""
+        app.router.add_post(KEYS_PATH, self.mint)
+        app.router.add_get(f'{KEYS_PATH}/{{key}}', self.report)
+
+    async def mint(self, request: web.Request) -> web.Response:
+        """Answer with a batch of keys."""
+        order = _read_order(await request.read())
+        mint = self._parts.memory.mint
+        try:
+            keys = mint.mint(order.count)
+        except KeysExhaustedError as full:
+            raise KeysUnavailableError(str(full)) from full
+        batch = KeyBatch(
+            [encode_key(key) for key in keys],
+            self._parts.memory.retention.key_age // SECOND,
+            mint.witness is not None,
+        )
+        return web.Response(
+            body=msgspec.json.encode(batch),
+            content_type=JSON_TYPE,
+        )
+
+    async def report(self, request: web.Request) -> web.Response:
+        """Answer with the outcome; a key that was not used is closed."""
+        try:
+            key = decode_key(request.match_info['key'])
+        except MalformedKeyError as bad:
+            raise BadKeyError(str(bad)) from bad
+        if key.region != self._region:
+            raise OutcomeUnknownError(f'ask a gateway of {key.region}')
+        outcome = await self._parts.inquirer.ask(AskOutcome(key))
+        return web.Response(
+            body=msgspec.json.encode(outcome),
+            content_type=JSON_TYPE,
+        )
+
+
+def _read_order(body: bytes) -> KeyOrder:
+    try:
+        order = msgspec.json.decode(body or b'{}', type=KeyOrder)
+    except msgspec.MsgspecError as bad:
+        raise MalformedCallError(f'the body is malformed: {bad}') from bad
+    if 1 <= order.count <= MAX_COUNT:
+        return order
+    raise MalformedCallError(f'count is from 1 to {MAX_COUNT}')
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/rendering.py
@@ -0,0 +1,62 @@
+"""Telling callers the outcome of a run-once call."""
+
+from datetime import timedelta
+
+from aiohttp import web
+
+from baobabhinge_coordination.runonce import (
+    KeptAnswer,
+    Outcome,
+    OutcomeKind,
+    Reason,
+)
+from baobabhinge_gateway.calls.headers import REQUEST_ID
+from baobabhinge_gateway.errors import (
+    AnswerNotKeptError,
+    CallError,
+    KeyReusedError,
+    NotRunError,
+    OutcomeUnknownError,
+)
+from baobabhinge_gateway.runonce.attempt import Attempt
+
+ASK_AGAIN = timedelta(seconds=1)
+HOW_TO_ASK = 'send it again with the same key, or GET /v1/keys/{key}'
+TAKE_A_KEY = 'take a new key from POST /v1/keys to try again'
+
+
+def render_outcome(attempt: Attempt, outcome: Outcome) -> web.Response:
+    """Return the kept answer as the answer to this attempt.
+
+    Raises
+    ------
+    CallError
+        If there is no answer to give.
+    """
+    if outcome.kind is OutcomeKind.unknown:
+        raise OutcomeUnknownError(
+            f'{outcome.reason}: the call may have run; {HOW_TO_ASK}',
+            ASK_AGAIN,
+        )
+    if outcome.answer is None:
+        raise _describe_not_run(outcome.reason)
+    return _render_answer(attempt.call.request_id, outcome.answer)
+
+
+def _describe_not_run(reason: Reason) -> CallError:
+    if reason is Reason.other_request:
+        return KeyReusedError('the key belongs to another request')
+    return NotRunError(f'{reason}: the call did not run; {TAKE_A_KEY}')
+
+
+def _render_answer(request_id: str, answer: KeptAnswer) -> web.Response:
+    if answer.body is None:
+        raise AnswerNotKeptError(
+            f'the call ran and was answered with status {answer.status}; '
+            'the answer was too long to keep',
+        )
+    response = web.Response(status=answer.status, body=answer.body)
+    for name, text in answer.headers:
+        response.headers.add(name, text)
+    response.headers[REQUEST_ID] = request_id
+    return response
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/sending.py
@@ -0,0 +1,82 @@
+"""Handing a run-once call to a backend server, once."""
+
+from collections.abc import Sequence
+from datetime import timedelta
+
+from baobabhinge_coordination.runonce import (
+    END_OUTCOMES,
+    DispatchEnd,
+    KeptAnswer,
+    Outcome,
+    may_try_another,
+    report_answered,
+)
+from baobabhinge_gateway.backends import open_exchange
+from baobabhinge_gateway.calls import Call
+from baobabhinge_gateway.errors import CallError, NotReachedError
+from baobabhinge_gateway.routing import Target
+from baobabhinge_gateway.routing.outbound import build_outbound
+from baobabhinge_gateway.runonce.environment import Environment
+from baobabhinge_gateway.runonce.resending import RefuseResending
+from baobabhinge_platform.machines import Vm
+
+NO_TIME = timedelta()
+
+
+class RunOnceSender:
+    """Send a call to backend servers of this region until one is reached.
+
+    Parameters
+    ----------
+    environment : Environment
+        Surroundings.
+    """
+
+    __slots__ = ('_environment',)
+
+    def __init__(self, environment: Environment) -> None:
+        """Keep the surroundings."""
+        self._environment = environment
+
+    async def send(self, call: Call) -> Outcome:
+        """Run ``call`` at most once and return its outcome."""
+        for vm in self._list_servers(call):
+            sent = await self._try(call, vm)
+            if isinstance(sent, KeptAnswer):
+                return report_answered(sent)
+            if not may_try_another(sent):
+                return END_OUTCOMES[sent]
+        return END_OUTCOMES[DispatchEnd.not_reached]
+
+    def _list_servers(self, call: Call) -> Sequence[Vm]:
+        fleet = self._environment.fleet
+        return fleet.list_backends(call.service.name, fleet.home.region)
+
+    async def _try(self, call: Call, vm: Vm) -> KeptAnswer | DispatchEnd:
+        now = self._environment.clock.read_monotonic()
+        rest = call.terms.deadline - now
+        if rest <= NO_TIME:
+            return DispatchEnd.deadline_passed
+        try:
+            return await self._exchange(call, vm, rest)
+        except NotReachedError:
+            return DispatchEnd.not_reached
+        except CallError:
+            return DispatchEnd.broken
+
+    async def _exchange(
+        self,
+        call: Call,
+        vm: Vm,
+        rest: timedelta,
+    ) -> KeptAnswer:
+        target = Target(vm, is_remote=False, in_flight=0)
+        exchange = open_exchange(
+            self._environment.http,
+            build_outbound(call, target, rest),
+            (RefuseResending(),),
+        )
+        async with exchange as answer:
+            answer.check_request_id(call.request_id)
+            body = await answer.read_whole()
+            return KeptAnswer(answer.status, answer.headers, body)
