--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/limited.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/limited.py
@@ -56,3 +56,26 @@
         )
         with self._quotas.track(limits):
             return await self._executor.execute(request, call)
+
+
+class ExecutorLimits:
+    """One count of calls for all executors of a gateway.
+
+    Parameters
+    ----------
+    quotas : Quotas
+        Counts of this gateway.
+    rules : RoutingRules
+        What the configuration in force says.
+    """
+
+    __slots__ = ('_quotas', '_rules')
+
+    def __init__(self, quotas: Quotas, rules: RoutingRules) -> None:
+        """Keep the parts."""
+        self._quotas = quotas
+        self._rules = rules
+
+    def wrap(self, executor: Executor) -> LimitedExecutor:
+        """Return ``executor`` within the limits."""
+        return LimitedExecutor(executor, self._quotas, self._rules)
