--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/gateways.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/gateways.py
@@ -47,6 +47,12 @@
                 listed[member.name] = convert_member(member)
         return [vm for vm in listed.values() if self._takes_calls(vm)]
 
+    def find_own(self, name: str) -> Vm | None:
+        """Return a gateway of this region that its membership knows."""
+        region = self._members.own.region
+        member = self._members.table.find(name, region)
+        return convert_member(member) if member else None
+
     def list_regions(self, index: VmIndex) -> Sequence[str]:
         """Return the regions in which a gateway is known."""
         known = self._members.table.list_regions()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
@@ -6,7 +6,7 @@
 from baobabhinge_gateway.fleet.gateways import GatewayRoll
 from baobabhinge_gateway.fleet.reports import LoadReport, LoadReports
 from baobabhinge_gateway.fleet.watcher import VmWatcher
-from baobabhinge_platform.machines import Role, Vm, VmState
+from baobabhinge_platform.machines import Vm, VmState
 
 
 class FleetView:
@@ -75,11 +75,8 @@
 
     def find_gateway(self, name: str) -> Vm | None:
         """Return the gateway called ``name``, live or leaving."""
-        known = [*self._watcher.vms, *self.list_gateways(self.home.region)]
-        for vm in known:
-            if vm.name == name and vm.role is Role.gateway:
-                return vm
-        return None
+        listed = self._watcher.index.by_name.get(name)
+        return listed or self._roll.find_own(name)
 
     def find_report(self, vm: Vm) -> LoadReport | None:
         """Return the newest load report of ``vm``, if one is known."""
