Start in a cut-off region with configuration and list of vms from a peer

Cause: a gateway that starts while store, list of vms and other regions are unreachable had no configuration and knew no backend server. It now meets its peers by the seeds of its process settings and takes both from one of them. Operators drains are left out of the views.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/active.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/active.py
@@ -25,6 +25,10 @@
         """Return the release in force."""
         return self._release
 
+    def find_settings(self) -> Settings | None:
+        """Return the settings in force, or ``None`` before the first."""
+        return self._settings
+
     def require_settings(self) -> Settings:
         """Return the settings in force.
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -55,6 +55,7 @@
             self._settings.identity,
             self._lifecycle,
             platform,
+            self._active,
         )
         await self.add_runtime_dependency(fleet)
         await self.add_runtime_dependency(
@@ -80,7 +81,7 @@
             [
                 end,
                 CallRoutes(calls, headers.FORWARD_PREFIX),
-                *peers.routes,
+                *peers.node.routes,
             ],
         )
         caller_app = build_app(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/polling.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/polling.py
@@ -72,7 +72,7 @@
             TimeoutError,
             msgspec.MsgspecError,
         ) as bad:
-            log.info('load-unread', vm=vm.name, reason=type(bad).__name__)
+            log.info('load-unread', backend=vm.name, reason=type(bad).__name__)
             return
         if report is not None:
             self._reports.put(vm.name, report)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/service.py
@@ -4,7 +4,7 @@
 
 from baobabhinge_coordination.clock import SystemClock
 from baobabhinge_gateway.calls import Hop
-from baobabhinge_gateway.fleet.gateways import GatewayRoll
+from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.fleet.ownrecord import build_members
 from baobabhinge_gateway.fleet.polling import LoadPoller
 from baobabhinge_gateway.fleet.reports import LoadReports
@@ -26,6 +26,8 @@
         Incarnation of this gateway.
     platform : Platform
         Clients of the platform.
+    active : ActiveConfiguration
+        Configuration in force.
 
     Attributes
     ----------
@@ -46,6 +48,7 @@
         identity: Identity,
         lifecycle: Lifecycle,
         platform: Platform,
+        active: ActiveConfiguration,
     ) -> None:
         """Know this gateway alone."""
         super().__init__()
@@ -59,7 +62,8 @@
             Hop(identity.name, identity.region),
             self.watcher,
             self.reports,
-            GatewayRoll(self.members),
+            self.members,
+            active,
         )
 
     async def on_start(self) -> None:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/tests/test_reports.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/tests/test_reports.py
@@ -3,23 +3,23 @@
 import pytest
 
 from baobabhinge_coordination.clock import ManualClock
+from baobabhinge_coordination.generations import Release, ReleaseFile
 from baobabhinge_coordination.membership import Member, MembershipView
 from baobabhinge_gateway.calls import Hop
+from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.fleet import (
     FleetView,
     LoadPart,
     LoadReport,
     LoadReports,
 )
-from baobabhinge_gateway.fleet.gateways import GatewayRoll
 from baobabhinge_gateway.fleet.index import VmIndex
 from baobabhinge_gateway.fleet.polling import decode_load, list_share
 from baobabhinge_gateway.fleet.reports import REPORT_LIFETIME
 from baobabhinge_platform.machines import Role, Vm, VmState
 
-ROLL = GatewayRoll(
-    MembershipView(Member('g0', 'west', 'g0/1', 1), ManualClock()),
-)
+MEMBERS = MembershipView(Member('g0', 'west', 'g0/1', 1), ManualClock())
+NONE = ActiveConfiguration()
 SECOND = timedelta(seconds=1)
 NO_TIME = timedelta()
 
@@ -73,10 +73,20 @@
 def test_only_backend_servers_that_take_work_are_listed(vm, draining, listed):
     reports = LoadReports(ManualClock())
     reports.put('e1', build_report(draining=draining))
-    fleet = FleetView(Hop('g1', 'west'), Listed(vm), reports, ROLL)
+    fleet = FleetView(Hop('g1', 'west'), Listed(vm), reports, MEMBERS, NONE)
     assert bool(fleet.list_backends('llm', 'west')) is listed
 
 
+def test_what_operators_drain_is_not_listed():
+    active = ActiveConfiguration()
+    drained = ReleaseFile('10.ini', '[drain e1]\nwanted = true\n')
+    active.adopt(Release(1, (drained,)))
+    listed = Listed(build_vm('e1'), build_vm('e2'))
+    reports = LoadReports(ManualClock())
+    fleet = FleetView(Hop('g1', 'west'), listed, reports, MEMBERS, active)
+    assert fleet.list_backends('llm', 'west') == [build_vm('e2')]
+
+
 def test_each_backend_server_belongs_to_one_gateway():
     engines = [build_vm(f'e{number}') for number in range(10, 50)]
     gateways = [build_vm(f'g{number}', Role.gateway) for number in range(4)]
@@ -84,7 +94,7 @@
     shares = []
     for gateway in gateways:
         hop = Hop(gateway.name, 'west')
-        view = FleetView(hop, listed, LoadReports(ManualClock()), ROLL)
+        view = FleetView(hop, listed, LoadReports(ManualClock()), MEMBERS, NONE)
         shares.append(list_share(view))
     assert all(shares)
     polled = sorted(vm.name for share in shares for vm in share)
@@ -97,7 +107,7 @@
     parts = []
     for name in ('g1', 'g2'):
         reports = LoadReports(clock)
-        view = FleetView(Hop(name, 'west'), Listed(vm), reports, ROLL)
+        view = FleetView(Hop(name, 'west'), Listed(vm), reports, MEMBERS, NONE)
         parts.append((LoadPart(view, reports), reports))
     (first, near), (second, far) = parts
     near.put('e1', build_report(running=7, age=SECOND))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Sequence
 
+from baobabhinge_coordination.membership import MembershipView
 from baobabhinge_gateway.calls import Hop
+from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.fleet.gateways import GatewayRoll
 from baobabhinge_gateway.fleet.reports import LoadReport, LoadReports
 from baobabhinge_gateway.fleet.watcher import VmWatcher
@@ -20,8 +22,10 @@
         The platform's list as last seen.
     reports : LoadReports
         Load of the backend servers of this region.
-    roll : GatewayRoll
-        Combines the list with what the gateways say themselves.
+    members : MembershipView
+        Gateways as they tell each other.
+    active : ActiveConfiguration
+        Tells which vms operators drain.
 
     Attributes
     ----------
@@ -29,25 +33,28 @@
         This gateway.
     """
 
-    __slots__ = ('_reports', '_roll', '_watcher', 'home')
+    __slots__ = ('_active', '_reports', '_roll', '_watcher', 'home')
 
     def __init__(
         self,
         home: Hop,
         watcher: VmWatcher,
         reports: LoadReports,
-        roll: GatewayRoll,
+        members: MembershipView,
+        active: ActiveConfiguration,
     ) -> None:
         """Keep the parts."""
         self.home = home
-        self._roll = roll
+        self._roll = GatewayRoll(members)
+        self._active = active
         self._watcher = watcher
         self._reports = reports
 
     def list_backends(self, service: str, region: str) -> Sequence[Vm]:
         """Return the backend servers of ``service`` that take new work.
 
-        Leaving ones, and those that report to be draining, are left out.
+        Leaving ones, those that report to be draining and those that
+        operators drain are left out.
         """
         return [
             vm
@@ -65,12 +72,14 @@
         Dead, suspected, leaving and draining ones are left out.
         """
         index = self._watcher.index
+        regions = self._roll.list_regions(index)
         if region is not None:
-            return self._roll.combine(region, index)
+            regions = [region]
         return [
             vm
-            for name in self._roll.list_regions(index)
+            for name in regions
             for vm in self._roll.combine(name, index)
+            if not self._is_drained(vm)
         ]
 
     def find_report(self, vm: Vm) -> LoadReport | None:
@@ -78,7 +87,11 @@
         return self._reports.find(vm)
 
     def _takes_work(self, vm: Vm) -> bool:
-        if vm.state is not VmState.live:
+        if vm.state is not VmState.live or self._is_drained(vm):
             return False
         report = self._reports.find(vm)
         return report is None or not report.draining
+
+    def _is_drained(self, vm: Vm) -> bool:
+        settings = self._active.find_settings()
+        return settings is not None and settings.is_drained(vm.name)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/watcher.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/watcher.py
@@ -34,6 +34,11 @@
         self._vms: tuple[Vm, ...] = ()
         self.index = VmIndex()
 
+    def adopt(self, vms: tuple[Vm, ...]) -> None:
+        """Take ``vms`` as the list last seen."""
+        self._vms = vms
+        self.index = VmIndex(vms)
+
     async def on_start(self) -> None:
         """Read the list once before the gateway serves."""
         await self._refresh()
@@ -51,5 +56,4 @@
             log.warning('vm-list-unreadable', reason=type(bad).__name__)
             return
         if vms is not self._vms:
-            self._vms = vms
-            self.index = VmIndex(vms)
+            self.adopt(vms)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/addresses.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/addresses.py
@@ -9,8 +9,9 @@
 class PeerAddresses:
     """Find gateways by the list of vms, the settings and each other.
 
-    A gateway of another region is reached at the address that the list of
-    vms of this region gives: a proxy may stand between the regions.
+    A gateway is reached at the address that the list of vms of this region
+    gives: a proxy may stand between the regions. One of the own region that
+    is not listed is reached at the address that it gives itself.
 
     Parameters
     ----------
@@ -49,7 +50,9 @@
 
     def find(self, contact: Contact) -> str | None:
         """Return ``host:port`` of a gateway, or ``None`` if it has none."""
-        if contact.region == self._members.own.region and contact.address:
-            return contact.address
         vm = self._watcher.index.by_name.get(contact.name)
-        return None if vm is None else vm.address
+        if vm is not None:
+            return vm.address
+        if contact.region == self._members.own.region:
+            return contact.address or None
+        return None
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/assembly.py
@@ -11,8 +11,8 @@
 from baobabhinge_gateway.peers.news import NewsService
 from baobabhinge_gateway.peers.node import PeerNode
 from baobabhinge_gateway.peers.releases import ReleaseFetcher
-from baobabhinge_gateway.peers.routes import ReleaseRoutes
 from baobabhinge_gateway.peers.service import PeerService
+from baobabhinge_gateway.peers.vmlists import VmListFetcher
 from baobabhinge_gateway.platform import Platform
 
 
@@ -33,9 +33,7 @@
     Attributes
     ----------
     node : PeerNode
-        Its ``parts`` take more payloads.
-    routes : tuple of Routes
-        Paths by which the others come.
+        Its ``parts`` take more payloads, its ``routes`` go to the listener.
     """
 
     def __init__(
@@ -51,15 +49,17 @@
         self.node = PeerNode(
             platform.http,
             fleet,
+            active,
             SystemClock(),
             random,
         )
         self.node.parts.add(LoadPart(fleet.view, fleet.reports))
-        self.routes = (self.node.routes, ReleaseRoutes(active))
+        client = self.node.client
         self._parts = (
-            ReleaseFetcher(platform.http, active, self.node),
+            ReleaseFetcher(client, active, self.node.parts),
             NewsService(self.node, lifecycle, random),
             PeerService(self.node, random),
+            VmListFetcher(client, fleet.watcher, fleet.members, random),
         )
 
     async def on_start(self) -> None:
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/client.py
@@ -0,0 +1,90 @@
+"""Documents that other gateways hand out."""
+
+from datetime import timedelta
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+
+from baobabhinge_coordination.generations import Release
+from baobabhinge_coordination.membership import (
+    Contact,
+    MemberUnreachableError,
+)
+from baobabhinge_gateway.peers.addresses import PeerAddresses
+from baobabhinge_gateway.peers.routes import RELEASE_PATH, VMS_PATH
+from baobabhinge_platform.machines import Vm
+
+FETCH_TIMEOUT = timedelta(seconds=5)
+
+DocumentT = TypeVar('DocumentT')
+
+
+class PeerClient:
+    """Fetch documents from other gateways.
+
+    Parameters
+    ----------
+    http : aiohttp.ClientSession
+        Session that the caller owns and closes.
+    addresses : PeerAddresses
+        Finder of addresses.
+    """
+
+    __slots__ = ('_addresses', '_http')
+
+    def __init__(
+        self,
+        http: aiohttp.ClientSession,
+        addresses: PeerAddresses,
+    ) -> None:
+        """Keep the parts; nothing is sent."""
+        self._http = http
+        self._addresses = addresses
+
+    async def fetch_release(self, contact: Contact) -> Release:
+        """Return the release that a gateway has in force.
+
+        Raises
+        ------
+        MemberUnreachableError
+            If it can't be read.
+        """
+        return await self._fetch(contact, RELEASE_PATH, Release)
+
+    async def fetch_vms(self, contact: Contact) -> tuple[Vm, ...]:
+        """Return the list of vms as a gateway has last seen it.
+
+        Raises
+        ------
+        MemberUnreachableError
+            If it can't be read.
+        """
+        return await self._fetch(contact, VMS_PATH, tuple[Vm, ...])
+
+    async def _fetch(
+        self,
+        contact: Contact,
+        path: str,
+        kind: type[DocumentT],
+    ) -> DocumentT:
+        address = self._addresses.find(contact)
+        if address is None:
+            raise MemberUnreachableError(f'no address of {contact.name}')
+        try:
+            body = await self._get(f'http://{address}{path}')
+        except (aiohttp.ClientError, TimeoutError) as bad:
+            raise MemberUnreachableError(address) from bad
+        try:
+            return msgspec.json.decode(body, type=kind)
+        except msgspec.MsgspecError as malformed:
+            raise MemberUnreachableError(address) from malformed
+
+    async def _get(self, url: str) -> bytes:
+        limit = aiohttp.ClientTimeout(total=FETCH_TIMEOUT.total_seconds())
+        async with self._http.get(
+            url,
+            timeout=limit,
+            raise_for_status=True,
+        ) as answer:
+            return await answer.read()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/node.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/node.py
@@ -10,10 +10,12 @@
     MembershipTiming,
     Prober,
 )
+from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.fleet import FleetService
 from baobabhinge_gateway.peers.addresses import PeerAddresses
+from baobabhinge_gateway.peers.client import PeerClient
 from baobabhinge_gateway.peers.parts import HeartbeatParts
-from baobabhinge_gateway.peers.routes import PeerRoutes
+from baobabhinge_gateway.peers.routes import DocumentRoutes, PeerRoutes
 from baobabhinge_gateway.peers.transport import PeerTransport
 
 TIMING = MembershipTiming()
@@ -28,6 +30,8 @@
         Session that the caller owns and closes.
     fleet : FleetService
         What is known about the fleet.
+    active : ActiveConfiguration
+        Configuration in force.
     clock : Clock
         Clock of the periods.
     random : Random
@@ -37,31 +41,32 @@
     ----------
     addresses : PeerAddresses
         Finder of addresses.
+    client : PeerClient
+        Fetcher of documents.
     members : MembershipView
         Known gateways.
     parts : HeartbeatParts
         Payloads of the heartbeats.
     prober : Prober
         Sender of heartbeats.
-    routes : PeerRoutes
+    routes : tuple of Routes
         Paths by which the others come.
-    transport : PeerTransport
-        The way to the others.
     """
 
     __slots__ = (
         'addresses',
+        'client',
         'members',
         'parts',
         'prober',
         'routes',
-        'transport',
     )
 
     def __init__(
         self,
         http: aiohttp.ClientSession,
         fleet: FleetService,
+        active: ActiveConfiguration,
         clock: Clock,
         random: Random,
     ) -> None:
@@ -73,9 +78,10 @@
             members,
             fleet.identity.list_seeds(),
         )
+        self.client = PeerClient(http, self.addresses)
         self.members = members
         self.parts = HeartbeatParts(region)
-        self.transport = PeerTransport(
+        transport = PeerTransport(
             http,
             region,
             self.addresses,
@@ -84,5 +90,8 @@
         protocol = MembershipProtocol(
             members, self.parts, clock, random, TIMING
         )
-        self.prober = Prober(protocol, self.transport, clock, random, TIMING)
-        self.routes = PeerRoutes(protocol, self.prober, self.transport.traffic)
+        self.prober = Prober(protocol, transport, clock, random, TIMING)
+        self.routes = (
+            PeerRoutes(protocol, self.prober, transport.traffic),
+            DocumentRoutes(active, fleet.watcher),
+        )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/parts.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/parts.py
@@ -103,4 +103,6 @@
     try:
         part.absorb(sender, body)
     except msgspec.MsgspecError:
-        log.warning('heartbeat-part-malformed', part=part.name, vm=sender.name)
+        log.warning(
+            'heartbeat-part-malformed', part=part.name, peer=sender.name
+        )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/releases.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/releases.py
@@ -1,20 +1,19 @@
 """Learning newer configurations from other gateways."""
 
 import asyncio
-from datetime import timedelta
 
-import aiohttp
 import msgspec
 import structlog
 from mode import Service
 
-from baobabhinge_coordination.generations import Release
-from baobabhinge_coordination.membership import Contact, Member
+from baobabhinge_coordination.membership import (
+    Contact,
+    Member,
+    MemberUnreachableError,
+)
 from baobabhinge_gateway.configuration import ActiveConfiguration
-from baobabhinge_gateway.peers.node import PeerNode
-from baobabhinge_gateway.peers.routes import RELEASE_PATH
-
-FETCH_TIMEOUT = timedelta(seconds=5)
+from baobabhinge_gateway.peers.client import PeerClient
+from baobabhinge_gateway.peers.parts import HeartbeatParts
 
 log = structlog.get_logger(__name__)
 
@@ -62,60 +61,45 @@
 
     Parameters
     ----------
-    http : aiohttp.ClientSession
-        Session that the caller owns and closes.
+    client : PeerClient
+        Fetcher of documents.
     active : ActiveConfiguration
         Where newer releases go.
-    node : PeerNode
-        Parts that speak to the others.
+    parts : HeartbeatParts
+        Payloads of the heartbeats.
     """
 
     def __init__(
         self,
-        http: aiohttp.ClientSession,
+        client: PeerClient,
         active: ActiveConfiguration,
-        node: PeerNode,
+        parts: HeartbeatParts,
     ) -> None:
         """Fetch nothing yet."""
         super().__init__()
-        self._http = http
+        self._client = client
         self._active = active
-        self._node = node
+        self._parts = parts
         self._part = ReleasePart(active)
-        node.parts.add(self._part)
+        parts.add(self._part)
 
     @Service.task
     async def _fetch_newer(self) -> None:
         while not self.should_stop:
             await self.wait(self._part.newer)
             self._part.newer.clear()
-            await self._fetch_from(self._part.holder)
+            if self._part.holder is not None:
+                await self._fetch_from(self._part.holder)
 
-    async def _fetch_from(self, holder: Contact | None) -> None:
-        address = holder and self._node.addresses.find(holder)
-        if address is None:
-            return
+    async def _fetch_from(self, holder: Contact) -> None:
         try:
-            release = await self._fetch(f'http://{address}{RELEASE_PATH}')
-        except (
-            aiohttp.ClientError,
-            TimeoutError,
-            msgspec.MsgspecError,
-        ) as bad:
-            log.info('release-unread', reason=type(bad).__name__)
+            release = await self._client.fetch_release(holder)
+        except MemberUnreachableError:
+            log.info('release-unread', peer=holder.name)
             return
         if self._active.adopt(release):
             log.info(
                 'configuration-adopted-from-peer',
                 generation=release.generation,
             )
-            self._node.parts.urgent.set()
-
-    async def _fetch(self, url: str) -> Release:
-        limit = aiohttp.ClientTimeout(total=FETCH_TIMEOUT.total_seconds())
-        async with self._http.get(
-            url,
-            timeout=limit,
-            raise_for_status=True,
-        ) as answer:
-            return msgspec.json.decode(await answer.read(), type=Release)
+            self._parts.urgent.set()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/routes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/routes.py
@@ -11,10 +11,12 @@
 )
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.errors import MalformedCallError
+from baobabhinge_gateway.fleet import VmWatcher
 from baobabhinge_gateway.peers.traffic import PeerTraffic
 from baobabhinge_gateway.peers.transport import EXCHANGE_PATH, PROBE_PATH
 
 RELEASE_PATH = '/peer/v1/release'
+VMS_PATH = '/peer/v1/vms'
 JSON = 'application/json'
 
 
@@ -85,30 +87,41 @@
         return web.Response(body=msgspec.json.encode(reached))
 
 
-class ReleaseRoutes:
-    """Handler by which peers fetch the release in force.
+class DocumentRoutes:
+    """Handlers of the documents that peers may need.
 
     Parameters
     ----------
     active : ActiveConfiguration
         Configuration in force.
+    watcher : VmWatcher
+        The list of vms as last seen.
     """
 
-    __slots__ = ('_active',)
+    __slots__ = ('_active', '_watcher')
 
-    def __init__(self, active: ActiveConfiguration) -> None:
-        """Keep the configuration."""
+    def __init__(
+        self,
+        active: ActiveConfiguration,
+        watcher: VmWatcher,
+    ) -> None:
+        """Keep the sources."""
         self._active = active
+        self._watcher = watcher
 
     def add_to(self, app: web.Application) -> None:
-        """Add the path."""
-        app.router.add_get(RELEASE_PATH, self.report)
+        """Add the paths."""
+        app.router.add_get(RELEASE_PATH, self.report_release)
+        app.router.add_get(VMS_PATH, self.report_vms)
 
-    async def report(self, request: web.Request) -> web.Response:
+    async def report_release(self, request: web.Request) -> web.Response:
         """Answer with the release in force."""
         if not self._active.generation:
             raise web.HTTPNotFound
-        return web.Response(
-            body=msgspec.json.encode(self._active.release),
-            content_type=JSON,
-        )
+        body = msgspec.json.encode(self._active.release)
+        return web.Response(body=body, content_type=JSON)
+
+    async def report_vms(self, request: web.Request) -> web.Response:
+        """Answer with the list of vms as last seen."""
+        vms = list(self._watcher.index.by_name.values())
+        return web.Response(body=msgspec.json.encode(vms), content_type=JSON)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/transport.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/transport.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 from datetime import timedelta
 from http import HTTPStatus
+from typing import TypeVar
 
 import aiohttp
 import msgspec
@@ -21,6 +22,8 @@
 AWAY_FACTOR = 4
 RELAY_FACTOR = 2
 
+AnswerT = TypeVar('AnswerT')
+
 
 class PeerTransport:
     """Send heartbeats to the addresses of other gateways.
@@ -75,7 +78,7 @@
             self.traffic.failures += 1
             raise
         self.traffic.bytes_received += len(answer)
-        return msgspec.json.decode(answer, type=Exchange)
+        return _decode(answer, Exchange)
 
     async def relay(self, helper: Contact, target: Contact) -> bool:
         """Ask ``helper`` whether it can reach ``target``."""
@@ -84,7 +87,7 @@
             answer = await self._post(helper, PROBE_PATH, body)
         except MemberUnreachableError:
             return False
-        return msgspec.json.decode(answer, type=bool)
+        return answer == b'true'
 
     async def _post(self, contact: Contact, path: str, body: bytes) -> bytes:
         address = self._addresses.find(contact)
@@ -106,6 +109,13 @@
             return await answer.read()
 
 
+def _decode(answer: bytes, kind: type[AnswerT]) -> AnswerT:
+    try:
+        return msgspec.json.decode(answer, type=kind)
+    except msgspec.MsgspecError as bad:
+        raise MemberUnreachableError('the answer is malformed') from bad
+
+
 @asynccontextmanager
 async def _type_failures(address: str) -> AsyncIterator[None]:
     try:
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
@@ -112,7 +112,10 @@
         member = self.roster.get(name)
         path = self._folder / f'{name}.ini'
         store = self._views.get_store_address(member)
-        path.write_text(self.platform.render_process_settings(member, store))
+        seeds = self.roster.list_by(Role.gateway, member.region)
+        path.write_text(
+            self.platform.render_process_settings(member, store, seeds),
+        )
         await self.processes.start(name, GATEWAY_MODULE, f'--settings={path}')
 
     async def publish_vm_list(self) -> None:
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/platform.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/platform.py
@@ -1,6 +1,7 @@
 """The platform's stand-ins of one deployment."""
 
 import asyncio
+from collections.abc import Iterable
 
 import aiohttp
 import msgspec
@@ -79,7 +80,12 @@
         )
         await asyncio.gather(*(wait_port(one.port) for one in ports))
 
-    def render_process_settings(self, member: Member, store: str) -> str:
+    def render_process_settings(
+        self,
+        member: Member,
+        store: str,
+        seeds: Iterable[Member],
+    ) -> str:
         """Return the process settings of a gateway.
 
         Parameters
@@ -88,7 +94,10 @@
             The gateway.
         store : str
             URL at which it reaches the key-value service.
+        seeds : iterable of Member
+            Gateways by which it finds the others of its region.
         """
+        addresses = ', '.join(seed.address for seed in seeds)
         lists = self._ports[LISTS].address
         return '\n'.join(
             (
@@ -98,6 +107,7 @@
                 f'failure-domain = {member.failure_domain}',
                 f'caller-address = {member.caller_address}',
                 f'peer-address = {member.address}',
+                f'seeds = {addresses}',
                 '[platform]',
                 f'key-value = {store}',
                 f'vm-list = {lists}/vms/{member.name}',
