--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/assembly.py
@@ -54,6 +54,7 @@
             random,
         )
         self.node.parts.add(LoadPart(fleet.view, fleet.reports))
+        active.subscribe(self.node.parts.urgent.set)
         client = self.node.client
         self._parts = (
             ReleaseFetcher(client, active, self.node.parts),
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_isolated_region.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_isolated_region.py
@@ -116,7 +116,7 @@
 async def wait_lists(running):
     async def check():
         try:
-            await running.publish_vm_list()
+            await running.vm_lists.publish()
         except aiohttp.ClientError:
             return False
         return True
