--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -61,6 +61,7 @@
             self._settings.identity,
             self._lifecycle,
             platform,
+            self._active,
         )
         await self.add_runtime_dependency(fleet)
         await self.add_runtime_dependency(
@@ -93,7 +94,7 @@
             identity.peer_address,
             build_forward_routes(calls),
             PeerRoutes(run_once.memory, run_once.inquirer),
-            *peers.routes,
+            *peers.node.routes,
         )
         await self._listen(
             identity.caller_address,
