Prove whole answers with engines and links that fail

Another gateway gets a longer silence than an engine, because it resumes by itself; with the same limit on both the entry gave up first.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/opening.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/opening.py
@@ -16,7 +16,10 @@
 from baobabhinge_gateway.routing import Target
 from baobabhinge_settings.model import ServiceKind
 
+LOCAL_SHARE = 0.5
+REMOTE_SHARE = 0.75
 EVENT_PATIENCE = timedelta(seconds=2)
+REMOTE_EVENT_PATIENCE = timedelta(seconds=6)
 LEAST_PATIENCE = timedelta(milliseconds=100)
 ENGINE_FAILURES = frozenset(
     (
@@ -29,20 +32,28 @@
 )
 
 
-def measure_patience(call: Call, rest: timedelta) -> Patience:
+def measure_patience(call: Call, target: Target, rest: timedelta) -> Patience:
     """Return the longest silences of one attempt.
 
-    Half of the time left is kept for the attempts after it.
+    Part of the time left is kept for the attempts after it. Another gateway
+    is given longer, because it makes attempts of its own.
 
     Parameters
     ----------
     call : Call
         The call.
+    target : Target
+        Where it goes.
     rest : timedelta
         Time left until its deadline.
     """
-    first = max(LEAST_PATIENCE, rest / 2)
-    return Patience(first, EVENT_PATIENCE if call.streamed else first)
+    share = REMOTE_SHARE if target.is_remote else LOCAL_SHARE
+    first = max(LEAST_PATIENCE, rest * share)
+    if not call.streamed:
+        return Patience(first, first)
+    if target.is_remote:
+        return Patience(first, REMOTE_EVENT_PATIENCE)
+    return Patience(first, EVENT_PATIENCE)
 
 
 async def open_within(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/repeatable.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/repeatable.py
@@ -93,7 +93,7 @@
         candidate: Candidate,
     ) -> web.StreamResponse:
         rest = call.terms.deadline - self._clock.read_monotonic()
-        patience = measure_patience(call, rest)
+        patience = measure_patience(call, candidate.target, rest)
         exchange = self._dispatcher.open_answer(
             relay.prepare_call(call),
             (candidate,),
--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_whole_answer.py
@@ -0,0 +1,285 @@
+import asyncio
+from datetime import timedelta
+
+import aiohttp
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from baobabhinge_standins.fleet import DeploymentPlan, Role
+from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
+from baobabhinge_standins.fleet.readiness import wait_until
+from baobabhinge_standins.links import Impairment, LinkFault
+from baobabhinge_standins.tests.conftest import run_configured
+from baobabhinge_standins.tests.steps.completions import (
+    ask,
+    list_expected,
+    send,
+)
+
+scenarios('whole_answer.feature')
+
+SETTINGS = """
+[region west]
+failure-domains = west-a
+[region east]
+failure-domains = east-a
+[region south]
+failure-domains = south-a
+[service llm]
+kind = model
+deadline = 120 s
+[placement llm west]
+replicas = 3 vms
+[placement llm south]
+replicas = 1 vms
+"""
+PLAN = DeploymentPlan(
+    name='three-regions',
+    gateways={'west': 1, 'east': 1, 'south': 1},
+    backends=(
+        BackendPlan('llm', Role.engine, 'west', 3, ('--slots=512',)),
+        BackendPlan('llm', Role.engine, 'south', 1),
+    ),
+    wan_latency=WAN_LATENCY,
+    link_bits_per_second=1_000_000_000,
+    faulty_backends=True,
+)
+HEAD_BYTES = 400
+EVENT_BYTES = 100
+LONGEST_PAUSE = timedelta(seconds=1)
+
+
+@pytest.fixture(scope='module')
+def three_regions(loop, tmp_path_factory):
+    folder = tmp_path_factory.mktemp('three-regions')
+    context = run_configured(PLAN, SETTINGS, folder)
+    yield loop.run(context.__aenter__())
+    loop.run(context.__aexit__(None, None, None))
+
+
+@given('a deployment whose engines and links can fail', target_fixture='run')
+def start(three_regions, loop):
+    loop.run(three_regions.links.heal())
+    for engine in three_regions.roster.list_by(Role.engine):
+        three_regions.processes.get(engine.name).thaw()
+    return three_regions
+
+
+async def find_runs(run, prompt):
+    """Return the engines that were given ``prompt``, and their runs of it."""
+    found = []
+    for engine in run.roster.list_by(Role.engine):
+        for entry in await run.backends.read_engine_runs(engine):
+            if entry.prompt == prompt:
+                found.append((engine, entry))
+    return found
+
+
+async def break_links(run, source, after):
+    names = [
+        name
+        for name in run.links.book.find_touching(source)
+        if name.startswith(source) and not name.endswith('store')
+    ]
+    fault = LinkFault(backward=Impairment(reset_after_bytes=after))
+    await run.links.set_fault(fault, *names)
+
+
+async def freeze_runner(run, prompt):
+    """Freeze the engine that runs ``prompt`` and return its child."""
+    runner, _ = (await find_runs(run, prompt))[-1]
+    child = run.processes.get(runner.name)
+    child.freeze()
+    return child
+
+
+async def fail(run, entry, prompt, failure):
+    """Bring ``failure`` about; the caller has received two tokens."""
+    after = HEAD_BYTES + 12 * EVENT_BYTES
+    if failure == 'each connection to an engine breaks':
+        await break_links(run, 'west-gateway-1', after)
+    elif failure == 'each connection of the entry breaks':
+        await break_links(run, entry, after)
+    elif failure == 'the engine that runs it freezes':
+        await freeze_runner(run, prompt)
+
+
+async def stream_and_fail(run, entry, asked, failure):
+    address = run.roster.get(entry).caller_address
+
+    async def on_token(received):
+        if len(received.texts) == 2:
+            await fail(run, entry, asked.prompt, failure)
+
+    async with aiohttp.ClientSession() as http:
+        return await send(http, address, asked, on_token)
+
+
+@when(
+    parsers.parse(
+        'a caller of {entry} streams {tokens:d} tokens while {failure}',
+    ),
+    target_fixture='call',
+)
+def stream(run, loop, entry, tokens, failure):
+    asked = ask(f'{entry} {tokens} {failure}', tokens)
+    return asked, loop.run(stream_and_fail(run, entry, asked, failure))
+
+
+@then('each token arrives once, in order, in one whole answer')
+def check_tokens(call):
+    asked, received = call
+    assert received.texts == list_expected(asked), received
+    assert received.is_done
+    assert not received.is_broken
+    assert received.ids == {received.request_id}
+
+
+@then(parsers.parse('the request was started {runs:d} times'))
+def check_runs(run, loop, call, runs):
+    asked, _ = call
+    for engine in run.roster.list_by(Role.engine):
+        run.processes.get(engine.name).thaw()
+    assert len(loop.run(find_runs(run, asked.prompt))) == runs
+
+
+@when(
+    'a caller streams and every connection breaks again and again',
+    target_fixture='received',
+)
+def stream_and_break(run, loop):
+    asked = ask('breaks again and again', 400)
+    entry = 'west-gateway-1'
+    failure = 'each connection to an engine breaks'
+    return loop.run(stream_and_fail(run, entry, asked, failure))
+
+
+@then('the answer ends with an error event and without its end')
+def check_cut(received):
+    assert received.texts
+    assert received.error['code'] == 'answer-broken'
+    assert received.error['outcome'] == 'unknown'
+    assert received.is_broken
+    assert not received.is_done
+
+
+@when(
+    parsers.parse(
+        'the engine that runs a {kind} completion freezes past its time-out',
+    ),
+    target_fixture='late',
+)
+def freeze_past_time_out(run, loop, kind):
+    return loop.run(answer_past_time_out(run, kind))
+
+
+async def answer_past_time_out(run, kind):
+    asked = ask(f'late {kind}', 40, stream=kind == 'streamed')
+    address = run.roster.get('west-gateway-1').caller_address
+
+    async def has_started():
+        return bool(await find_runs(run, asked.prompt))
+
+    async with aiohttp.ClientSession() as http:
+        pending = asyncio.create_task(
+            send(
+                http,
+                address,
+                asked,
+                headers={'Baobabhinge-Deadline-Ms': '12000'}.items(),
+            ),
+        )
+        await wait_until(has_started)
+        child = await freeze_runner(run, asked.prompt)
+        received = await pending
+    assert ''.join(received.texts) == ''.join(list_expected(asked))
+    return child
+
+
+@when(
+    parsers.parse('it thaws while {count:d} other callers are served'),
+    target_fixture='calls',
+)
+def thaw_and_serve(run, loop, late, count):
+    late.thaw()
+    return loop.run(send_many(run, 'after the late answer', count))
+
+
+async def send_many(run, prompt, count):
+    address = run.roster.get('west-gateway-1').caller_address
+    many = [
+        ask(f'{prompt} {number}', 4, stream=bool(number % 2))
+        for number in range(count)
+    ]
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as http:
+        answers = await asyncio.gather(
+            *(send_until_run(http, address, asked) for asked in many),
+        )
+    return list(zip(many, answers, strict=True))
+
+
+async def send_until_run(http, address, asked):
+    """Send again, as a caller may, while the answer is ``not-run``."""
+    while True:
+        received = await send(http, address, asked)
+        if received.error.get('outcome') != 'not-run':
+            return received
+        assert received.error['retry_after_seconds'] >= 1
+        await asyncio.sleep(LONGEST_PAUSE.total_seconds())
+
+
+@when(
+    parsers.parse(
+        '{count:d} distinct requests are sent at once, half of them streamed',
+    ),
+    target_fixture='calls',
+)
+def send_at_once(run, loop, count):
+    return loop.run(send_many(run, 'distinct', count))
+
+
+@then('each of them received its own whole answer')
+def check_all(calls):
+    for asked, received in calls:
+        expected = ''.join(list_expected(asked))
+        assert ''.join(received.texts) == expected, (asked, received)
+        assert received.is_done
+        assert received.ids == {received.request_id}
+    request_ids = {answer.request_id for _, answer in calls}
+    assert len(request_ids) == len(calls)
+
+
+@when(
+    parsers.parse('a caller of {entry} leaves in the middle of its answer'),
+    target_fixture='cancelled',
+)
+def leave(run, loop, entry):
+    return loop.run(send_and_leave(run, entry))
+
+
+async def send_and_leave(run, entry):
+    asked = ask(f'cancelled at {entry}', 500)
+    address = run.roster.get(entry).caller_address
+    started = asyncio.Event()
+
+    async def on_token(received):
+        started.set()
+
+    async with aiohttp.ClientSession() as http:
+        pending = asyncio.create_task(send(http, address, asked, on_token))
+        await started.wait()
+        pending.cancel()
+        await asyncio.wait([pending])
+    return asked
+
+
+@then('its engine has stopped that run early')
+def check_cancelled(run, loop, cancelled):
+    async def is_cancelled():
+        states = [
+            entry.state for _, entry in await find_runs(run, cancelled.prompt)
+        ]
+        return states == ['cancelled']
+
+    loop.run(wait_until(is_cancelled))
