--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/tests/test_reports.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/tests/test_reports.py
@@ -3,19 +3,30 @@
 import pytest
 
 from baobabhinge_coordination.clock import ManualClock
+from baobabhinge_coordination.membership import Member, MembershipView
 from baobabhinge_gateway.calls import Hop
-from baobabhinge_gateway.fleet import FleetView, LoadReport, LoadReports
+from baobabhinge_gateway.fleet import (
+    FleetView,
+    LoadPart,
+    LoadReport,
+    LoadReports,
+)
+from baobabhinge_gateway.fleet.gateways import GatewayRoll
+from baobabhinge_gateway.fleet.index import VmIndex
 from baobabhinge_gateway.fleet.polling import decode_load, list_share
 from baobabhinge_gateway.fleet.reports import REPORT_LIFETIME
 from baobabhinge_platform.machines import Role, Vm, VmState
 
+ROLL = GatewayRoll(
+    MembershipView(Member('g0', 'west', 'g0/1', 1), ManualClock()),
+)
 SECOND = timedelta(seconds=1)
 NO_TIME = timedelta()
 
 
 class Listed:
     def __init__(self, *vms):
-        self.vms = vms
+        self.index = VmIndex(vms)
 
 
 def build_vm(name, role=Role.engine, state=VmState.live):
@@ -62,7 +73,7 @@
 def test_only_backend_servers_that_take_work_are_listed(vm, draining, listed):
     reports = LoadReports(ManualClock())
     reports.put('e1', build_report(draining=draining))
-    fleet = FleetView(Hop('g1', 'west'), Listed(vm), reports)
+    fleet = FleetView(Hop('g1', 'west'), Listed(vm), reports, ROLL)
     assert bool(fleet.list_backends('llm', 'west')) is listed
 
 
@@ -73,13 +84,29 @@
     shares = []
     for gateway in gateways:
         hop = Hop(gateway.name, 'west')
-        view = FleetView(hop, listed, LoadReports(ManualClock()))
+        view = FleetView(hop, listed, LoadReports(ManualClock()), ROLL)
         shares.append(list_share(view))
     assert all(shares)
     polled = sorted(vm.name for share in shares for vm in share)
     assert polled == [vm.name for vm in engines]
 
 
+def test_reports_spread_with_their_age_and_stay_in_the_region():
+    vm = build_vm('e1')
+    clock = ManualClock()
+    parts = []
+    for name in ('g1', 'g2'):
+        reports = LoadReports(clock)
+        view = FleetView(Hop(name, 'west'), Listed(vm), reports, ROLL)
+        parts.append((LoadPart(view, reports), reports))
+    (first, near), (second, far) = parts
+    near.put('e1', build_report(running=7, age=SECOND))
+    clock.advance(SECOND)
+    second.absorb(None, first.compose())
+    assert far.find(vm) == build_report(running=7, age=SECOND * 2)
+    assert first.stays_home
+
+
 def test_the_age_on_the_wire_is_kept():
     body = b'{"running":1,"waiting":2,"slots":8,"age_ms":250}'
     expected = LoadReport(1, 2, 8, False, timedelta(milliseconds=250))
