--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
@@ -5,7 +5,7 @@
 from baobabhinge_coordination.budgets import RetryBudget
 from baobabhinge_coordination.clock import Clock, SystemClock
 from baobabhinge_gateway.admission import Quotas
-from baobabhinge_gateway.callers.checks import ArrivalChecks
+from baobabhinge_gateway.callers.checks import build_checks
 from baobabhinge_gateway.callers.service import CallServer
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.execution import (
@@ -36,7 +36,7 @@
         clock,
         active,
         _build_executors(clock, active, fleet, platform),
-        ArrivalChecks(fleet, lifecycle),
+        build_checks(fleet, active, lifecycle),
     )
 
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/checks.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/checks.py
@@ -1,15 +1,12 @@
 """Checks of a request before its body is read."""
 
+from collections.abc import Iterable
+
 from aiohttp import web
 
-from baobabhinge_gateway.calls import headers
-from baobabhinge_gateway.calls.regions import parse_regions
-from baobabhinge_gateway.errors import (
-    BodyTooLargeError,
-    HeadersTooLargeError,
-    WrongRegionError,
-)
-from baobabhinge_gateway.errors.base import EntryHint
+from baobabhinge_gateway.callers.guards import RegionGuard
+from baobabhinge_gateway.configuration import ActiveConfiguration
+from baobabhinge_gateway.errors import BodyTooLargeError, HeadersTooLargeError
 from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.lifecycle import Lifecycle
 
@@ -23,18 +20,18 @@
 
     Parameters
     ----------
-    fleet : FleetView
-        Known vms, and the region of this gateway.
     lifecycle : Lifecycle
         Whether this gateway takes calls.
+    guard : RegionGuard
+        Refuses what is bound to other regions.
     """
 
-    __slots__ = ('_fleet', '_lifecycle')
+    __slots__ = ('_lifecycle', 'guard')
 
-    def __init__(self, fleet: FleetView, lifecycle: Lifecycle) -> None:
+    def __init__(self, lifecycle: Lifecycle, guard: RegionGuard) -> None:
         """Keep the parts."""
-        self._fleet = fleet
         self._lifecycle = lifecycle
+        self.guard = guard
 
     def check(self, request: web.Request) -> None:
         """Check headers, region and length; the body stays unread.
@@ -45,27 +42,31 @@
             If the request is refused; it was not run.
         """
         self._lifecycle.note_call()
-        _check_headers(request)
-        self._check_region(request)
+        check_sizes(request.raw_path, request.raw_headers)
+        self.guard.check_request(request)
         if (request.content_length or 0) > MAX_BODY_BYTES:
             raise BodyTooLargeError('the body is over the limit')
 
-    def _check_region(self, request: web.Request) -> None:
-        regions = parse_regions(request.headers.get(headers.REGION_BOUND))
-        if regions is not None and self._fleet.home.region not in regions:
-            raise WrongRegionError(self._list_entries(regions))
 
-    def _list_entries(self, regions: frozenset[str]) -> tuple[EntryHint, ...]:
-        return tuple(
-            EntryHint(vm.name, vm.region, vm.caller_address)
-            for vm in self._fleet.list_gateways()
-            if vm.region in regions
-        )
+def build_checks(
+    fleet: FleetView,
+    active: ActiveConfiguration,
+    lifecycle: Lifecycle,
+) -> ArrivalChecks:
+    """Return the checks of one gateway."""
+    return ArrivalChecks(lifecycle, RegionGuard(fleet, active))
+
 
+def check_sizes(line: str, pairs: Iterable[tuple[bytes, bytes]]) -> None:
+    """Check the request line and the headers against their limits.
 
-def _check_headers(request: web.Request) -> None:
-    sizes = [len(b''.join(pair)) for pair in request.raw_headers]
-    sizes.append(len(request.raw_path))
+    Raises
+    ------
+    HeadersTooLargeError
+        If one of them, or all together, are too long.
+    """
+    sizes = [len(b''.join(pair)) for pair in pairs]
+    sizes.append(len(line))
     is_long = max(sizes) > MAX_HEADER_BYTES
     if is_long or sum(sizes) > MAX_ALL_HEADERS_BYTES:
         raise HeadersTooLargeError('the line or a header is over the limit')
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/guards.py
@@ -0,0 +1,97 @@
+"""Keeping calls that are bound to regions inside them."""
+
+from collections.abc import Iterable
+
+from aiohttp import web
+
+from baobabhinge_gateway.calls import Call, HopList, headers
+from baobabhinge_gateway.calls.bindings import parse_regions
+from baobabhinge_gateway.calls.parsing import get_service_name
+from baobabhinge_gateway.calls.regions import find_origin, restrict_call
+from baobabhinge_gateway.configuration import ActiveConfiguration
+from baobabhinge_gateway.errors import WrongRegionError
+from baobabhinge_gateway.errors.base import EntryHint
+from baobabhinge_gateway.fleet import FleetView
+from baobabhinge_settings.model import ServiceKind, Settings
+
+
+class RegionGuard:
+    """Refuse calls that may not be in the region of this gateway.
+
+    Parameters
+    ----------
+    fleet : FleetView
+        Known vms, and the region of this gateway.
+    active : ActiveConfiguration
+        Data rules in force.
+    """
+
+    __slots__ = ('_active', '_fleet')
+
+    def __init__(self, fleet: FleetView, active: ActiveConfiguration) -> None:
+        """Keep the parts."""
+        self._fleet = fleet
+        self._active = active
+
+    def check_request(self, request: web.Request) -> None:
+        """Check what the headers tell; the body stays unread.
+
+        Raises
+        ------
+        WrongRegionError
+            If the call is bound to other regions.
+        """
+        asked = parse_regions(request.headers.get(headers.REGION_BOUND))
+        if asked is not None:
+            self._require_home(asked)
+        settings = self._active.require_settings()
+        if settings.data_rules:
+            self._check_rules(request, settings)
+
+    def restrict(self, call: Call) -> Call:
+        """Return a call with the regions that the rules leave it.
+
+        Raises
+        ------
+        WrongRegionError
+            If the call is bound to other regions.
+        """
+        restricted = restrict_call(call, self._active.require_settings())
+        if restricted.terms.regions is not None:
+            self._require_home(restricted.terms.regions)
+        return restricted
+
+    def _check_rules(self, request: web.Request, settings: Settings) -> None:
+        passed = HopList.parse(request.headers.get(headers.PATH, ''))
+        hops = passed.extend(self._fleet.home)
+        workspace = request.headers.get(headers.WORKSPACE, '')
+        for service in _list_services(request, settings):
+            origin = find_origin(settings, service, workspace, hops)
+            if origin.region == self._fleet.home.region:
+                return
+            self._require_home(settings.list_allowed_regions(origin))
+
+    def _require_home(self, regions: frozenset[str]) -> None:
+        if self._fleet.home.region in regions:
+            return
+        raise WrongRegionError(
+            tuple(
+                EntryHint(vm.name, vm.region, vm.caller_address)
+                for vm in self._fleet.list_gateways()
+                if vm.region in regions
+            ),
+        )
+
+
+def _list_services(request: web.Request, settings: Settings) -> Iterable[str]:
+    """Return the services that a request may be for, before its body."""
+    named = request.match_info.get('service')
+    if named is None:
+        named = request.headers.get(headers.SERVICE)
+    if named is not None:
+        return (get_service_name(named),)
+    return (
+        service.name
+        for service in settings.services.values()
+        if service.kind is ServiceKind.model
+    )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
@@ -21,7 +21,7 @@
     CallerLostError,
     CallError,
 )
-from baobabhinge_gateway.execution import Executor, Executors
+from baobabhinge_gateway.execution import Executors
 from baobabhinge_gateway.telemetry import Measures
 
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -92,21 +92,20 @@
     ) -> web.StreamResponse:
         arrival = self._register(request)
         self._checks.check(request)
-        call = await build(request, self._active.require_settings(), arrival)
-        executor = self._executors.select(call)
-        response = await self._execute(executor, request, call)
-        elapsed = self._clock.read_monotonic() - arrival.instant
-        self.measures.record_latency('answer', elapsed)
+        built = await build(request, self._active.require_settings(), arrival)
+        call = self._checks.guard.restrict(built)
+        response = await self._execute(request, call)
+        now = self._clock.read_monotonic()
+        self.measures.record_latency('answer', now - arrival.instant)
         return response
 
     async def _execute(
         self,
-        executor: Executor,
         request: web.Request,
         call: Call,
     ) -> web.StreamResponse:
         try:
-            response = await executor.execute(request, call)
+            response = await self._executors.select(call).execute(request, call)
         except (AnswerCutError, CallerLostError) as lost:
             self.measures.outcomes['not-whole'] += 1
             kind = type(lost).__name__
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/headers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/headers.py
@@ -4,6 +4,7 @@
 
 DEADLINE = 'Baobabhinge-Deadline-Ms'
 REGION_BOUND = 'Baobabhinge-Region-Bound'
+SERVICE = 'Baobabhinge-Service'
 WORKSPACE = 'Baobabhinge-Workspace'
 PATH = 'Baobabhinge-Path'
 RUN_ONCE_KEY = 'Baobabhinge-Key'
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/hops.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/hops.py
@@ -40,7 +40,7 @@
         """
         if any(passed.gateway == hop.gateway for passed in self.hops):
             raise PathLoopError('the call has passed this gateway before')
-        if hop.region in self._list_left_regions():
+        if hop.region in _list_left_regions(self.hops):
             raise PathLoopError('the call has left this region before')
         return HopList((*self.hops, hop), self.tried)
 
@@ -75,14 +75,23 @@
         entries = text.split(HOP_SEPARATOR) if text else []
         return cls(tuple(_parse_hop(entry) for entry in entries))
 
+    @property
+    def entry(self) -> Hop:
+        """Return the gateway that the caller asked.
+
+        A call passes at most one gateway after it.
+        """
+        return self.hops[-2:][0]
+
     def _list_all(self) -> tuple[Hop, ...]:
         return self.tried + self.hops
 
-    def _list_left_regions(self) -> set[str]:
-        if not self.hops:
-            return set()
-        current = self.hops[-1].region
-        return {hop.region for hop in self.hops if hop.region != current}
+
+def _list_left_regions(hops: tuple[Hop, ...]) -> set[str]:
+    if not hops:
+        return set()
+    current = hops[-1].region
+    return {hop.region for hop in hops if hop.region != current}
 
 
 def _parse_hop(entry: str) -> Hop:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/parsing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/parsing.py
@@ -6,8 +6,8 @@
 from aiohttp import web
 
 from baobabhinge_gateway.calls import headers
+from baobabhinge_gateway.calls.bindings import parse_regions
 from baobabhinge_gateway.calls.model import Terms
-from baobabhinge_gateway.calls.regions import parse_regions
 from baobabhinge_gateway.errors import (
     MalformedCallError,
     UnknownServiceError,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/regions.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/regions.py
@@ -1,26 +1,43 @@
 """Regions that a call may not leave."""
 
-from baobabhinge_gateway.errors import MalformedCallError
+import msgspec
 
-SEPARATOR = ','
+from baobabhinge_gateway.calls.hops import HopList
+from baobabhinge_gateway.calls.model import Call
+from baobabhinge_settings.model import Settings
+from baobabhinge_settings.model.rules import DataOrigin
 
 
-def parse_regions(text: str | None) -> frozenset[str] | None:
-    """Return the regions that a header names; ``None`` for no header.
+def find_origin(
+    settings: Settings,
+    service: str,
+    workspace: str,
+    hops: HopList,
+) -> DataOrigin:
+    """Return whose data a call carries.
 
-    Raises
-    ------
-    MalformedCallError
-        If the header names none.
+    Parameters
+    ----------
+    settings : Settings
+        Settings in force.
+    service, workspace : str
+        Service that is called, and workspace of the caller.
+    hops : HopList
+        Gateways passed; data of a workspace without a home live in the
+        region of the first.
     """
-    if text is None:
-        return None
-    regions = frozenset(name.strip() for name in text.split(SEPARATOR))
-    if '' in regions:
-        raise MalformedCallError('a region of the binding has no name')
-    return regions
+    region = settings.get_data_region(workspace, hops.entry.region)
+    return DataOrigin(service, workspace, region)
 
 
-def render_regions(regions: frozenset[str]) -> str:
-    """Return the text of the header."""
-    return SEPARATOR.join(sorted(regions))
+def restrict_call(call: Call, settings: Settings) -> Call:
+    """Return the call with the regions that the data rules leave it."""
+    if not settings.data_rules:
+        return call
+    workspace = call.terms.workspace
+    origin = find_origin(settings, call.service.name, workspace, call.hops)
+    allowed = settings.list_allowed_regions(origin)
+    if call.terms.regions is not None:
+        allowed &= call.terms.regions
+    terms = msgspec.structs.replace(call.terms, regions=allowed)
+    return msgspec.structs.replace(call, terms=terms)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/outbound.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/outbound.py
@@ -4,8 +4,8 @@
 
 from baobabhinge_gateway.backends import Outbound
 from baobabhinge_gateway.calls import Call, headers
+from baobabhinge_gateway.calls.bindings import render_regions
 from baobabhinge_gateway.calls.model import Headers
-from baobabhinge_gateway.calls.regions import render_regions
 from baobabhinge_gateway.routing.targets import Target
 from baobabhinge_settings.model import ServiceKind
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/completions.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/completions.py
@@ -38,7 +38,7 @@
     return [asked.generate_token(index) for index in range(asked.max_tokens)]
 
 
-async def send(http, address, asked, on_token=None, headers=()):
+async def send(http, address, asked, on_token=None, headers=(), **options):
     """Send ``asked`` and return what came back, whole or not."""
     received = Received()
     try:
@@ -47,6 +47,7 @@
             data=msgspec.json.encode(asked),
             headers=dict(headers),
             timeout=CALL_LIMIT,
+            **options,
         ) as answer:
             received.status = answer.status
             received.request_id = answer.headers.get('X-Request-Id', '')
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_whole_answer.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_whole_answer.py
@@ -32,6 +32,11 @@
 replicas = 3 vms
 [placement llm south]
 replicas = 1 vms
+[service ledger]
+kind = plain
+deadline = 5 s
+[placement ledger east]
+replicas = 1 vms
 """
 PLAN = DeploymentPlan(
     name='three-regions',
