--- /dev/null
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/entries.py
@@ -0,0 +1,80 @@
+"""Which gateways to use, as the gateways themselves tell."""
+
+from collections.abc import Sequence
+from datetime import timedelta
+
+import aiohttp
+import msgspec
+
+from baobabhinge_caller.messages import Entry, EntryList
+from baobabhinge_coordination.clock import Clock
+
+ASK_TIMEOUT = aiohttp.ClientTimeout(total=2)
+
+
+class EntryBook:
+    """Addresses of gateways, the best one first.
+
+    Parameters
+    ----------
+    http : aiohttp.ClientSession
+        Session that the caller owns and closes.
+    seeds : sequence of str
+        ``host:port`` of some gateways, for the first question.
+    clock : Clock
+        Clock of the time to live.
+    """
+
+    __slots__ = ('_avoided', '_clock', '_expires', '_http', '_listed', '_seeds')
+
+    def __init__(
+        self,
+        http: aiohttp.ClientSession,
+        seeds: Sequence[str],
+        clock: Clock,
+    ) -> None:
+        """Know the seeds alone."""
+        self._http = http
+        self._clock = clock
+        self._seeds = list(seeds)
+        self._listed: list[str] = []
+        self._avoided: set[str] = set()
+        self._expires = clock.read_monotonic()
+
+    async def list_addresses(self) -> list[str]:
+        """Return the addresses to try, asked for again when they are old."""
+        if self._clock.read_monotonic() >= self._expires:
+            await self._refresh()
+        known = dict.fromkeys([*self._listed, *self._seeds])
+        return sorted(known, key=self._avoided.__contains__)
+
+    def prefer(self, entries: Sequence[Entry]) -> None:
+        """Put the gateways that a refusal named before all others."""
+        named = [entry.address for entry in entries]
+        self._avoided.difference_update(named)
+        self._listed = list(dict.fromkeys([*named, *self._listed]))
+
+    def avoid(self, address: str) -> None:
+        """Put a gateway last until the list is asked for again."""
+        self._avoided.add(address)
+
+    async def _refresh(self) -> None:
+        for address in dict.fromkeys([*self._listed, *self._seeds]):
+            answer = await self._ask(address)
+            if answer is not None and answer.entries:
+                self._take(answer)
+                return
+
+    def _take(self, answer: EntryList) -> None:
+        lifetime = timedelta(seconds=answer.ttl_seconds)
+        self._expires = self._clock.read_monotonic() + lifetime
+        self._listed = [entry.address for entry in answer.entries]
+        self._avoided.clear()
+
+    async def _ask(self, address: str) -> EntryList | None:
+        url = f'http://{address}/v1/entries'
+        try:
+            async with self._http.get(url, timeout=ASK_TIMEOUT) as answer:
+                return msgspec.json.decode(await answer.read(), type=EntryList)
+        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
+            return None
--- /dev/null
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/exchange.py
@@ -0,0 +1,83 @@
+"""One exchange with one gateway, and what went wrong in it."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+import msgspec
+
+from baobabhinge_caller.messages import NOT_RUN, UNKNOWN, Problem
+from baobabhinge_caller.outgoing import Outgoing
+
+PROBLEM_TYPE = 'application/problem+json'
+EXPECT = 'Expect'
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """Whole answer of a plain service."""
+
+    status: int
+    body: bytes
+
+
+class ExchangeFailedError(Exception):
+    """The gateway gave no whole answer.
+
+    Parameters
+    ----------
+    problem : Problem
+        What it said, or what was seen.
+    """
+
+    def __init__(self, problem: Problem) -> None:
+        """Keep the problem."""
+        super().__init__(problem.code)
+        self.problem = problem
+
+
+@asynccontextmanager
+async def open_exchange(
+    http: aiohttp.ClientSession,
+    address: str,
+    outgoing: Outgoing,
+) -> AsyncIterator[aiohttp.ClientResponse]:
+    """Send ``outgoing`` to ``address`` and yield the answer.
+
+    Raises
+    ------
+    ExchangeFailedError
+        If there is no answer, or it breaks off while it is read.
+    """
+    headers = {**outgoing.headers}
+    expects = headers.pop(EXPECT, None) is not None
+    try:
+        async with http.request(
+            outgoing.method,
+            f'http://{address}{outgoing.path}',
+            headers=headers,
+            data=outgoing.body,
+            expect100=expects,
+        ) as answer:
+            await _check(answer)
+            yield answer
+    except aiohttp.ClientConnectorError as refused:
+        raise ExchangeFailedError(
+            Problem('no-connection', NOT_RUN, 'no gateway listens there'),
+        ) from refused
+    except (aiohttp.ClientError, TimeoutError) as broken:
+        raise ExchangeFailedError(
+            Problem('answer-broken', UNKNOWN, 'the answer broke off'),
+        ) from broken
+
+
+async def _check(answer: aiohttp.ClientResponse) -> None:
+    if answer.content_type == PROBLEM_TYPE:
+        raise ExchangeFailedError(read_problem(await answer.read()))
+
+
+def read_problem(body: bytes) -> Problem:
+    """Return the problem in ``body``; the outcome of a bad one is unknown."""
+    try:
+        return msgspec.json.decode(body, type=Problem)
+    except msgspec.MsgspecError:
+        return Problem('answer-broken', UNKNOWN, 'a malformed error')
