--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
@@ -21,7 +21,7 @@
     CallerLostError,
     CallError,
 )
-from baobabhinge_gateway.execution import Executors
+from baobabhinge_gateway.execution import EXECUTED, Executors
 from baobabhinge_gateway.telemetry import Measures
 
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -104,6 +104,7 @@
         request: web.Request,
         call: Call,
     ) -> web.StreamResponse:
+        request[EXECUTED] = True
         try:
             response = await self._executors.select(call).execute(request, call)
         except (AnswerCutError, CallerLostError) as lost:
