--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/headers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/headers.py
@@ -40,7 +40,7 @@
     listed = tuple(pairs)
     dropped = HOP_BY_HOP | _list_named(listed) | {REQUEST_ID.lower()}
     return tuple(
-        (name, text)
+        (str(name), text)
         for name, text in listed
         if name.lower() not in dropped
         and not name.lower().startswith(OWN_PREFIX)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/keeping.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/keeping.py
@@ -1,15 +1,14 @@
 """Keeping a witness, and forgetting what is past its age."""
 
 import asyncio
-from collections.abc import Sequence
+from contextlib import suppress
 from datetime import timedelta
-from random import Random
 
 import structlog
 from mode import Service
 
 from baobabhinge_coordination.runonce import OpenEpoch, Window
-from baobabhinge_gateway.fleet import FleetView
+from baobabhinge_gateway.runonce.choosing import WitnessChooser
 from baobabhinge_gateway.runonce.environment import Environment
 from baobabhinge_gateway.runonce.peerclient import PeerSilentError
 from baobabhinge_gateway.runonce.state import RunOnceState
@@ -21,34 +20,6 @@
 log = structlog.get_logger(__name__)
 
 
-class WitnessChooser:
-    """Order the gateways that can witness for this one.
-
-    Parameters
-    ----------
-    fleet : FleetView
-        Known vms.
-    random : Random
-        Generator that spreads owners over witnesses.
-    """
-
-    __slots__ = ('_fleet', '_random')
-
-    def __init__(self, fleet: FleetView, random: Random) -> None:
-        """Keep the parts."""
-        self._fleet = fleet
-        self._random = random
-
-    def list_candidates(self) -> Sequence[Vm]:
-        """Return other gateways of the region, other failure domains first."""
-        home = self._fleet.home
-        near = self._fleet.list_gateways(home.region)
-        domains = {vm.failure_domain for vm in near if vm.name == home.gateway}
-        others = [vm for vm in near if vm.name != home.gateway]
-        shuffled = self._random.sample(others, len(others))
-        return sorted(shuffled, key=lambda vm: vm.failure_domain in domains)
-
-
 class WitnessKeeper(Service):
     """Open an epoch at a witness before the present one is too old.
 
@@ -84,7 +55,7 @@
     @Service.task
     async def _keep(self) -> None:
         while not self.should_stop:
-            await self.sleep(CHECK_INTERVAL)
+            await _wait_for(self._is_due)
             self._state.drop_expired()
             if self._needs_renewal():
                 await self._renew()
@@ -92,7 +63,9 @@
     def _needs_renewal(self) -> bool:
         mint = self._state.mint
         span = self._state.retention.epoch_span / RENEWALS_PER_SPAN
-        return self._is_due.is_set() or mint.witness is None or mint.age > span
+        if self._is_due.is_set() or mint.age > span:
+            return True
+        return not self._chooser.is_live(mint.witness)
 
     async def _renew(self) -> None:
         self._is_due.clear()
@@ -112,3 +85,10 @@
         except PeerSilentError:
             return None
         return Window(started, opened.witness, opened.epoch)
+
+
+async def _wait_for(event: asyncio.Event) -> None:
+    """Wait for ``event``, but not longer than until the next check."""
+    with suppress(TimeoutError):
+        async with asyncio.timeout(CHECK_INTERVAL.total_seconds()):
+            await event.wait()
