--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
@@ -4,11 +4,13 @@
 
 from baobabhinge_coordination.budgets import RetryBudget
 from baobabhinge_coordination.clock import Clock, SystemClock
+from baobabhinge_gateway.admission import Quotas
 from baobabhinge_gateway.callers.checks import ArrivalChecks
 from baobabhinge_gateway.callers.service import CallServer
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.execution import (
     Executor,
+    ExecutorLimits,
     Executors,
     RepeatableExecutor,
     RoutingBuilder,
@@ -16,10 +18,10 @@
 from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.lifecycle import Lifecycle
 from baobabhinge_gateway.platform import Platform
+from baobabhinge_gateway.routing import RoutingRules
 
 RETRY_SHARE = 0.1
 RETRY_BURST = 10
-DEFAULT_POLICY = 'estimated-latency'
 
 
 def build_call_server(
@@ -31,24 +33,31 @@
 ) -> CallServer:
     """Return the server of calls of one gateway."""
     clock = SystemClock()
-    repeatable = _build_repeatable(clock, fleet, platform)
+    rules = RoutingRules(active, fleet.home.region)
+    repeatable = _build_repeatable(clock, rules, fleet, platform)
+    limits = ExecutorLimits(Quotas(clock), rules)
+    executors = Executors(
+        model=limits.wrap(repeatable),
+        plain=limits.wrap(repeatable),
+        run_once=limits.wrap(run_once),
+    )
     return CallServer(
         fleet.home,
         clock,
         active,
-        Executors(model=repeatable, plain=repeatable, run_once=run_once),
+        executors,
         ArrivalChecks(fleet, lifecycle),
     )
 
 
 def _build_repeatable(
     clock: Clock,
+    rules: RoutingRules,
     fleet: FleetView,
     platform: Platform,
 ) -> RepeatableExecutor:
-    builder = RoutingBuilder(clock, SystemRandom(), fleet, fleet)
-    region = fleet.home.region
-    routing = builder.build(region, DEFAULT_POLICY, platform.http)
+    builder = RoutingBuilder(clock, SystemRandom(), fleet, rules)
+    routing = builder.build(platform.http)
     return RepeatableExecutor(
         routing.router,
         routing.dispatcher,
