--- a/packages/baobabhinge-standins/src/baobabhinge_standins/demo/player.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/demo/player.py
@@ -8,6 +8,7 @@
 from baobabhinge_standins.output import show_line
 from baobabhinge_standins.traffic import Records, Script, Verdict, judge
 from baobabhinge_standins.traffic.exchange import Sender, Timed
+from baobabhinge_standins.traffic.keys import NO_KEY, KeyRing
 from baobabhinge_standins.traffic.records import Sample
 from baobabhinge_standins.traffic.requests import Request
 
@@ -23,6 +24,8 @@
         Where the requests go.
     sender : Sender
         What sends them.
+    keys : KeyRing
+        Keys of calls that may not be repeated.
     clock : Clock
         Clock of the rate.
 
@@ -32,17 +35,19 @@
         What became of the requests.
     """
 
-    __slots__ = ('_clock', '_deployment', '_sender', 'records')
+    __slots__ = ('_clock', '_deployment', '_keys', '_sender', 'records')
 
     def __init__(
         self,
         deployment: Deployment,
         sender: Sender,
+        keys: KeyRing,
         clock: Clock,
     ) -> None:
         """Send nothing yet."""
         self._deployment = deployment
         self._sender = sender
+        self._keys = keys
         self._clock = clock
         self.records = Records()
 
@@ -71,7 +76,10 @@
 
     async def _send(self, request: Request, number: int) -> None:
         address = self._deployment.choose_entry(request.region, number)
-        timed = await self._sender.send(request, address, '')
+        key = NO_KEY
+        if request.is_run_once:
+            key = await self._keys.take(request.region, address)
+        timed = await self._sender.send(request, address, key)
         self.records.add(_build_sample(request, timed))
 
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/demo/running.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/demo/running.py
@@ -15,7 +15,12 @@
     run_deployment,
 )
 from baobabhinge_standins.output import show_line
-from baobabhinge_standins.traffic import HttpSender, Records, read_script
+from baobabhinge_standins.traffic import (
+    HttpSender,
+    KeyRing,
+    Records,
+    read_script,
+)
 from baobabhinge_standins.traffic.audit import (
     count_doubled,
     measure_sent_away,
@@ -24,6 +29,7 @@
 from baobabhinge_standins.traffic.costs import measure_cost
 
 EXAMPLES = Path('examples')
+KEYS_AT_ONCE = 50
 ONE_SECOND = timedelta(seconds=1)
 
 
@@ -62,15 +68,24 @@
     interval: timedelta,
 ) -> Records:
     script = read_script(EXAMPLES / plan.name)
-    clock = SystemClock()
     async with aiohttp.ClientSession() as http:
-        player = Player(running, HttpSender(http, clock), clock)
+        player = _build_player(running, http)
         progress = asyncio.create_task(player.show_progress())
         try:
             await player.play(script, interval, span)
         finally:
             progress.cancel()
-    return player.records
+        return player.records
+
+
+def _build_player(running: Deployment, http: aiohttp.ClientSession) -> Player:
+    clock = SystemClock()
+    return Player(
+        running,
+        HttpSender(http, clock),
+        KeyRing(http, KEYS_AT_ONCE),
+        clock,
+    )
 
 
 async def _summarize(running: Deployment, records: Records) -> Summary:
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/links/book.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/links/book.py
@@ -34,3 +34,11 @@
         return [
             name for name in self._orders if member in name.split(END_SEPARATOR)
         ]
+
+    def find_leaving(self, member: str) -> list[str]:
+        """Return the links by which a member connects to others."""
+        return [
+            name
+            for name in self._orders
+            if name.partition(END_SEPARATOR)[0] == member
+        ]
