--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
@@ -73,6 +73,11 @@
             for vm in self._roll.combine(name, index)
         ]
 
+    def find_gateway(self, name: str) -> Vm | None:
+        """Return the gateway called ``name``, live or leaving."""
+        listed = self._watcher.index.by_name.get(name)
+        return listed or self._roll.find_own(name)
+
     def find_report(self, vm: Vm) -> LoadReport | None:
         """Return the newest load report of ``vm``, if one is known."""
         return self._reports.find(vm)
