--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
@@ -141,7 +141,8 @@
             f'--key-value={store}',
         )
         if await command.process.wait():
-            raise PublishFailedError(str(folder))
+            log = self._folder / 'operator.log'
+            raise PublishFailedError(log.read_text().splitlines()[-1:])
 
     async def wait_ready(self) -> None:
         """Wait until every gateway serves with a configuration."""
