Order engines under the lease of the region

Cause: nobody brought engines to what the configuration says, and some engines take orders from a holder that lost its lease. One gateway of a region holds the lease; it reads the engines and orders what is missing, checks the lease right before each order, sends the fencing number, waits out earlier orders before engines that ignore it, and reads again until the end is reached. The holder writes the client directory too.

--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/leases/keeper.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/leases/keeper.py
@@ -81,6 +81,10 @@
             return Lease(self._fencing, self._ends)
         raise LeaseLapsedError(self._terms.key)
 
+    def drop(self) -> None:
+        """Stop using the lease; `advance` gets it again with a new number."""
+        self._fencing = 0
+
     async def advance(self) -> None:
         """Renew the lease, or take it if nobody holds it.
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/__init__.py
@@ -6,3 +6,6 @@
 from baobabhinge_gateway.configuration.watcher import (
     ConfigurationWatcher as ConfigurationWatcher,
 )
+from baobabhinge_gateway.configuration.watcher import (
+    build_watcher as build_watcher,
+)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/watcher.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/watcher.py
@@ -13,7 +13,7 @@
     ReleaseReader,
     is_watcher,
 )
-from baobabhinge_coordination.store import StoreError
+from baobabhinge_coordination.store import KeyValueStore, StoreError
 from baobabhinge_gateway.calls import Hop
 from baobabhinge_gateway.configuration.active import ActiveConfiguration
 from baobabhinge_platform.machines import Vm
@@ -99,3 +99,12 @@
         if self._active.generation:
             return None
         return await self._reader.read_current()
+
+
+def build_watcher(
+    active: ActiveConfiguration,
+    store: KeyValueStore,
+    fleet: GatewayList,
+) -> ConfigurationWatcher:
+    """Return the watcher of the manifest in ``store``."""
+    return ConfigurationWatcher(active, ReleaseReader(store), fleet)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -2,7 +2,6 @@
 
 from mode import Service
 
-from baobabhinge_coordination.generations import ReleaseReader
 from baobabhinge_gateway.callers import (
     CallRoutes,
     ConnectionEnd,
@@ -14,11 +13,12 @@
 from baobabhinge_gateway.calls import headers
 from baobabhinge_gateway.configuration import (
     ActiveConfiguration,
-    ConfigurationWatcher,
+    build_watcher,
 )
 from baobabhinge_gateway.fleet import FleetService, FleetView
 from baobabhinge_gateway.lifecycle import Drainer, create_lifecycle
 from baobabhinge_gateway.listening import Listener
+from baobabhinge_gateway.orders import DutyStack
 from baobabhinge_gateway.peers import PeerStack
 from baobabhinge_gateway.platform import Platform, build_http_session
 from baobabhinge_gateway.process import ProcessSettings
@@ -48,6 +48,9 @@
         fleet = await self._start_watchers(platform)
         peers = PeerStack(platform, fleet, self._lifecycle, self._active)
         await self.add_runtime_dependency(peers)
+        await self.add_runtime_dependency(
+            DutyStack(platform, self._active, fleet.view),
+        )
         await self._start_listeners(platform, fleet.view, peers)
 
     async def _start_watchers(self, platform: Platform) -> FleetService:
@@ -59,11 +62,7 @@
         )
         await self.add_runtime_dependency(fleet)
         await self.add_runtime_dependency(
-            ConfigurationWatcher(
-                self._active,
-                ReleaseReader(platform.store),
-                fleet.view,
-            ),
+            build_watcher(self._active, platform.store, fleet.view),
         )
         return fleet
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/shares.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/shares.py
@@ -6,7 +6,7 @@
 1998 (rendezvous hashing).
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import xxhash
 
@@ -21,7 +21,13 @@
     names : iterable of str
         Candidates, at least one. When one leaves, only its keys move.
     """
-    return max(names, key=lambda name: _weigh(key, name))
+    return pick_owners(key, names, 1)[0]
+
+
+def pick_owners(key: str, names: Iterable[str], count: int) -> Sequence[str]:
+    """Return the ``count`` names to which ``key`` belongs, the first first."""
+    ranked = sorted(names, key=lambda name: _weigh(key, name), reverse=True)
+    return ranked[:count]
 
 
 def _weigh(key: str, name: str) -> tuple[int, str]:
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/assembly.py
@@ -0,0 +1,63 @@
+"""Putting together the duties of the lease holder of a region."""
+
+from random import SystemRandom
+
+from mode import Service
+
+from baobabhinge_coordination.clock import SystemClock
+from baobabhinge_coordination.leases import LeaseKeeper, LeaseTerms
+from baobabhinge_gateway.configuration import ActiveConfiguration
+from baobabhinge_gateway.fleet import FleetView
+from baobabhinge_gateway.orders.client import EngineClient
+from baobabhinge_gateway.orders.contending import LEASE_PREFIX, LeaseContender
+from baobabhinge_gateway.orders.directory import DirectoryService
+from baobabhinge_gateway.orders.giving import OrderGiver
+from baobabhinge_gateway.orders.service import OrderService
+from baobabhinge_gateway.platform import Platform
+
+
+class DutyStack(Service):
+    """Everything that only the lease holder of the region does.
+
+    Parameters
+    ----------
+    platform : Platform
+        Clients of the platform.
+    active : ActiveConfiguration
+        Configuration in force.
+    fleet : FleetView
+        Known vms.
+
+    Attributes
+    ----------
+    keeper : LeaseKeeper
+        The lease of the region.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        active: ActiveConfiguration,
+        fleet: FleetView,
+    ) -> None:
+        """Hold and order nothing yet."""
+        super().__init__()
+        clock = SystemClock()
+        home = fleet.home
+        self.keeper = LeaseKeeper(
+            platform.store,
+            platform.leases,
+            clock,
+            LeaseTerms(f'{LEASE_PREFIX}{home.region}', home.gateway),
+        )
+        giver = OrderGiver(self.keeper, EngineClient(platform.http), clock)
+        self._parts = (
+            LeaseContender(self.keeper, fleet, SystemRandom()),
+            OrderService(self.keeper, giver, active, fleet),
+            DirectoryService(self.keeper, platform.directory, fleet),
+        )
+
+    async def on_start(self) -> None:
+        """Start the parts."""
+        for part in self._parts:
+            await self.add_runtime_dependency(part)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/contending.py
@@ -0,0 +1,83 @@
+"""Holding the lease of the region."""
+
+from contextlib import suppress
+from datetime import timedelta
+from random import Random
+
+import structlog
+from mode import Service
+
+from baobabhinge_coordination.backoff import Backoff
+from baobabhinge_coordination.leases import LeaseKeeper, LeaseLapsedError
+from baobabhinge_coordination.store import StoreError
+from baobabhinge_gateway.fleet import FleetView, pick_owners
+
+LEASE_PREFIX = 'baobabhinge/leases/'
+CONTENDERS = 2
+RENEW_INTERVAL = timedelta(seconds=3)
+
+log = structlog.get_logger(__name__)
+
+
+class LeaseContender(Service):
+    """Renew the lease, or stand by for it.
+
+    Two gateways of a region contend, so that the calls to the key-value
+    service do not grow with the gateways.
+
+    Parameters
+    ----------
+    keeper : LeaseKeeper
+        The lease of the region.
+    fleet : FleetView
+        Gateways of the region.
+    random : Random
+        Jitter of the pauses after failures.
+    """
+
+    def __init__(
+        self,
+        keeper: LeaseKeeper,
+        fleet: FleetView,
+        random: Random,
+    ) -> None:
+        """Hold nothing yet."""
+        super().__init__()
+        self._keeper = keeper
+        self._fleet = fleet
+        self._backoff = Backoff(random)
+
+    async def on_stop(self) -> None:
+        """Give the lease back."""
+        with suppress(StoreError):
+            await self._keeper.resign()
+
+    @Service.task
+    async def _contend(self) -> None:
+        while not self.should_stop:
+            pause = RENEW_INTERVAL
+            if self._is_held() or self._is_contender():
+                pause = await self._advance()
+            await self.sleep(pause)
+
+    async def _advance(self) -> timedelta:
+        try:
+            await self._keeper.advance()
+        except StoreError as bad:
+            log.warning('lease-not-renewed', reason=type(bad).__name__)
+            return self._backoff.draw_pause()
+        self._backoff.reset()
+        return RENEW_INTERVAL
+
+    def _is_held(self) -> bool:
+        with suppress(LeaseLapsedError):
+            return bool(self._keeper.require().fencing)
+        return False
+
+    def _is_contender(self) -> bool:
+        region = self._fleet.home.region
+        names = [vm.name for vm in self._fleet.list_gateways(region)]
+        candidates = {*names, self._fleet.home.gateway}
+        key = f'{LEASE_PREFIX}{region}'
+        owners = pick_owners(key, candidates, CONTENDERS)
+        return self._fleet.home.gateway in owners
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/directory.py
@@ -0,0 +1,66 @@
+"""Keeping the client directory of the region up to date."""
+
+from contextlib import suppress
+from datetime import timedelta
+
+import structlog
+from mode import Service
+
+from baobabhinge_coordination.leases import LeaseKeeper, LeaseLapsedError
+from baobabhinge_gateway.fleet import FleetView
+from baobabhinge_platform.directory import ClientDirectory, DirectoryError
+
+CHECK_INTERVAL = timedelta(seconds=1)
+
+log = structlog.get_logger(__name__)
+
+
+class DirectoryService(Service):
+    """Write the gateways of the region while the lease is held.
+
+    The call is idempotent; it is made when the gateways or the lease change.
+
+    Parameters
+    ----------
+    keeper : LeaseKeeper
+        The lease of the region.
+    directory : ClientDirectory
+        The directory.
+    fleet : FleetView
+        Gateways of the region.
+    """
+
+    def __init__(
+        self,
+        keeper: LeaseKeeper,
+        directory: ClientDirectory,
+        fleet: FleetView,
+    ) -> None:
+        """Write nothing yet."""
+        super().__init__()
+        self._keeper = keeper
+        self._directory = directory
+        self._fleet = fleet
+        self._written: tuple[int, tuple[str, ...]] | None = None
+
+    @Service.task
+    async def _keep(self) -> None:
+        while not self.should_stop:
+            await self.sleep(CHECK_INTERVAL)
+            with suppress(LeaseLapsedError):
+                await self._write_changes()
+
+    async def _write_changes(self) -> None:
+        region = self._fleet.home.region
+        gateways = self._fleet.list_gateways(region)
+        addresses = sorted(vm.caller_address for vm in gateways)
+        lease = self._keeper.require()
+        wanted = (lease.fencing, tuple(addresses))
+        if wanted == self._written:
+            return
+        try:
+            await self._directory.write(region, addresses)
+        except DirectoryError:
+            log.warning('client-directory-unwritten', region=region)
+            return
+        self._written = wanted
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/giving.py
@@ -0,0 +1,112 @@
+"""Giving orders under a lease."""
+
+import asyncio
+from collections.abc import Sequence
+from datetime import timedelta
+
+import structlog
+
+from baobabhinge_coordination.clock import Clock
+from baobabhinge_coordination.leases import LeaseKeeper
+from baobabhinge_gateway.orders.client import ORDER_TIMEOUT, EngineClient
+from baobabhinge_gateway.orders.messages import (
+    EngineOrder,
+    EngineState,
+    OrderDeferredError,
+    OrderError,
+    PlannedOrder,
+    StaleOrderError,
+)
+from baobabhinge_platform.machines import Fencing, Vm
+
+QUIET_TIME = ORDER_TIMEOUT * 2
+
+log = structlog.get_logger(__name__)
+
+
+class OrderGiver:
+    """Give orders while the lease is held, and only then.
+
+    The lease is checked right before each order. Engines that ignore fencing
+    numbers get none until the orders of an earlier holder have arrived or
+    timed out.
+
+    Parameters
+    ----------
+    keeper : LeaseKeeper
+        The lease of the region.
+    client : EngineClient
+        The way to the engines.
+    clock : Clock
+        Clock of the waits.
+    """
+
+    __slots__ = (
+        '_client',
+        '_clock',
+        '_deferred',
+        '_fencing',
+        '_keeper',
+        '_since',
+    )
+
+    def __init__(
+        self,
+        keeper: LeaseKeeper,
+        client: EngineClient,
+        clock: Clock,
+    ) -> None:
+        """Give none yet."""
+        self._keeper = keeper
+        self._client = client
+        self._clock = clock
+        self._fencing = 0
+        self._since = timedelta()
+        self._deferred: dict[str, timedelta] = {}
+
+    async def read_states(self, vms: Sequence[Vm]) -> list[EngineState]:
+        """Return the states of the engines that could be read."""
+        states = await asyncio.gather(*[self._read(vm) for vm in vms])
+        return [state for state in states if state is not None]
+
+    async def give(self, planned: PlannedOrder) -> None:
+        """Give one order unless its engine has to wait.
+
+        Raises
+        ------
+        LeaseLapsedError
+            If the lease is not held.
+        """
+        lease = self._keeper.require()
+        if lease.fencing != self._fencing:
+            self._fencing = lease.fencing
+            self._since = self._clock.read_monotonic()
+        if self._has_to_wait(planned.vm):
+            return
+        order = EngineOrder(lease.fencing, planned.models)
+        try:
+            await self._client.send(planned.vm, order)
+        except OrderError as refused:
+            self._note_refusal(planned.vm, refused)
+
+    async def _read(self, vm: Vm) -> EngineState | None:
+        try:
+            return await self._client.read_state(vm)
+        except OrderError:
+            log.info('engine-unread', engine=vm.name)
+        return None
+
+    def _has_to_wait(self, vm: Vm) -> bool:
+        now = self._clock.read_monotonic()
+        if now < self._deferred.get(vm.name, now):
+            return True
+        is_quiet = now - self._since < QUIET_TIME
+        return vm.fencing is Fencing.ignore and is_quiet
+
+    def _note_refusal(self, vm: Vm, refused: OrderError) -> None:
+        log.info('order-refused', engine=vm.name, reason=str(refused))
+        if isinstance(refused, OrderDeferredError):
+            now = self._clock.read_monotonic()
+            self._deferred[vm.name] = now + refused.retry_after
+        if isinstance(refused, StaleOrderError):
+            self._keeper.drop()
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/service.py
@@ -0,0 +1,75 @@
+"""Bringing the engines of the region to what the configuration says."""
+
+from contextlib import suppress
+from datetime import timedelta
+
+from mode import Service
+
+from baobabhinge_coordination.leases import LeaseKeeper, LeaseLapsedError
+from baobabhinge_gateway.configuration import ActiveConfiguration
+from baobabhinge_gateway.fleet import FleetView
+from baobabhinge_gateway.orders.giving import OrderGiver
+from baobabhinge_gateway.orders.plan import list_wanted, plan_orders
+from baobabhinge_settings.model import Service as ModelService
+from baobabhinge_settings.model import ServiceKind
+
+SHORTEST_INTERVAL = timedelta(seconds=1)
+INTERVAL_PER_ENGINE = timedelta(milliseconds=150)
+
+
+class OrderService(Service):
+    """Read the engines and order what is missing, while the lease is held.
+
+    Parameters
+    ----------
+    keeper : LeaseKeeper
+        The lease of the region.
+    giver : OrderGiver
+        Gives the orders.
+    active : ActiveConfiguration
+        Configuration in force.
+    fleet : FleetView
+        Engines of the region.
+    """
+
+    def __init__(
+        self,
+        keeper: LeaseKeeper,
+        giver: OrderGiver,
+        active: ActiveConfiguration,
+        fleet: FleetView,
+    ) -> None:
+        """Order nothing yet."""
+        super().__init__()
+        self._keeper = keeper
+        self._giver = giver
+        self._active = active
+        self._fleet = fleet
+
+    @Service.task
+    async def _order(self) -> None:
+        while not self.should_stop:
+            engines = len(self._fleet.list_polled())
+            pause = max(SHORTEST_INTERVAL, INTERVAL_PER_ENGINE * engines)
+            await self.sleep(pause)
+            with suppress(LeaseLapsedError):
+                self._keeper.require()
+                await self._order_all()
+
+    async def _order_all(self) -> None:
+        settings = self._active.find_settings()
+        if settings is None:
+            return
+        for service in settings.services.values():
+            if service.kind is ServiceKind.model:
+                await self._order_service(service)
+
+    async def _order_service(self, service: ModelService) -> None:
+        region = self._fleet.home.region
+        wanted = list_wanted(service, region)
+        if not wanted:
+            return
+        vms = self._fleet.list_backends(service.name, region)
+        states = await self._giver.read_states(vms)
+        for planned in plan_orders(wanted, states):
+            await self._giver.give(planned)
--- a/packages/baobabhinge-platform/src/baobabhinge_platform/machines/listing.py
+++ b/packages/baobabhinge-platform/src/baobabhinge_platform/machines/listing.py
@@ -12,7 +12,7 @@
 import aiohttp
 import msgspec
 
-from baobabhinge_platform.machines.vm import Role, Vm, VmState
+from baobabhinge_platform.machines.vm import Fencing, Role, Vm, VmState
 
 READ_TIMEOUT = timedelta(seconds=2)
 
@@ -29,6 +29,7 @@
     service: str = ''
     state: VmState = VmState.live
     caller_address: str = ''
+    fencing: Fencing = Fencing.ignore
 
 
 class _TargetGroup(msgspec.Struct):
@@ -99,4 +100,5 @@
         service=labels.service,
         state=labels.state,
         caller_address=labels.caller_address,
+        fencing=labels.fencing,
     )
--- a/packages/baobabhinge-platform/src/baobabhinge_platform/machines/vm.py
+++ b/packages/baobabhinge-platform/src/baobabhinge_platform/machines/vm.py
@@ -20,6 +20,13 @@
     leaving = 'leaving'
 
 
+class Fencing(enum.StrEnum):
+    """What an engine does with an order of an old lease holder."""
+
+    refuse = 'refuse'
+    ignore = 'ignore'
+
+
 class Vm(msgspec.Struct, frozen=True):
     """One vm.
 
@@ -39,6 +46,8 @@
         Whether it is leaving.
     caller_address : str
         ``host:port`` for callers; empty unless a gateway runs there.
+    fencing : Fencing
+        What a model engine does with old fencing numbers.
     """
 
     name: str
@@ -49,3 +58,4 @@
     service: str = ''
     state: VmState = VmState.live
     caller_address: str = ''
+    fencing: Fencing = Fencing.ignore
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
@@ -16,6 +16,7 @@
 from baobabhinge_standins.links import Links
 
 GATEWAY_MODULE = 'baobabhinge_gateway'
+REFUSING = '--fencing=refuse'
 STAND_IN_MODULES = {
     Role.engine: 'baobabhinge_standins.engine',
     Role.application: 'baobabhinge_standins.application',
@@ -85,6 +86,9 @@
             self.roster.add_backend(plan.role, plan.region, plan.service)
             for _ in range(plan.count)
         ]
+        if REFUSING in plan.options:
+            for engine in members:
+                engine.fencing = 'refuse'
         await asyncio.gather(
             *(
                 self.processes.start(
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/members.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/members.py
@@ -33,6 +33,8 @@
         Port for callers; 0 unless it is a gateway.
     state : str
         ``live`` or ``leaving``.
+    fencing : str
+        Whether an engine refuses old fencing numbers or ignores them.
     """
 
     name: str
@@ -42,6 +44,7 @@
     service: str = ''
     caller_port: int = 0
     state: str = 'live'
+    fencing: str = 'ignore'
 
     @property
     def failure_domain(self) -> str:
@@ -86,6 +89,7 @@
             'role': self.role,
             'service': self.service,
             'state': self.state,
+            'fencing': self.fencing,
         }
         if self.caller_port:
             labels['caller_address'] = self.caller_address
