Find the request that crashes engines, run suspects apart, refuse the culprit

Cause: a call whose engine died was tried on the next engine, and its caller sent it again through other gateways, so that each repeat cost engines.

--- a/packages/baobabhinge-caller/src/baobabhinge_caller/moving.py
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/moving.py
@@ -16,6 +16,7 @@
 MAX_ATTEMPTS = 6
 LONGEST_PAUSE = timedelta(seconds=30)
 SERVED_ELSEWHERE = frozenset(('wrong-region', 'draining', 'no-connection'))
+NEVER_REPEATED = frozenset(('crashing-request',))
 PASSING_STATUSES = frozenset(
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.MISDIRECTED_REQUEST),
 )
@@ -50,7 +51,8 @@
     """
     if _is_final(problem):
         raise RefusedError(problem)
-    if problem.outcome != NOT_RUN and not is_repeatable:
+    may_repeat = is_repeatable and problem.code not in NEVER_REPEATED
+    if problem.outcome != NOT_RUN and not may_repeat:
         raise OutcomeUnknownError(problem)
     if attempts >= MAX_ATTEMPTS:
         raise name_failure(problem)
--- /dev/null
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/__init__.py
@@ -0,0 +1,9 @@
+"""Finding the request that crashes the servers which run it."""
+
+from baobabhinge_coordination.suspects.ledger import (
+    SuspectLedger as SuspectLedger,
+)
+from baobabhinge_coordination.suspects.records import (
+    CrashRecord as CrashRecord,
+)
+from baobabhinge_coordination.suspects.records import Verdict as Verdict
--- /dev/null
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/ledger.py
@@ -0,0 +1,104 @@
+"""A ledger of crashes that peers keep in common."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from baobabhinge_coordination.clock import Clock
+from baobabhinge_coordination.suspects.records import (
+    Crash,
+    CrashRecord,
+    Verdict,
+)
+
+MILLISECOND = timedelta(milliseconds=1)
+SAME_CRASH = timedelta(seconds=3)
+LIFETIME = timedelta(minutes=30)
+MAX_CRASHES = 256
+CULPRIT_CRASHES = 2
+
+
+class SuspectLedger:
+    """Crashes seen here or told by peers.
+
+    Every request in flight at a crash is a suspect. A request that was in
+    flight at a second crash is the culprit, provided that suspects run apart
+    from one another. A suspect that is answered whole is cleared.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock by which records expire.
+
+    Examples
+    --------
+    >>> from baobabhinge_coordination.clock import ManualClock
+    >>> clock = ManualClock()
+    >>> ledger = SuspectLedger(clock)
+    >>> ledger.record('engine-1', ['a', 'b'])
+    >>> ledger.clear('a')
+    >>> ledger.record('engine-2', ['b'])
+    >>> ledger.judge('a').value, ledger.judge('b').value
+    ('clear', 'culprit')
+    """
+
+    __slots__ = ('_clock', '_crashes')
+
+    def __init__(self, clock: Clock) -> None:
+        """Start without crashes."""
+        self._clock = clock
+        self._crashes: list[Crash] = []
+
+    def record(self, server: str, in_flight: Iterable[str]) -> None:
+        """Note that ``server`` died with these requests in flight."""
+        now = self._clock.read_monotonic()
+        self._add(Crash(server, now, frozenset(in_flight)))
+
+    def clear(self, fingerprint: str) -> None:
+        """Note that a request was answered whole."""
+        self._crashes = [crash.clear(fingerprint) for crash in self._crashes]
+
+    def judge(self, fingerprint: str) -> Verdict:
+        """Return what is held against a request."""
+        now = self._clock.read_monotonic()
+        self._crashes = _keep_young(self._crashes, now)
+        count = sum(crash.accuses(fingerprint) for crash in self._crashes)
+        if count >= CULPRIT_CRASHES:
+            return Verdict.culprit
+        return Verdict.suspect if count else Verdict.clear
+
+    def export(self) -> list[CrashRecord]:
+        """Return every crash for the peers."""
+        now = self._clock.read_monotonic()
+        self._crashes = _keep_young(self._crashes, now)
+        return [
+            CrashRecord(
+                crash.server,
+                (now - crash.instant) // MILLISECOND,
+                crash.suspects,
+                crash.cleared,
+            )
+            for crash in self._crashes
+        ]
+
+    def merge(self, records: Iterable[CrashRecord]) -> None:
+        """Take in what a peer has exported."""
+        now = self._clock.read_monotonic()
+        for told in records:
+            instant = now - told.age_ms * MILLISECOND
+            self._add(Crash(told.server, instant, told.suspects, told.cleared))
+        self._crashes = _keep_young(self._crashes, now)
+
+    def _add(self, crash: Crash) -> None:
+        same = [
+            known for known in self._crashes if known.is_same(crash, SAME_CRASH)
+        ]
+        for known in same:
+            self._crashes.remove(known)
+            crash = crash.join(known)
+        self._crashes.append(crash)
+
+
+def _keep_young(crashes: list[Crash], now: timedelta) -> list[Crash]:
+    young = [crash for crash in crashes if crash.instant >= now - LIFETIME]
+    young.sort(key=lambda crash: crash.instant)
+    return young[-MAX_CRASHES:]
--- /dev/null
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/tests/test_ledger.py
@@ -0,0 +1,73 @@
+from datetime import timedelta
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from baobabhinge_coordination.clock import ManualClock
+from baobabhinge_coordination.suspects import SuspectLedger, Verdict
+
+SECOND = timedelta(seconds=1)
+
+
+@pytest.mark.parametrize(
+    ('crashes', 'verdicts'),
+    [
+        ([('e1', 'abc')], {'a': 'suspect', 'x': 'clear'}),
+        ([('e1', 'abc'), ('e2', 'a')], {'a': 'culprit', 'b': 'suspect'}),
+        # Two gateways report one crash.
+        ([('e1', 'ab'), ('e1', 'ac')], {'a': 'suspect', 'c': 'suspect'}),
+    ],
+)
+def test_verdicts(crashes, verdicts):
+    ledger = SuspectLedger(ManualClock())
+    for server, in_flight in crashes:
+        ledger.record(server, in_flight)
+    for fingerprint, verdict in verdicts.items():
+        assert ledger.judge(fingerprint) == Verdict(verdict)
+
+
+def test_a_restarted_server_dies_a_second_time():
+    clock = ManualClock()
+    ledger = SuspectLedger(clock)
+    ledger.record('e1', 'ab')
+    clock.advance(10 * SECOND)
+    ledger.record('e1', 'a')
+    assert ledger.judge('a') is Verdict.culprit
+    clock.advance(timedelta(hours=1))
+    assert ledger.judge('a') is Verdict.clear
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(['record', 'clear', 'exchange']),
+        st.integers(0, 2),
+        st.sampled_from('abcd'),
+        st.sampled_from(['e1', 'e2', 'e3']),
+    ),
+    max_size=30,
+)
+
+
+@given(STEPS)
+def test_peers_agree_once_they_have_exchanged(steps):
+    clock = ManualClock()
+    ledgers = [SuspectLedger(clock) for _ in range(3)]
+    for kind, index, fingerprint, server in steps:
+        clock.advance(SECOND)
+        if kind == 'record':
+            ledgers[index].record(server, fingerprint)
+        elif kind == 'clear':
+            ledgers[index].clear(fingerprint)
+        else:
+            ledgers[index].merge(ledgers[index - 1].export())
+    for _ in range(2):
+        for index in range(3):
+            ledgers[index].merge(ledgers[index - 1].export())
+            ledgers[index - 1].merge(ledgers[index].export())
+    for fingerprint in 'abcd':
+        accused = [ledger.judge(fingerprint) for ledger in ledgers]
+        assert all(
+            (told is Verdict.clear) == (accused[0] is Verdict.clear)
+            for told in accused
+        )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/__init__.py
@@ -10,6 +10,9 @@
 from baobabhinge_gateway.callers.entries import EntryReport as EntryReport
 from baobabhinge_gateway.callers.health import ConnectionEnd as ConnectionEnd
 from baobabhinge_gateway.callers.health import HealthReport as HealthReport
+from baobabhinge_gateway.callers.parts import (
+    build_call_parts as build_call_parts,
+)
 from baobabhinge_gateway.callers.problems import (
     ProblemRenderer as ProblemRenderer,
 )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
@@ -3,20 +3,19 @@
 from random import SystemRandom
 
 from baobabhinge_coordination.budgets import RetryBudget
-from baobabhinge_coordination.clock import Clock, SystemClock
+from baobabhinge_coordination.clock import SystemClock
 from baobabhinge_gateway.admission import Quotas
 from baobabhinge_gateway.callers.checks import build_checks
+from baobabhinge_gateway.callers.parts import CallParts
 from baobabhinge_gateway.callers.service import CallServer
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.execution import (
-    Executor,
     ExecutorLimits,
     Executors,
     RepeatableExecutor,
     RoutingBuilder,
 )
 from baobabhinge_gateway.fleet import FleetView
-from baobabhinge_gateway.lifecycle import Lifecycle
 from baobabhinge_gateway.platform import Platform
 from baobabhinge_gateway.routing import RoutingRules
 
@@ -28,34 +27,39 @@
     active: ActiveConfiguration,
     fleet: FleetView,
     platform: Platform,
-    lifecycle: Lifecycle,
-    run_once: Executor,
+    parts: CallParts,
 ) -> CallServer:
     """Return the server of calls of one gateway."""
     clock = SystemClock()
     rules = RoutingRules(active, fleet.home.region)
-    repeatable = _build_repeatable(clock, rules, fleet, platform)
+    repeatable = _build_repeatable(
+        rules,
+        fleet,
+        platform,
+        parts,
+    )
     limits = ExecutorLimits(Quotas(clock), rules)
     executors = Executors(
         model=limits.wrap(repeatable),
         plain=limits.wrap(repeatable),
-        run_once=limits.wrap(run_once),
+        run_once=limits.wrap(parts.run_once),
     )
     return CallServer(
         fleet.home,
         clock,
         active,
         executors,
-        build_checks(fleet, active, lifecycle),
+        build_checks(fleet, active, parts.lifecycle),
     )
 
 
 def _build_repeatable(
-    clock: Clock,
     rules: RoutingRules,
     fleet: FleetView,
     platform: Platform,
+    parts: CallParts,
 ) -> RepeatableExecutor:
+    clock = SystemClock()
     builder = RoutingBuilder(clock, SystemRandom(), fleet, rules)
     routing = builder.build(platform.http)
     return RepeatableExecutor(
@@ -63,4 +67,5 @@
         routing.dispatcher,
         RetryBudget(share=RETRY_SHARE, burst=RETRY_BURST),
         clock,
+        parts.isolation,
     )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -9,6 +9,7 @@
     EntryReport,
     HealthReport,
     StatusReport,
+    build_call_parts,
     build_call_server,
     build_forward_routes,
 )
@@ -85,8 +86,12 @@
             self._active,
             fleet,
             platform,
-            self._lifecycle,
-            RunOnceExecutor(run_once),
+            build_call_parts(
+                self._lifecycle,
+                RunOnceExecutor(run_once),
+                fleet,
+                peers.node.parts,
+            ),
         )
         identity = self._settings.identity
         await self._listen(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
@@ -4,6 +4,12 @@
 from baobabhinge_gateway.errors.base import GatewayError as GatewayError
 from baobabhinge_gateway.errors.base import NotReachedError as NotReachedError
 from baobabhinge_gateway.errors.base import Outcome as Outcome
+from baobabhinge_gateway.errors.crashes import (
+    CrashingRequestError as CrashingRequestError,
+)
+from baobabhinge_gateway.errors.crashes import (
+    EngineCrashedError as EngineCrashedError,
+)
 from baobabhinge_gateway.errors.limits import (
     LimitReachedError as LimitReachedError,
 )
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/crashes.py
@@ -0,0 +1,31 @@
+"""Requests that crash the engines which run them."""
+
+from datetime import timedelta
+from http import HTTPStatus
+
+from baobabhinge_gateway.errors.base import CallError, Outcome
+from baobabhinge_gateway.errors.serving import AnswerBrokenError
+
+NEVER = timedelta(hours=1)
+
+
+class EngineCrashedError(AnswerBrokenError):
+    """The engine died while it ran the request."""
+
+
+class CrashingRequestError(CallError):
+    """The request has crashed two engines and is refused.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        Whether this very call was one of those that ran.
+    """
+
+    code = 'crashing-request'
+    status = HTTPStatus.UNPROCESSABLE_ENTITY
+
+    def __init__(self, outcome: Outcome) -> None:
+        """Advise not to come back soon."""
+        super().__init__('the request crashes the engines that run it', NEVER)
+        self.outcome = outcome
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/attempts.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/attempts.py
@@ -4,11 +4,14 @@
 from baobabhinge_gateway.calls import Call, Hop
 from baobabhinge_gateway.errors import (
     CallError,
+    CrashingRequestError,
+    EngineCrashedError,
     NoBackendServerError,
     Outcome,
 )
 from baobabhinge_gateway.routing import Router, Target
 from baobabhinge_gateway.routing.decisions import Candidate, Decision
+from baobabhinge_gateway.suspects import Isolation
 
 MAX_ATTEMPTS = 3
 
@@ -27,6 +30,8 @@
         Finder of targets.
     budget : RetryBudget
         Bound on repeated work.
+    isolation : Isolation
+        Keeps apart the calls that may have crashed an engine.
 
     Attributes
     ----------
@@ -37,6 +42,8 @@
     __slots__ = (
         '_budget',
         '_failure',
+        '_is_final',
+        '_isolation',
         '_ranked',
         '_router',
         '_runs',
@@ -49,13 +56,16 @@
         call: Call,
         router: Router,
         budget: RetryBudget,
+        isolation: Isolation,
     ) -> None:
         """Start with nothing tried."""
         self.call = call
         self._router = router
         self._budget = budget
+        self._isolation = isolation
         self._tried: set[str] = set()
         self._runs = 0
+        self._is_final = False
         self._ranked: tuple[Candidate, ...] = ()
         self._failure: CallError | None = None
 
@@ -67,6 +77,8 @@
         CallError
             If there is none, or no retry is allowed: what the caller is told.
         """
+        if self._failure is not None and self._is_final:
+            raise self._failure
         candidate = self._find_candidate()
         target = candidate.target
         if self._runs:
@@ -82,6 +94,8 @@
             return
         self._runs += 1
         self._ranked = ()
+        if failure.code == CrashingRequestError.code:
+            self._is_final = True
         if self._failure is None or failure.outcome is Outcome.unknown:
             self._failure = failure
         if target.is_remote:
@@ -91,9 +105,14 @@
     def _find_candidate(self) -> Candidate:
         if not self._ranked:
             self._ranked = self._decide().candidates
-        for candidate in self._ranked:
-            if not self._is_spent(candidate.target):
-                return candidate
+        unspent = [
+            candidate
+            for candidate in self._ranked
+            if not self._is_spent(candidate.target)
+        ]
+        chosen = self._isolation.choose(self.call, unspent)
+        if chosen is not None:
+            return chosen
         raise self._failure or NoBackendServerError(
             'no backend server could be reached',
         )
@@ -110,6 +129,8 @@
             raise self._failure or refused from refused
 
     def _check_retry(self, target: Target) -> None:
+        if isinstance(self._failure, EngineCrashedError):
+            return
         is_allowed = self._runs < MAX_ATTEMPTS and self._budget.withdraw(
             target.vm.role,
         )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/repeatable.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/repeatable.py
@@ -20,6 +20,7 @@
     WholeRelay,
 )
 from baobabhinge_gateway.routing import Candidate, Dispatcher, Router
+from baobabhinge_gateway.suspects import Isolation
 
 
 class RepeatableExecutor:
@@ -35,9 +36,11 @@
         Bound on repeated work.
     clock : Clock
         Clock of the deadlines.
+    isolation : Isolation
+        Keeps apart the calls that may have crashed an engine.
     """
 
-    __slots__ = ('_budget', '_clock', '_dispatcher', '_router')
+    __slots__ = ('_budget', '_clock', '_dispatcher', '_isolation', '_router')
 
     def __init__(
         self,
@@ -45,12 +48,14 @@
         dispatcher: Dispatcher,
         budget: RetryBudget,
         clock: Clock,
+        isolation: Isolation,
     ) -> None:
         """Keep the parts."""
         self._router = router
         self._dispatcher = dispatcher
         self._budget = budget
         self._clock = clock
+        self._isolation = isolation
 
     async def execute(
         self,
@@ -67,7 +72,12 @@
             If an answer had begun and could not be continued.
         """
         relay = _create_relay(request, call)
-        attempts = Attempts(call, self._router, self._budget)
+        attempts = Attempts(
+            call,
+            self._router,
+            self._budget,
+            self._isolation,
+        )
         response = None
         while response is None:
             candidate = await _choose_candidate(attempts, relay)
@@ -99,6 +109,9 @@
             (candidate,),
         )
         async with AsyncExitStack() as stack:
+            await stack.enter_async_context(
+                self._isolation.guard(call, candidate, rest),
+            )
             answer = await open_within(stack, exchange, patience)
             await check_refusal(call, answer, candidate.target)
             return await relay.take(answer)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/suspects/__init__.py
@@ -0,0 +1,6 @@
+"""Requests that crash the engines which run them."""
+
+from baobabhinge_gateway.suspects.assembly import (
+    build_isolation as build_isolation,
+)
+from baobabhinge_gateway.suspects.isolation import Isolation as Isolation
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/suspects/isolation.py
@@ -0,0 +1,135 @@
+"""Keeping suspects apart, and refusing culprits."""
+
+import asyncio
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+from baobabhinge_coordination.suspects import SuspectLedger, Verdict
+from baobabhinge_gateway.calls import Call
+from baobabhinge_gateway.errors import (
+    CrashingRequestError,
+    EngineCrashedError,
+    Outcome,
+)
+from baobabhinge_gateway.routing import Candidate
+from baobabhinge_gateway.suspects.fingerprints import fingerprint_call
+from baobabhinge_gateway.suspects.turns import SuspectTurns
+from baobabhinge_gateway.suspects.watch import CrashWatch
+from baobabhinge_settings.model import ServiceKind
+
+# Time for the gateways of a region to tell each other of a crash.
+SETTLING = timedelta(seconds=1)
+
+
+class Isolation:
+    """What happens around each attempt of a completion.
+
+    Parameters
+    ----------
+    region : str
+        Region of this gateway; suspects do not leave it.
+    ledger : SuspectLedger
+        Crashes of the region.
+    watch : CrashWatch
+        Calls in flight by engine.
+    turns : SuspectTurns
+        Turns of the suspects.
+    """
+
+    __slots__ = ('_ledger', '_region', '_turns', '_watch')
+
+    def __init__(
+        self,
+        region: str,
+        ledger: SuspectLedger,
+        watch: CrashWatch,
+        turns: SuspectTurns,
+    ) -> None:
+        """Keep the parts."""
+        self._region = region
+        self._ledger = ledger
+        self._watch = watch
+        self._turns = turns
+
+    def choose(
+        self,
+        call: Call,
+        candidates: Sequence[Candidate],
+    ) -> Candidate | None:
+        """Return the candidate to try, the best one unless it is a suspect.
+
+        Raises
+        ------
+        CrashingRequestError
+            If the call is known to crash engines.
+        """
+        if self._judge(call) is Verdict.suspect:
+            return self._turns.choose(candidates)
+        return candidates[0] if candidates else None
+
+    @asynccontextmanager
+    async def guard(
+        self,
+        call: Call,
+        candidate: Candidate,
+        patience: timedelta,
+    ) -> AsyncIterator[None]:
+        """Run one attempt while the context is open.
+
+        Parameters
+        ----------
+        call : Call
+            The call.
+        candidate : Candidate
+            Where it is run.
+        patience : timedelta
+            Time left until its deadline.
+
+        Raises
+        ------
+        EngineCrashedError
+            If the engine died under it.
+        CrashingRequestError
+            If the call turned out to crash engines while it waited.
+        """
+        engine = candidate.target.vm.name
+        if candidate.target.is_remote or not _is_model(call):
+            yield
+        elif self._judge(call) is Verdict.suspect:
+            async with self._turns.take(engine, patience):
+                self._judge(call)
+                async with self._examine(call, candidate):
+                    yield
+            self._ledger.clear(fingerprint_call(call, self._region))
+        else:
+            async with self._examine(call, candidate):
+                yield
+
+    def _judge(self, call: Call) -> Verdict:
+        if not _is_model(call):
+            return Verdict.clear
+        verdict = self._ledger.judge(fingerprint_call(call, self._region))
+        if verdict is Verdict.culprit:
+            raise CrashingRequestError(Outcome.not_run)
+        return verdict
+
+    @asynccontextmanager
+    async def _examine(
+        self,
+        call: Call,
+        candidate: Candidate,
+    ) -> AsyncIterator[None]:
+        vm = candidate.target.vm
+        fingerprint = fingerprint_call(call, self._region)
+        try:
+            with self._watch.track(vm, fingerprint):
+                async with self._watch.explain(vm):
+                    yield
+        except EngineCrashedError:
+            await asyncio.sleep(SETTLING.total_seconds())
+            raise
+
+
+def _is_model(call: Call) -> bool:
+    return call.service.kind is ServiceKind.model
