--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
@@ -16,6 +16,7 @@
 from baobabhinge_standins.links import Links
 
 GATEWAY_MODULE = 'baobabhinge_gateway'
+REFUSING = '--fencing=refuse'
 STAND_IN_MODULES = {
     Role.engine: 'baobabhinge_standins.engine',
     Role.application: 'baobabhinge_standins.application',
@@ -85,6 +86,9 @@
             self.roster.add_backend(plan.role, plan.region, plan.service)
             for _ in range(plan.count)
         ]
+        if REFUSING in plan.options:
+            for engine in members:
+                engine.fencing = 'refuse'
         await asyncio.gather(
             *(
                 self.processes.start(
@@ -115,7 +119,10 @@
         member = self.roster.get(name)
         path = self._folder / f'{name}.ini'
         store = self._views.get_store_address(member)
-        path.write_text(self.platform.render_process_settings(member, store))
+        seeds = self.roster.list_by(Role.gateway, member.region)
+        path.write_text(
+            self.platform.render_process_settings(member, store, seeds),
+        )
         await self.processes.start(name, GATEWAY_MODULE, f'--settings={path}')
 
     def choose_entry(self, region: str, number: int) -> str:
@@ -141,7 +148,8 @@
             f'--key-value={store}',
         )
         if await command.process.wait():
-            raise PublishFailedError(str(folder))
+            log = self._folder / 'operator.log'
+            raise PublishFailedError(log.read_text().splitlines()[-1:])
 
     async def wait_ready(self) -> None:
         """Wait until every gateway serves with a configuration."""
