Replace a witness that was started again, and weaken refusals by limits

Quotas refused a keyed call before its key was looked at and said 'not run', though an earlier attempt may have run.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
@@ -105,7 +105,7 @@
         request: web.Request,
         call: Call,
     ) -> web.StreamResponse:
-        request[EXECUTED] = True
+        request[EXECUTED] = not call.is_run_once
         try:
             response = await executor.execute(request, call)
         except (AnswerCutError, CallerLostError) as lost:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/protocol.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/protocol.py
@@ -7,7 +7,7 @@
 from baobabhinge_gateway.calls import Call
 from baobabhinge_settings.model import ServiceKind
 
-# Mark of a request that has come to its executor, which knows its outcome.
+# Mark of a request whose executor knows the outcome of a refused attempt.
 EXECUTED = 'executed'
 
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/gateways.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/gateways.py
@@ -53,6 +53,12 @@
         member = self._members.table.find(name, region)
         return convert_member(member) if member else None
 
+    def find_incarnation(self, name: str) -> str | None:
+        """Return the present start of a gateway of this region, if known."""
+        own = self._members.own
+        member = self._members.table.find(name, own.region)
+        return None if member is None else member.incarnation
+
     def list_regions(self, index: VmIndex) -> Sequence[str]:
         """Return the regions in which a gateway is known."""
         known = self._members.table.list_regions()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
@@ -27,9 +27,11 @@
     ----------
     home : Hop
         This gateway.
+    roll : GatewayRoll
+        Gateways as the list and they themselves tell them.
     """
 
-    __slots__ = ('_reports', '_roll', '_watcher', 'home')
+    __slots__ = ('_reports', '_watcher', 'home', 'roll')
 
     def __init__(
         self,
@@ -40,7 +42,7 @@
     ) -> None:
         """Keep the parts."""
         self.home = home
-        self._roll = roll
+        self.roll = roll
         self._watcher = watcher
         self._reports = reports
 
@@ -66,17 +68,17 @@
         """
         index = self._watcher.index
         if region is not None:
-            return self._roll.combine(region, index)
+            return self.roll.combine(region, index)
         return [
             vm
-            for name in self._roll.list_regions(index)
-            for vm in self._roll.combine(name, index)
+            for name in self.roll.list_regions(index)
+            for vm in self.roll.combine(name, index)
         ]
 
     def find_gateway(self, name: str) -> Vm | None:
         """Return the gateway called ``name``, live or leaving."""
         listed = self._watcher.index.by_name.get(name)
-        return listed or self._roll.find_own(name)
+        return listed or self.roll.find_own(name)
 
     def find_report(self, vm: Vm) -> LoadReport | None:
         """Return the newest load report of ``vm``, if one is known."""
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/choosing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/choosing.py
@@ -28,8 +28,13 @@
 
     def is_live(self, witness: Party | None) -> bool:
         """Tell whether ``witness`` is known to live."""
+        if witness is None:
+            return False
+        present = self._fleet.roll.find_incarnation(witness.vm)
+        if present not in {None, witness.incarnation}:
+            return False
         near = self._fleet.list_gateways(self._fleet.home.region)
-        return witness is not None and witness.vm in {vm.name for vm in near}
+        return witness.vm in {vm.name for vm in near}
 
     def list_candidates(self) -> Sequence[Vm]:
         """Return other gateways of the region, other failure domains first."""
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/executor.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/executor.py
@@ -17,6 +17,7 @@
     KeyRequiredError,
     RegionBoundError,
 )
+from baobabhinge_gateway.execution import EXECUTED
 from baobabhinge_gateway.runonce.attempt import Attempt, build_attempt
 from baobabhinge_gateway.runonce.parts import RunOnceParts
 from baobabhinge_gateway.runonce.rendering import render_outcome
@@ -54,6 +55,7 @@
         CallError
             If there is no answer; its outcome tells what is known.
         """
+        request[EXECUTED] = True
         key = await self._find_key(request, call)
         if not call.terms.allows(key.region):
             raise RegionBoundError('the key was made in another region')
