--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/gateways.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/gateways.py
@@ -3,7 +3,6 @@
 from collections.abc import Sequence
 
 from baobabhinge_coordination.membership import (
-    Member,
     MembershipView,
     MemberState,
 )
@@ -43,8 +42,8 @@
         """
         listed = {vm.name: vm for vm in index.list_gateways(region)}
         for member in self._members.table.list_region(region):
-            if member.name not in listed and self._is_addressed(member):
-                listed[member.name] = convert_member(member)
+            if member.region == self._members.own.region:
+                listed.setdefault(member.name, convert_member(member))
         return [vm for vm in listed.values() if self._takes_calls(vm)]
 
     def find_own(self, name: str) -> Vm | None:
@@ -64,9 +63,6 @@
         known = self._members.table.list_regions()
         return sorted({*known, *index.list_gateway_regions()})
 
-    def _is_addressed(self, member: Member) -> bool:
-        return member.region == self._members.own.region
-
     def _takes_calls(self, vm: Vm) -> bool:
         if vm.state is not VmState.live:
             return False
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
@@ -2,11 +2,14 @@
 
 from collections.abc import Sequence
 
+from baobabhinge_coordination.membership import MembershipView
 from baobabhinge_gateway.calls import Hop
+from baobabhinge_gateway.configuration import ActiveConfiguration
+from baobabhinge_gateway.fleet.availability import Availability
 from baobabhinge_gateway.fleet.gateways import GatewayRoll
 from baobabhinge_gateway.fleet.reports import LoadReport, LoadReports
 from baobabhinge_gateway.fleet.watcher import VmWatcher
-from baobabhinge_platform.machines import Vm, VmState
+from baobabhinge_platform.machines import Vm
 
 
 class FleetView:
@@ -20,8 +23,10 @@
         The platform's list as last seen.
     reports : LoadReports
         Load of the backend servers of this region.
-    roll : GatewayRoll
-        Combines the list with what the gateways say themselves.
+    members : MembershipView
+        Gateways as they tell each other.
+    active : ActiveConfiguration
+        Tells which vms operators drain.
 
     Attributes
     ----------
@@ -31,30 +36,33 @@
         Gateways as the list and they themselves tell them.
     """
 
-    __slots__ = ('_reports', '_watcher', 'home', 'roll')
+    __slots__ = ('_availability', '_reports', '_watcher', 'home', 'roll')
 
     def __init__(
         self,
         home: Hop,
         watcher: VmWatcher,
         reports: LoadReports,
-        roll: GatewayRoll,
+        members: MembershipView,
+        active: ActiveConfiguration,
     ) -> None:
         """Keep the parts."""
         self.home = home
-        self.roll = roll
+        self.roll = GatewayRoll(members)
+        self._availability = Availability(reports, active)
         self._watcher = watcher
         self._reports = reports
 
     def list_backends(self, service: str, region: str) -> Sequence[Vm]:
         """Return the backend servers of ``service`` that take new work.
 
-        Leaving ones, and those that report to be draining, are left out.
+        Leaving ones, those that report to be draining and those that
+        operators drain are left out.
         """
         return [
             vm
             for vm in self._watcher.index.list_backends(service, region)
-            if self._takes_work(vm)
+            if self._availability.takes_work(vm)
         ]
 
     def list_polled(self) -> Sequence[Vm]:
@@ -67,12 +75,14 @@
         Dead, suspected, leaving and draining ones are left out.
         """
         index = self._watcher.index
+        regions = self.roll.list_regions(index)
         if region is not None:
-            return self.roll.combine(region, index)
+            regions = [region]
         return [
             vm
-            for name in self.roll.list_regions(index)
+            for name in regions
             for vm in self.roll.combine(name, index)
+            if not self._availability.is_drained(vm)
         ]
 
     def find_gateway(self, name: str) -> Vm | None:
@@ -83,9 +93,3 @@
     def find_report(self, vm: Vm) -> LoadReport | None:
         """Return the newest load report of ``vm``, if one is known."""
         return self._reports.find(vm)
-
-    def _takes_work(self, vm: Vm) -> bool:
-        if vm.state is not VmState.live:
-            return False
-        report = self._reports.find(vm)
-        return report is None or not report.draining
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/attempt.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/attempt.py
@@ -7,7 +7,7 @@
     compute_request_digest,
 )
 from baobabhinge_gateway.calls import Call
-from baobabhinge_gateway.calls.regions import render_regions
+from baobabhinge_gateway.calls.bindings import render_regions
 
 
 class Attempt(msgspec.Struct, frozen=True):
