--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/conftest.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/conftest.py
@@ -3,10 +3,16 @@
 import asyncio
 from contextlib import asynccontextmanager
 
+import aiohttp
 import pytest
 
 from baobabhinge_standins.fleet import DeploymentPlan, Role, run_deployment
 from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
+from baobabhinge_standins.tests.steps.confirmations import (
+    LEDGER_PLAN,
+    LEDGER_SETTINGS,
+    Confirmation,
+)
 
 SMALL_SETTINGS = """
 [region west]
@@ -81,3 +87,28 @@
     context = run_configured(SMALL_PLAN, SMALL_SETTINGS, folder)
     yield loop.run(context.__aenter__())
     loop.run(context.__aexit__(None, None, None))
+
+
+@pytest.fixture(scope='session')
+def ledger(loop, tmp_path_factory):
+    folder = tmp_path_factory.mktemp('ledger')
+    context = run_configured(LEDGER_PLAN, LEDGER_SETTINGS, folder)
+    yield loop.run(context.__aenter__())
+    loop.run(context.__aexit__(None, None, None))
+
+
+@pytest.fixture
+def http(loop):
+    async def open_session():
+        return aiohttp.ClientSession()
+
+    session = loop.run(open_session())
+    yield session
+    loop.run(session.close())
+
+
+@pytest.fixture
+def confirmation(ledger, http, loop):
+    confirmation = Confirmation(ledger, http)
+    yield confirmation
+    loop.run(confirmation.heal())
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/confirmations.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/confirmations.py
@@ -74,6 +74,7 @@
         self._headers = {'Baobabhinge-Deadline-Ms': '3000'}
         self.told = []
         self.silent = set()
+        self.names = {'owner': OWNER, 'entry': 'west-gateway-2'}
 
     async def take_key(self):
         """Take a key from the owner that names a witness."""
@@ -90,7 +91,6 @@
     def bring_key(self):
         """Bring an Idempotency-Key in place of a run-once key."""
         self._headers['Idempotency-Key'] = f'caller{self.path}'
-        self.names = {'owner': OWNER, 'entry': 'west-gateway-2'}
 
     def list_gateways(self, region=''):
         return self.running.roster.list_by(Role.gateway, region)
@@ -115,6 +115,19 @@
         ]
         return await asyncio.gather(*map(self.send, names + names))
 
+    async def wait_answered(self):
+        """Send it with new keys until the owner has run it.
+
+        What the owner was about to do when it was paused comes before. A key
+        that names a witness which has ended is not run.
+        """
+
+        async def is_answered():
+            await self.take_key()
+            return (await self.send(OWNER)).outcome == 'answered'
+
+        await wait_until(is_answered)
+
     async def ask(self, gateway):
         """Ask what became of the key."""
         key = self._headers['Baobabhinge-Key']
@@ -140,9 +153,10 @@
         return bool(await self.list_runs())
 
     async def fail(self, failure):
-        """Bring ``failure`` about: words that name roles, or a service."""
-        verb, _, rest = failure.partition(' ')
-        await getattr(self, f'_do_{verb}')(rest)
+        """Bring ``failure`` about: verbs, each with what it is done to."""
+        for part in failure.split(' + '):
+            verb, _, rest = part.partition(' ')
+            await getattr(self, f'_do_{verb}')(rest)
 
     async def heal(self):
         """Take every fault away and start what was killed."""
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_at_most_once.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_at_most_once.py
@@ -1,21 +1,11 @@
-"""Calls that may not be repeated, sent again while things fail.
-
-Before the mechanism, with the repeatable executor in its place, see the commit
-that added this file.
-"""
+"""Calls that may not be repeated, sent again while things fail."""
 
 import asyncio
 
-import aiohttp
-import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from baobabhinge_standins.fleet import wait_until
-from baobabhinge_standins.tests.conftest import run_configured
 from baobabhinge_standins.tests.steps.confirmations import (
-    LEDGER_PLAN,
-    LEDGER_SETTINGS,
-    OWNER,
     Confirmation,
 )
 
@@ -28,31 +18,6 @@
 }
 
 
-@pytest.fixture(scope='module')
-def ledger(loop, tmp_path_factory):
-    folder = tmp_path_factory.mktemp('ledger')
-    context = run_configured(LEDGER_PLAN, LEDGER_SETTINGS, folder)
-    yield loop.run(context.__aenter__())
-    loop.run(context.__aexit__(None, None, None))
-
-
-@pytest.fixture
-def http(loop):
-    async def open_session():
-        return aiohttp.ClientSession()
-
-    session = loop.run(open_session())
-    yield session
-    loop.run(session.close())
-
-
-@pytest.fixture
-def confirmation(ledger, http, loop):
-    confirmation = Confirmation(ledger, http)
-    yield confirmation
-    loop.run(confirmation.heal())
-
-
 @given(parsers.parse('a confirmation with a key, and {failure}'))
 def take_key(confirmation, loop, failure):
     loop.run(confirmation.take_key())
@@ -94,21 +59,7 @@
 @when('everything is healed')
 def heal(confirmation, ledger, http, loop):
     loop.run(confirmation.heal())
-    loop.run(wait_for_owner(Confirmation(ledger, http)))
-
-
-async def wait_for_owner(later):
-    """Wait until the owner has run a later confirmation.
-
-    What it was about to do when it was paused comes before. Keys that name a
-    witness which has ended are not run; the owner finds another one.
-    """
-
-    async def is_answered():
-        await later.take_key()
-        return (await later.send(OWNER)).outcome == 'answered'
-
-    await wait_until(is_answered)
+    loop.run(Confirmation(ledger, http).wait_answered())
 
 
 @then(
