--- /dev/null
+++ b/examples/embedding_runonce.py
@@ -0,0 +1,89 @@
+"""Run a payment at most once, with the coordination package alone.
+
+Three programs of your own: an owner that runs payments, a witness, and an entry
+that hears of a repeat while the owner is silent. The messages between them are
+function calls here; in your program they travel as you like.
+"""
+
+from datetime import timedelta
+from random import SystemRandom
+
+from baobabhinge_coordination.clock import SystemClock
+from baobabhinge_coordination.runonce import (
+    Action,
+    AskOutcome,
+    CopyOutcome,
+    Issuer,
+    KeptAnswer,
+    KeyMint,
+    KeySigner,
+    OpenEpoch,
+    Outcome,
+    Owner,
+    Party,
+    RecordIntent,
+    Retention,
+    RunOnceKey,
+    Window,
+    Witness,
+    compute_request_digest,
+    conclude,
+    report_answered,
+)
+
+CLOCK = SystemClock()
+RANDOM = SystemRandom()
+RETENTION = Retention(key_age=timedelta(minutes=5))
+OWNER = Owner(Party('vm-1', RANDOM.randbytes(16).hex()), CLOCK, RETENTION)
+WITNESS = Witness(Party('vm-2', RANDOM.randbytes(16).hex()), CLOCK, RETENTION)
+
+
+def take_keys(count: int) -> list[RunOnceKey]:
+    """Open an epoch at the witness and mint keys in it."""
+    asked = CLOCK.read_monotonic()
+    opened = WITNESS.open_epoch(OpenEpoch(OWNER.party))
+    mint = KeyMint(
+        Issuer('west', OWNER.party),
+        KeySigner(RANDOM),
+        CLOCK,
+        RANDOM,
+        RETENTION,
+    )
+    mint.adopt(Window(asked, opened.witness, opened.epoch))
+    return mint.mint(count)
+
+
+def pay(key: RunOnceKey, order: bytes) -> Outcome:
+    """Run ``order`` unless it has run under this key."""
+    digest = compute_request_digest(key, [order])
+    instruction = OWNER.begin(key, digest)
+    if instruction.action is Action.record:
+        verdict = WITNESS.record(RecordIntent(key, digest))
+        instruction = OWNER.resolve_intent(key, verdict)
+    if instruction.action is Action.dispatch:
+        print(f'paying {order.decode()}')
+        paid = report_answered(KeptAnswer(200, body=b'paid'))
+        instruction = OWNER.settle(key, paid)
+        WITNESS.copy(CopyOutcome(key, paid))
+    assert instruction.outcome is not None
+    return instruction.outcome
+
+
+def ask_without_owner(key: RunOnceKey) -> Outcome:
+    """Find out what may be said while the owner is silent."""
+    return conclude(WITNESS.ask(AskOutcome(key)))
+
+
+def run() -> None:
+    """Pay once, repeat, and ask about a key that was never used."""
+    used, unused = take_keys(2)
+    for _ in range(2):
+        print(pay(used, b'40 yen').kind)
+    print(pay(used, b'50 yen').reason)
+    print(ask_without_owner(used).kind)
+    print(ask_without_owner(unused).kind)
+    print(pay(unused, b'60 yen').reason)
+
+
+if __name__ == '__main__':
+    run()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
@@ -112,6 +112,9 @@
             kind = type(lost).__name__
             log.warning('not-whole', kind=kind, request_id=call.request_id)
             return web.Response()
+        except CallError as refusal:
+            self.measures.outcomes[refusal.outcome] += 1
+            raise
         self.measures.outcomes['answered'] += 1
         return response
 
