--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
@@ -104,7 +104,7 @@
         request: web.Request,
         call: Call,
     ) -> web.StreamResponse:
-        request[EXECUTED] = True
+        request[EXECUTED] = not call.is_run_once
         try:
             response = await self._executors.select(call).execute(request, call)
         except (AnswerCutError, CallerLostError) as lost:
@@ -112,6 +112,9 @@
             kind = type(lost).__name__
             log.warning('not-whole', kind=kind, request_id=call.request_id)
             return web.Response()
+        except CallError as refusal:
+            self.measures.outcomes[refusal.outcome] += 1
+            raise
         self.measures.outcomes['answered'] += 1
         return response
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
@@ -32,9 +32,11 @@
     ----------
     home : Hop
         This gateway.
+    roll : GatewayRoll
+        Gateways as the list and they themselves tell them.
     """
 
-    __slots__ = ('_availability', '_reports', '_roll', '_watcher', 'home')
+    __slots__ = ('_availability', '_reports', '_watcher', 'home', 'roll')
 
     def __init__(
         self,
@@ -46,7 +48,7 @@
     ) -> None:
         """Keep the parts."""
         self.home = home
-        self._roll = GatewayRoll(members)
+        self.roll = GatewayRoll(members)
         self._availability = Availability(reports, active)
         self._watcher = watcher
         self._reports = reports
@@ -73,20 +75,20 @@
         Dead, suspected, leaving and draining ones are left out.
         """
         index = self._watcher.index
-        regions = self._roll.list_regions(index)
+        regions = self.roll.list_regions(index)
         if region is not None:
             regions = [region]
         return [
             vm
             for name in regions
-            for vm in self._roll.combine(name, index)
+            for vm in self.roll.combine(name, index)
             if not self._availability.is_drained(vm)
         ]
 
     def find_gateway(self, name: str) -> Vm | None:
         """Return the gateway called ``name``, live or leaving."""
         listed = self._watcher.index.by_name.get(name)
-        return listed or self._roll.find_own(name)
+        return listed or self.roll.find_own(name)
 
     def find_report(self, vm: Vm) -> LoadReport | None:
         """Return the newest load report of ``vm``, if one is known."""
