--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
@@ -5,12 +5,13 @@
 from baobabhinge_coordination.budgets import RetryBudget
 from baobabhinge_coordination.clock import Clock, SystemClock
 from baobabhinge_gateway.admission import Quotas
-from baobabhinge_gateway.callers.checks import ArrivalChecks
+from baobabhinge_gateway.callers.checks import build_checks
 from baobabhinge_gateway.callers.service import CallServer
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.execution import (
+    Executor,
+    ExecutorLimits,
     Executors,
-    LimitedExecutor,
     RepeatableExecutor,
     RoutingBuilder,
 )
@@ -28,32 +29,38 @@
     fleet: FleetView,
     platform: Platform,
     lifecycle: Lifecycle,
+    run_once: Executor,
 ) -> CallServer:
     """Return the server of calls of one gateway."""
     clock = SystemClock()
+    rules = RoutingRules(active, fleet.home.region)
+    repeatable = _build_repeatable(clock, rules, fleet, platform)
+    limits = ExecutorLimits(Quotas(clock), rules)
+    executors = Executors(
+        model=limits.wrap(repeatable),
+        plain=limits.wrap(repeatable),
+        run_once=limits.wrap(run_once),
+    )
     return CallServer(
         fleet.home,
         clock,
         active,
-        _build_executors(clock, active, fleet, platform),
-        ArrivalChecks(fleet, lifecycle),
+        executors,
+        build_checks(fleet, active, lifecycle),
     )
 
 
-def _build_executors(
+def _build_repeatable(
     clock: Clock,
-    active: ActiveConfiguration,
+    rules: RoutingRules,
     fleet: FleetView,
     platform: Platform,
-) -> Executors:
-    rules = RoutingRules(active, fleet.home.region)
+) -> RepeatableExecutor:
     builder = RoutingBuilder(clock, SystemRandom(), fleet, rules)
     routing = builder.build(platform.http)
-    repeatable = RepeatableExecutor(
+    return RepeatableExecutor(
         routing.router,
         routing.dispatcher,
         RetryBudget(share=RETRY_SHARE, burst=RETRY_BURST),
         clock,
     )
-    limited = LimitedExecutor(repeatable, Quotas(clock), rules)
-    return Executors(model=limited, plain=limited, run_once=limited)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/__init__.py
@@ -4,8 +4,9 @@
     RoutingBuilder as RoutingBuilder,
 )
 from baobabhinge_gateway.execution.limited import (
-    LimitedExecutor as LimitedExecutor,
+    ExecutorLimits as ExecutorLimits,
 )
+from baobabhinge_gateway.execution.protocol import EXECUTED as EXECUTED
 from baobabhinge_gateway.execution.protocol import Executor as Executor
 from baobabhinge_gateway.execution.protocol import Executors as Executors
 from baobabhinge_gateway.execution.repeatable import (
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
@@ -5,10 +5,11 @@
 from baobabhinge_coordination.membership import MembershipView
 from baobabhinge_gateway.calls import Hop
 from baobabhinge_gateway.configuration import ActiveConfiguration
+from baobabhinge_gateway.fleet.availability import Availability
 from baobabhinge_gateway.fleet.gateways import GatewayRoll
 from baobabhinge_gateway.fleet.reports import LoadReport, LoadReports
 from baobabhinge_gateway.fleet.watcher import VmWatcher
-from baobabhinge_platform.machines import Vm, VmState
+from baobabhinge_platform.machines import Vm
 
 
 class FleetView:
@@ -33,7 +34,7 @@
         This gateway.
     """
 
-    __slots__ = ('_active', '_reports', '_roll', '_watcher', 'home')
+    __slots__ = ('_availability', '_reports', '_roll', '_watcher', 'home')
 
     def __init__(
         self,
@@ -46,7 +47,7 @@
         """Keep the parts."""
         self.home = home
         self._roll = GatewayRoll(members)
-        self._active = active
+        self._availability = Availability(reports, active)
         self._watcher = watcher
         self._reports = reports
 
@@ -59,7 +60,7 @@
         return [
             vm
             for vm in self._watcher.index.list_backends(service, region)
-            if self._takes_work(vm)
+            if self._availability.takes_work(vm)
         ]
 
     def list_polled(self) -> Sequence[Vm]:
@@ -79,19 +80,14 @@
             vm
             for name in regions
             for vm in self._roll.combine(name, index)
-            if not self._is_drained(vm)
+            if not self._availability.is_drained(vm)
         ]
 
+    def find_gateway(self, name: str) -> Vm | None:
+        """Return the gateway called ``name``, live or leaving."""
+        listed = self._watcher.index.by_name.get(name)
+        return listed or self._roll.find_own(name)
+
     def find_report(self, vm: Vm) -> LoadReport | None:
         """Return the newest load report of ``vm``, if one is known."""
         return self._reports.find(vm)
-
-    def _takes_work(self, vm: Vm) -> bool:
-        if vm.state is not VmState.live or self._is_drained(vm):
-            return False
-        report = self._reports.find(vm)
-        return report is None or not report.draining
-
-    def _is_drained(self, vm: Vm) -> bool:
-        settings = self._active.find_settings()
-        return settings is not None and settings.is_drained(vm.name)
