--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/benchmark/wire.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/benchmark/wire.py
@@ -1,5 +1,7 @@
 """Passing heartbeats on without sockets, counted."""
 
+from collections.abc import Iterable
+
 import msgspec
 
 from baobabhinge_coordination.membership import (
@@ -36,6 +38,15 @@
         """Pass exchanges for ``name`` to ``protocol``."""
         self._protocols[name] = protocol
 
+    def add_all(
+        self,
+        names: Iterable[str],
+        protocol: MembershipProtocol,
+    ) -> None:
+        """Pass exchanges for all ``names`` to ``protocol``."""
+        for name in names:
+            self.add(name, protocol)
+
     def reset(self) -> None:
         """Count from zero again."""
         self.cost = Cost()
