--- a/packages/baobabhinge-standins/benchmarks/runonce.py
+++ b/packages/baobabhinge-standins/benchmarks/runonce.py
@@ -131,8 +131,9 @@
     """Write the percentiles of each kind of call, in milliseconds."""
     for kind, listed in times.items():
         cuts = statistics.quantiles(listed, n=PARTS)
-        median = statistics.median(listed)
-        sys.stdout.write(f'| {kind} | {median:.2f} | {cuts[-1]:.2f} |\n')
+        median = round(statistics.median(listed), 2)
+        high = round(cuts[-1], 2)
+        sys.stdout.write(f'| {kind} | {median} | {high} |\n')
 
 
 if __name__ == '__main__':
