Keep data rules out of the digest, read lost bindings back, and let them expire

Cause: data rules add regions to a call, and the digest held them: a repeat under newer rules was 'another request', said not to run though the first had run. Rules that allow every region made each Idempotency-Key a bound one. A mint without room said 'not run' for an Idempotency-Key that may have been bound before. Red with the read-back taken out: test_two_gateways_bind_to_one_key.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -79,8 +79,12 @@
         fleet: FleetView,
         peers: PeerStack,
     ) -> None:
-        incarnation = self._lifecycle.incarnation
-        run_once = build_run_once(fleet, platform, incarnation)
+        run_once = build_run_once(
+            fleet,
+            platform,
+            self._lifecycle,
+            self._active,
+        )
         await self.add_runtime_dependency(run_once)
         calls = build_call_server(
             self._active,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/assembly.py
@@ -3,16 +3,22 @@
 from random import SystemRandom
 
 from baobabhinge_coordination.clock import SystemClock
+from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.fleet import FleetView
+from baobabhinge_gateway.lifecycle import Lifecycle
 from baobabhinge_gateway.platform import Platform
+from baobabhinge_gateway.runonce.binding import KeyBinder
 from baobabhinge_gateway.runonce.environment import Environment
 from baobabhinge_gateway.runonce.parts import RunOnceParts
+from baobabhinge_gateway.runonce.state import RunOnceState
+from baobabhinge_gateway.runonce.sweeping import BindingSweeper
 
 
 def build_run_once(
     fleet: FleetView,
     platform: Platform,
-    incarnation: str,
+    lifecycle: Lifecycle,
+    active: ActiveConfiguration,
 ) -> RunOnceParts:
     """Return the parts; they start with the service."""
     environment = Environment(
@@ -21,4 +27,12 @@
         SystemClock(),
         SystemRandom(),
     )
-    return RunOnceParts(environment, platform.store, incarnation)
+    memory = RunOnceState(
+        fleet.home,
+        lifecycle.incarnation,
+        environment.clock,
+        environment.random,
+    )
+    binder = KeyBinder(platform.store, memory, active)
+    sweeper = BindingSweeper(platform.store)
+    return RunOnceParts(environment, memory, binder, sweeper)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/attempt.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/attempt.py
@@ -7,7 +7,6 @@
     compute_request_digest,
 )
 from baobabhinge_gateway.calls import Call
-from baobabhinge_gateway.calls.bindings import render_regions
 
 
 class Attempt(msgspec.Struct, frozen=True):
@@ -31,15 +30,13 @@
 def build_attempt(key: RunOnceKey, call: Call) -> Attempt:
     """Return the attempt to run ``call`` under ``key``.
 
-    The regions to which a call is bound belong to the request: the same text
-    bound to others is another request.
+    Headers and regions are left out: a repeat may come through another gateway,
+    under newer rules.
     """
-    regions = render_regions(call.terms.regions or frozenset())
     parts = (
         call.service.name.encode(),
         call.method.encode(),
         call.path.encode(),
-        regions.encode(),
         call.body,
     )
     return Attempt(key, compute_request_digest(key, parts), call)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/binding.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/binding.py
@@ -15,7 +15,9 @@
     StoreError,
 )
 from baobabhinge_gateway.calls import Call
+from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.errors import (
+    KeyedRefusalError,
     KeyRequiredError,
     KeysUnavailableError,
     OutcomeUnknownError,
@@ -24,8 +26,10 @@
 
 BINDING_PREFIX = 'baobabhinge/run-once/'
 DIGEST_BYTES = 20
+DIGEST_KEY = b'baobabhinge-binding'
 ABSENT = 0
 TRIES = 2
+BOUND = 'a call bound to a region takes its key from POST /v1/keys'
 STORE_UNREACHABLE = (
     'the key-value service can not be reached, so an earlier attempt may have '
     'run; a key from POST /v1/keys needs no such service'
@@ -46,40 +50,37 @@
         The key-value service.
     state : RunOnceState
         Maker of keys.
-    secret : bytes
-        Key of the digests, at most 64 bytes.
+    active : ActiveConfiguration
+        Configuration in force; it names the regions.
     """
 
-    __slots__ = ('_secret', '_state', '_store')
+    __slots__ = ('_active', '_state', '_store')
 
     def __init__(
         self,
         store: KeyValueStore,
         state: RunOnceState,
-        secret: bytes,
+        active: ActiveConfiguration,
     ) -> None:
         """Keep the parts."""
         self._store = store
         self._state = state
-        self._secret = secret
+        self._active = active
 
     async def bind(self, call: Call, idempotency_key: str) -> RunOnceKey:
         """Return the run-once key of ``idempotency_key``.
 
         Raises
         ------
-        KeyRequiredError
-            If the call is bound to a region.
-        KeysUnavailableError
-            If no key can be made now.
+        KeyedRefusalError
+            If the call is bound to a region, or no key can be made now. An
+            earlier attempt may have been bound and run.
         OutcomeUnknownError
             If the key-value service does not tell.
         """
-        if call.terms.regions is not None:
-            raise KeyRequiredError(
-                'a call bound to a region takes its key from POST /v1/keys',
-            )
-        path = self._get_path(call, idempotency_key)
+        if self._is_bound(call):
+            raise KeyedRefusalError(KeyRequiredError(BOUND))
+        path = _get_path(call, idempotency_key)
         try:
             return await self._claim(path, self._mint())
         except StoreError as down:
@@ -89,7 +90,7 @@
         try:
             return self._state.mint.mint(1)[0]
         except KeysExhaustedError as full:
-            raise KeysUnavailableError(str(full)) from full
+            raise KeyedRefusalError(KeysUnavailableError(str(full))) from full
 
     async def _claim(self, path: str, fresh: RunOnceKey) -> RunOnceKey:
         for _ in range(TRIES):
@@ -111,11 +112,16 @@
         except StoreAnswerLostError:
             return False
 
-    def _get_path(self, call: Call, idempotency_key: str) -> str:
-        digest = hashlib.blake2b(key=self._secret, digest_size=DIGEST_BYTES)
-        for part in (call.service.name, call.terms.workspace, idempotency_key):
-            digest.update(hashlib.sha256(part.encode()).digest())
-        return f'{BINDING_PREFIX}{digest.hexdigest()}'
+    def _is_bound(self, call: Call) -> bool:
+        regions = self._active.require_settings().regions
+        return not all(call.terms.allows(region) for region in regions)
+
+
+def _get_path(call: Call, idempotency_key: str) -> str:
+    digest = hashlib.blake2b(key=DIGEST_KEY, digest_size=DIGEST_BYTES)
+    for part in (call.service.name, call.terms.workspace, idempotency_key):
+        digest.update(hashlib.sha256(part.encode()).digest())
+    return f'{BINDING_PREFIX}{digest.hexdigest()}'
 
 
 def _read_binding(body: bytes) -> RunOnceKey:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/executor.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/executor.py
@@ -14,6 +14,7 @@
 from baobabhinge_gateway.calls import Call, headers
 from baobabhinge_gateway.errors import (
     BadKeyError,
+    KeyedRefusalError,
     KeyRequiredError,
     RegionBoundError,
 )
@@ -26,6 +27,7 @@
     'this call may not be repeated: take a key from POST /v1/keys and send it '
     'as Baobabhinge-Key, or bring an Idempotency-Key'
 )
+OTHER_REGION = 'the key was made in a region that the call may not be in'
 
 
 class RunOnceExecutor:
@@ -58,7 +60,7 @@
         request[EXECUTED] = True
         key = await self._find_key(request, call)
         if not call.terms.allows(key.region):
-            raise RegionBoundError('the key was made in another region')
+            raise KeyedRefusalError(RegionBoundError(OTHER_REGION))
         attempt = build_attempt(key, call)
         return render_outcome(attempt, await self._conclude(attempt))
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/parts.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/parts.py
@@ -2,7 +2,6 @@
 
 from mode import Service
 
-from baobabhinge_coordination.store import KeyValueStore
 from baobabhinge_gateway.runonce.binding import KeyBinder
 from baobabhinge_gateway.runonce.environment import Environment
 from baobabhinge_gateway.runonce.forwarding import OwnerForwarder
@@ -12,8 +11,10 @@
 from baobabhinge_gateway.runonce.running import OwnerRunner
 from baobabhinge_gateway.runonce.sending import RunOnceSender
 from baobabhinge_gateway.runonce.state import RunOnceState
-
-BINDING_SECRET = b'baobabhinge'
+from baobabhinge_gateway.runonce.sweeping import (
+    BindingSweeper,
+    SweepService,
+)
 
 
 class RunOnceParts(Service):
@@ -23,17 +24,17 @@
     ----------
     environment : Environment
         Surroundings.
-    store : KeyValueStore
-        The key-value service.
-    incarnation : str
-        This start of the process.
-
-    Attributes
-    ----------
     memory : RunOnceState
         What this gateway remembers.
     binder : KeyBinder
         Keys for callers with an Idempotency-Key.
+    sweeper : BindingSweeper
+        Remover of their bindings.
+
+    Attributes
+    ----------
+    memory, binder
+        The parameters.
     forwarder : OwnerForwarder
         Way to owners.
     inquirer : Inquirer
@@ -45,20 +46,17 @@
     def __init__(
         self,
         environment: Environment,
-        store: KeyValueStore,
-        incarnation: str,
+        memory: RunOnceState,
+        binder: KeyBinder,
+        sweeper: BindingSweeper,
     ) -> None:
         """Build the parts; start nothing yet."""
         super().__init__()
-        self.memory = RunOnceState(
-            environment.fleet.home,
-            incarnation,
-            environment.clock,
-            environment.random,
-        )
-        self.binder = KeyBinder(store, self.memory, BINDING_SECRET)
+        self.memory = memory
+        self.binder = binder
         self.forwarder = OwnerForwarder(environment)
         self.inquirer = Inquirer(self.memory, environment)
+        self._sweeping = SweepService(sweeper, environment.fleet)
         self._keeper = WitnessKeeper(self.memory, environment)
         self.runner = OwnerRunner(
             self.memory.owner,
@@ -68,6 +66,7 @@
         )
 
     async def on_start(self) -> None:
-        """Start keeping a witness."""
+        """Start keeping a witness and sweeping."""
+        await self.add_runtime_dependency(self._sweeping)
         await self.add_runtime_dependency(self._keeper)
         await self.add_runtime_dependency(self.runner)
