Prove that an accepted configuration is in force everywhere, with real processes

Cause found by the race on one file: publish took the text in force at its own start for what the operator had started from, so four operators in turn overwrote one another (4 of 4 accepted, 1 wanted; red run: 'assert 4 == 1'). Also found: a failure while reading the manifest did not say that nothing was published (red: "'nothing was published' in 'store-unreachable: ...'"). Ruled out: lost answers of body writes reach the publisher; aiohttp sends an idempotent request again on a kept connection, and the swap then reads back.

--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/__init__.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/__init__.py
@@ -59,6 +59,9 @@
 from baobabhinge_coordination.generations.planning import (
     PublishRequest as PublishRequest,
 )
+from baobabhinge_coordination.generations.planning import (
+    map_digests as map_digests,
+)
 from baobabhinge_coordination.generations.publishing import (
     Publisher as Publisher,
 )
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/audit.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/audit.py
@@ -95,8 +95,7 @@
 
     async def read_last(self, limit: int) -> Sequence[AuditRecord]:
         """Return at most ``limit`` records, the newest one first."""
-        stored = await self._store.read(MANIFEST_KEY)
-        keys = await self._list_accepted(decode_manifest(stored.body))
+        keys = await self._list_accepted(await self.read_manifest())
         bodies = [await self._store.read(key) for key in keys[:limit]]
         return [
             msgspec.json.decode(record.body, type=AuditRecord)
@@ -104,10 +103,10 @@
             if record.revision
         ]
 
-    async def read_current_digests(self) -> dict[str, str]:
-        """Return the digest of each file in force."""
+    async def read_manifest(self) -> Manifest:
+        """Return the manifest in force, an empty one if there is none."""
         stored = await self._store.read(MANIFEST_KEY)
-        return map_digests(decode_manifest(stored.body))
+        return decode_manifest(stored.body)
 
     async def read_digests(self, generation: int) -> dict[str, str]:
         """Return the digest of each file that ``generation`` had.
@@ -117,8 +116,7 @@
         BaseUnknownError
             If the records do not reach back that far.
         """
-        stored = await self._store.read(MANIFEST_KEY)
-        manifest = decode_manifest(stored.body)
+        manifest = await self.read_manifest()
         records = await self.read_last(manifest.generation - generation)
         return _walk_back(manifest, records, generation)
 
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/errors.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/errors.py
@@ -33,7 +33,8 @@
         super().__init__(
             f'{listed}: changed by someone else in generation {generation} or'
             ' before; nothing was published. Compare with "baobabhinge diff",'
-            ' take over what you want to keep, then publish again',
+            ' take over what you want to keep, then publish again with'
+            f' --base={generation}',
         )
 
 
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/planning.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/planning.py
@@ -18,7 +18,7 @@
 
 
 class FileChange(msgspec.Struct, frozen=True):
-    """A change of one file.
+    """A change of one file, or none if both digests are the same.
 
     Parameters
     ----------
--- a/packages/baobabhinge-operator/src/baobabhinge_operator/commands/accepting.py
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/commands/accepting.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import uuid
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
+from contextlib import contextmanager
 from datetime import timedelta
 
 from baobabhinge_coordination.clock import SystemClock
@@ -11,13 +12,29 @@
     Publication,
     Publisher,
     PublishRequest,
+    PublishUnavailableError,
     ReleaseFile,
 )
-from baobabhinge_coordination.store import KeyValueStore
+from baobabhinge_coordination.store import KeyValueStore, StoreError
 from baobabhinge_operator.addresses import read_addresses
 from baobabhinge_settings import SourceFile, merge_files
 
 
+@contextmanager
+def report_unchanged() -> Iterator[None]:
+    """Tell that nothing was published when the service fails before.
+
+    Raises
+    ------
+    PublishUnavailableError
+        If the key-value service fails while the context is open.
+    """
+    try:
+        yield
+    except StoreError as failed:
+        raise PublishUnavailableError(str(failed)) from failed
+
+
 def build_request(
     changes: Iterable[FileChange],
     publish_id: str | None = None,
--- a/packages/baobabhinge-operator/src/baobabhinge_operator/commands/draining.py
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/commands/draining.py
@@ -14,6 +14,7 @@
 from baobabhinge_operator.commands.accepting import (
     accept,
     build_request,
+    report_unchanged,
 )
 from baobabhinge_operator.errors import VmNameError
 from baobabhinge_operator.reaching import open_store
@@ -53,7 +54,7 @@
     _check_name(vm)
     async with open_store(key_value) as store:
         for _ in range(MAX_CONFLICTS):
-            with suppress(PublishConflictError):
+            with report_unchanged(), suppress(PublishConflictError):
                 return await _change_drains(store, vm, undo=undo)
     raise PublishRacedError
 
--- a/packages/baobabhinge-operator/src/baobabhinge_operator/commands/publishing.py
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/commands/publishing.py
@@ -1,15 +1,21 @@
 """Publishing a folder."""
 
+from collections.abc import Iterable, Mapping
 from pathlib import Path
 
 from baobabhinge_coordination.generations import (
     AuditReader,
     FileChange,
+    Manifest,
+    PublishConflictError,
+    map_digests,
 )
 from baobabhinge_coordination.store import KeyValueStore
+from baobabhinge_operator.addresses import read_addresses
 from baobabhinge_operator.commands.accepting import (
     accept,
     build_request,
+    report_unchanged,
 )
 from baobabhinge_operator.reaching import open_store
 from baobabhinge_settings import read_folder
@@ -42,7 +48,8 @@
         Names of published files to remove.
     base
         Generation that the folder was copied from; files that only others
-        changed since then are left alone. Default: the one in force now.
+        changed since then are left alone. Needed to change a file that
+        someone else published last.
     publish_id
         Identifier of an earlier try that ended with exit code 5.
     key_value
@@ -51,9 +58,10 @@
     texts: Texts = {source.name: source.text for source in read_folder(folder)}
     texts.update(dict.fromkeys(delete or ()))
     async with open_store(key_value) as store:
-        changes = await _list_changes(store, texts, base)
-        request = build_request(changes, publish_id)
-        return await accept(store, request)
+        with report_unchanged():
+            changes = await _list_changes(store, texts, base)
+            request = build_request(changes, publish_id)
+            return await accept(store, request)
 
 
 async def _list_changes(
@@ -62,13 +70,29 @@
     base: int | None,
 ) -> list[FileChange]:
     reader = AuditReader(store)
-    digests = await (
-        reader.read_current_digests()
-        if base is None
-        else reader.read_digests(base)
-    )
+    if base is not None:
+        return _compare(texts, await reader.read_digests(base))
+    manifest = await reader.read_manifest()
+    changes = _compare(texts, map_digests(manifest))
+    _check_owners(manifest, changes)
+    return changes
+
+
+def _compare(texts: Texts, digests: Mapping[str, str]) -> list[FileChange]:
     changes = [
         FileChange(name, digests.get(name, ''), text)
         for name, text in texts.items()
     ]
     return [change for change in changes if change.after != change.before]
+
+
+def _check_owners(manifest: Manifest, changes: Iterable[FileChange]) -> None:
+    author = read_addresses().publisher
+    owners = {listed.name: listed.author for listed in manifest.files}
+    foreign = [
+        change.name
+        for change in changes
+        if owners.get(change.name, author) != author
+    ]
+    if foreign:
+        raise PublishConflictError(foreign, manifest.generation)
--- a/packages/baobabhinge-operator/src/baobabhinge_operator/commands/restoring.py
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/commands/restoring.py
@@ -1,11 +1,18 @@
 """Publishing after the key-value service lost what it held."""
 
+from collections.abc import Mapping
 from pathlib import Path
 
-from baobabhinge_coordination.generations import AuditReader, FileChange
+from baobabhinge_coordination.generations import (
+    AuditReader,
+    FileChange,
+    Manifest,
+    map_digests,
+)
 from baobabhinge_operator.commands.accepting import (
     accept,
     build_request,
+    report_unchanged,
 )
 from baobabhinge_operator.reaching import open_store
 from baobabhinge_settings import read_folder
@@ -36,12 +43,19 @@
     """
     files = {source.name: source.text for source in read_folder(folder)}
     async with open_store(key_value) as store:
-        digests = await AuditReader(store).read_current_digests()
-        request = build_request(
-            [
-                FileChange(name, digests.get(name, ''), files.get(name))
-                for name in sorted({*files, *digests})
-            ],
-            above=above,
-        )
-        return await accept(store, request)
+        with report_unchanged():
+            manifest = await AuditReader(store).read_manifest()
+            changes = _replace_all(manifest, files)
+            request = build_request(changes, above=above)
+            return await accept(store, request)
+
+
+def _replace_all(
+    manifest: Manifest,
+    texts: Mapping[str, str],
+) -> list[FileChange]:
+    digests = map_digests(manifest)
+    return [
+        FileChange(name, digests.get(name, ''), texts.get(name))
+        for name in sorted({*texts, *digests})
+    ]
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/keyvalue/faults.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/keyvalue/faults.py
@@ -35,6 +35,10 @@
         Wait before each call, in seconds.
     lose_answers : int
         Number of writes to come whose connection is cut after their effect.
+    lose_key : str
+        Part of the keys of these writes; empty for any key.
+    down_after_loss : bool
+        Whether the service is down once such an answer was lost.
     writes_per_second, reads_per_second : int
         Rates above which calls are answered with status 429; sessions count
         as writes and watches as reads.
@@ -43,9 +47,15 @@
     down: bool = False
     slow_seconds: float = 0
     lose_answers: int = 0
+    lose_key: str = ''
+    down_after_loss: bool = False
     writes_per_second: int = WRITES_PER_SECOND
     reads_per_second: int = READS_PER_SECOND
 
+    def loses(self, path: str) -> bool:
+        """Tell whether the answer of a write to ``path`` is lost."""
+        return self.lose_answers > 0 and self.lose_key in path
+
 
 class FaultSwitch:
     """Count calls, limit their rates and bring the present faults about.
@@ -95,8 +105,9 @@
         if self._faults.down:
             raise web.HTTPInternalServerError
         response = await answer(request)
-        if kind is CallKind.write and self._faults.lose_answers:
+        if kind is CallKind.write and self._faults.loses(request.path):
             self._faults.lose_answers -= 1
+            self._faults.down = self._faults.down_after_loss
             _cut(request)
         return response
 
--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/configuration.feature
@@ -0,0 +1,78 @@
+Feature: A configuration, once accepted, is in force everywhere and never reverts
+
+  Background:
+    Given gateways in two regions that have the newest generation
+
+  Scenario Outline: Operators race one another
+    When 4 operators publish <files> at once
+    Then <accepted> of them are accepted and the others are told of a conflict
+    And every accepted text is what runs, and nothing else changed
+    And every gateway has the newest generation
+
+    Examples:
+      | files           | accepted |
+      | different files | 4        |
+      | the same file   | 1        |
+
+  Scenario Outline: The answer of a publication is lost
+    When the key-value service loses the answer of the write of <key>
+    And an operator publishes a file
+    Then the command ends with exit code <code> and says "<words>"
+    And the file is published <times> times
+    And every gateway has the newest generation
+
+    Examples:
+      | key      | code | words                 | times |
+      | manifest | 0    | accepted              | 1     |
+      | files/   | 0    | accepted              | 1     |
+      | audit/   | 0    | accepted              | 1     |
+
+  Scenario: The key-value service is down right after the publication
+    When the key-value service goes down as it writes the manifest
+    And an operator publishes a file
+    Then the command ends with exit code 5 and says "--publish-id="
+    When the key-value service is back
+    And the operator publishes again with the same identifier
+    Then the command ends with exit code 0 and says "accepted"
+    And the file is published 1 times
+    And every gateway has the newest generation
+
+  Scenario: Publishing while the key-value service is down
+    When the key-value service is down
+    And an operator publishes a file
+    Then the command ends with exit code 4 and says "nothing was published"
+    When the key-value service is back
+    Then the file is published 0 times
+
+  Scenario Outline: A gateway starts while the key-value service is down
+    When the key-value service is down
+    And <gateway> is killed and started again
+    Then <gateway> takes the newest generation from its peers
+
+    Examples:
+      | gateway        |
+      | west-gateway-1 |
+      | east-gateway-1 |
+
+  Scenario Outline: Gateways that fell behind
+    When <how> and an operator publishes a file
+    Then the gateways that can be told have the newest generation
+    When the fault ends
+    Then every gateway has the newest generation
+
+    Examples:
+      | how                                   |
+      | west-gateway-2 is frozen              |
+      | east is cut off from west             |
+      | east is cut off from the store        |
+      | every gateway of west is killed       |
+
+  Scenario: A gateway that can't read newer settings goes on with the older ones
+    When settings of a newer kind are accepted
+    Then every gateway tells that it can't read them and serves with the older
+    When an operator publishes a file
+    Then every gateway has the newest generation
+
+  Scenario: Time until a change is in force everywhere
+    When an operator publishes 10 changes one after another
+    Then every gateway has each of them, and the times are reported
