--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
@@ -3,19 +3,19 @@
 from random import SystemRandom
 
 from baobabhinge_coordination.budgets import RetryBudget
-from baobabhinge_coordination.clock import Clock, SystemClock
+from baobabhinge_coordination.clock import SystemClock
 from baobabhinge_gateway.admission import Quotas
-from baobabhinge_gateway.callers.checks import ArrivalChecks
+from baobabhinge_gateway.callers.checks import build_checks
+from baobabhinge_gateway.callers.parts import CallParts
 from baobabhinge_gateway.callers.service import CallServer
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.execution import (
+    ExecutorLimits,
     Executors,
-    LimitedExecutor,
     RepeatableExecutor,
     RoutingBuilder,
 )
 from baobabhinge_gateway.fleet import FleetView
-from baobabhinge_gateway.lifecycle import Lifecycle
 from baobabhinge_gateway.platform import Platform
 from baobabhinge_gateway.routing import RoutingRules
 
@@ -27,33 +27,45 @@
     active: ActiveConfiguration,
     fleet: FleetView,
     platform: Platform,
-    lifecycle: Lifecycle,
+    parts: CallParts,
 ) -> CallServer:
     """Return the server of calls of one gateway."""
     clock = SystemClock()
+    rules = RoutingRules(active, fleet.home.region)
+    repeatable = _build_repeatable(
+        rules,
+        fleet,
+        platform,
+        parts,
+    )
+    limits = ExecutorLimits(Quotas(clock), rules)
+    executors = Executors(
+        model=limits.wrap(repeatable),
+        plain=limits.wrap(repeatable),
+        run_once=limits.wrap(parts.run_once),
+    )
     return CallServer(
         fleet.home,
         clock,
         active,
-        _build_executors(clock, active, fleet, platform),
-        ArrivalChecks(fleet, lifecycle),
+        executors,
+        build_checks(fleet, active, parts.lifecycle),
     )
 
 
-def _build_executors(
-    clock: Clock,
-    active: ActiveConfiguration,
+def _build_repeatable(
+    rules: RoutingRules,
     fleet: FleetView,
     platform: Platform,
-) -> Executors:
-    rules = RoutingRules(active, fleet.home.region)
+    parts: CallParts,
+) -> RepeatableExecutor:
+    clock = SystemClock()
     builder = RoutingBuilder(clock, SystemRandom(), fleet, rules)
     routing = builder.build(platform.http)
-    repeatable = RepeatableExecutor(
+    return RepeatableExecutor(
         routing.router,
         routing.dispatcher,
         RetryBudget(share=RETRY_SHARE, burst=RETRY_BURST),
         clock,
+        parts.isolation,
     )
-    limited = LimitedExecutor(repeatable, Quotas(clock), rules)
-    return Executors(model=limited, plain=limited, run_once=limited)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -2,27 +2,34 @@
 
 from mode import Service
 
-from baobabhinge_coordination.generations import ReleaseReader
 from baobabhinge_gateway.callers import (
     CallRoutes,
     ConnectionEnd,
     EntryReport,
     HealthReport,
     StatusReport,
+    build_call_parts,
     build_call_server,
+    build_forward_routes,
 )
-from baobabhinge_gateway.calls import headers
 from baobabhinge_gateway.configuration import (
     ActiveConfiguration,
-    ConfigurationWatcher,
+    build_watcher,
 )
 from baobabhinge_gateway.fleet import FleetService, FleetView
 from baobabhinge_gateway.lifecycle import Drainer, create_lifecycle
 from baobabhinge_gateway.listening import Listener
+from baobabhinge_gateway.orders import DutyStack
 from baobabhinge_gateway.peers import PeerStack
 from baobabhinge_gateway.platform import Platform, build_http_session
 from baobabhinge_gateway.process import ProcessSettings
-from baobabhinge_gateway.routes import build_app
+from baobabhinge_gateway.routes import Routes, build_app
+from baobabhinge_gateway.runonce import (
+    KeyRoutes,
+    PeerRoutes,
+    RunOnceExecutor,
+    build_run_once,
+)
 
 
 class Gateway(Service):
@@ -48,6 +55,9 @@
         fleet = await self._start_watchers(platform)
         peers = PeerStack(platform, fleet, self._lifecycle, self._active)
         await self.add_runtime_dependency(peers)
+        await self.add_runtime_dependency(
+            DutyStack(platform, self._active, fleet.view),
+        )
         await self._start_listeners(platform, fleet.view, peers)
 
     async def _start_watchers(self, platform: Platform) -> FleetService:
@@ -55,14 +65,11 @@
             self._settings.identity,
             self._lifecycle,
             platform,
+            self._active,
         )
         await self.add_runtime_dependency(fleet)
         await self.add_runtime_dependency(
-            ConfigurationWatcher(
-                self._active,
-                ReleaseReader(platform.store),
-                fleet.view,
-            ),
+            build_watcher(self._active, platform.store, fleet.view),
         )
         return fleet
 
@@ -72,34 +79,37 @@
         fleet: FleetView,
         peers: PeerStack,
     ) -> None:
-        identity = self._settings.identity
+        incarnation = self._lifecycle.incarnation
+        run_once = build_run_once(fleet, platform, incarnation)
+        await self.add_runtime_dependency(run_once)
         calls = build_call_server(
             self._active,
             fleet,
             platform,
-            self._lifecycle,
-        )
-        end = ConnectionEnd(self._lifecycle)
-        peer_app = build_app(
-            [
-                end,
-                CallRoutes(calls, headers.FORWARD_PREFIX),
-                *peers.routes,
-            ],
-        )
-        caller_app = build_app(
-            [
-                end,
-                CallRoutes(calls),
-                HealthReport(self._active, self._lifecycle),
-                EntryReport(fleet, self._lifecycle),
-                StatusReport(fleet.home, self._active, calls.measures),
-            ],
+            build_call_parts(
+                self._lifecycle,
+                RunOnceExecutor(run_once),
+                fleet,
+                peers.node.parts,
+            ),
         )
-        await self.add_runtime_dependency(
-            Listener(peer_app, identity.peer_address),
+        identity = self._settings.identity
+        await self._listen(
+            identity.peer_address,
+            build_forward_routes(calls),
+            PeerRoutes(run_once.memory, run_once.inquirer),
+            *peers.node.routes,
         )
-        await self.add_runtime_dependency(
-            Listener(caller_app, identity.caller_address),
+        await self._listen(
+            identity.caller_address,
+            CallRoutes(calls),
+            KeyRoutes(run_once, identity.region),
+            HealthReport(self._active, self._lifecycle),
+            EntryReport(fleet, self._lifecycle),
+            StatusReport(fleet.home, self._active, calls.measures),
         )
         await self.add_runtime_dependency(Drainer(self._lifecycle))
+
+    async def _listen(self, address: str, *parts: Routes) -> None:
+        app = build_app([ConnectionEnd(self._lifecycle), *parts])
+        await self.add_runtime_dependency(Listener(app, address))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
@@ -4,6 +4,12 @@
 from baobabhinge_gateway.errors.base import GatewayError as GatewayError
 from baobabhinge_gateway.errors.base import NotReachedError as NotReachedError
 from baobabhinge_gateway.errors.base import Outcome as Outcome
+from baobabhinge_gateway.errors.crashes import (
+    CrashingRequestError as CrashingRequestError,
+)
+from baobabhinge_gateway.errors.crashes import (
+    EngineCrashedError as EngineCrashedError,
+)
 from baobabhinge_gateway.errors.limits import (
     LimitReachedError as LimitReachedError,
 )
@@ -33,6 +39,21 @@
 from baobabhinge_gateway.errors.requests import (
     UnknownServiceError as UnknownServiceError,
 )
+from baobabhinge_gateway.errors.runonce import (
+    AnswerNotKeptError as AnswerNotKeptError,
+)
+from baobabhinge_gateway.errors.runonce import BadKeyError as BadKeyError
+from baobabhinge_gateway.errors.runonce import (
+    KeyedRefusalError as KeyedRefusalError,
+)
+from baobabhinge_gateway.errors.runonce import (
+    KeyRequiredError as KeyRequiredError,
+)
+from baobabhinge_gateway.errors.runonce import KeyReusedError as KeyReusedError
+from baobabhinge_gateway.errors.runonce import (
+    KeysUnavailableError as KeysUnavailableError,
+)
+from baobabhinge_gateway.errors.runonce import NotRunError as NotRunError
 from baobabhinge_gateway.errors.serving import (
     AnswerBrokenError as AnswerBrokenError,
 )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/service.py
@@ -2,9 +2,9 @@
 
 from mode import Service
 
-from baobabhinge_coordination.clock import SystemClock
+from baobabhinge_coordination.clock import Clock, SystemClock
 from baobabhinge_gateway.calls import Hop
-from baobabhinge_gateway.fleet.gateways import GatewayRoll
+from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.fleet.ownrecord import build_members
 from baobabhinge_gateway.fleet.polling import LoadPoller
 from baobabhinge_gateway.fleet.reports import LoadReports
@@ -14,6 +14,8 @@
 from baobabhinge_gateway.platform import Platform
 from baobabhinge_gateway.process import Identity
 
+SYSTEM_CLOCK = SystemClock()
+
 
 class FleetService(Service):
     """Watch the list of vms and poll the load of backend servers.
@@ -26,6 +28,10 @@
         Incarnation of this gateway.
     platform : Platform
         Clients of the platform.
+    active : ActiveConfiguration
+        Configuration in force.
+    clock : Clock, optional
+        Clock by which members and reports age.
 
     Attributes
     ----------
@@ -46,10 +52,11 @@
         identity: Identity,
         lifecycle: Lifecycle,
         platform: Platform,
+        active: ActiveConfiguration,
+        clock: Clock = SYSTEM_CLOCK,
     ) -> None:
         """Know this gateway alone."""
         super().__init__()
-        clock = SystemClock()
         self._http = platform.http
         self.identity = identity
         self.reports = LoadReports(clock)
@@ -59,7 +66,8 @@
             Hop(identity.name, identity.region),
             self.watcher,
             self.reports,
-            GatewayRoll(self.members),
+            self.members,
+            active,
         )
 
     async def on_start(self) -> None:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/transport.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/transport.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 from datetime import timedelta
 from http import HTTPStatus
+from typing import TypeVar
 
 import aiohttp
 import msgspec
@@ -20,6 +21,14 @@
 PROBE_PATH = '/peer/v1/probes'
 AWAY_FACTOR = 4
 RELAY_FACTOR = 2
+NEEDLESS_HEADERS = (
+    'Accept',
+    'Accept-Encoding',
+    'Content-Type',
+    'User-Agent',
+)
+
+AnswerT = TypeVar('AnswerT')
 
 
 class PeerTransport:
@@ -75,7 +84,7 @@
             self.traffic.failures += 1
             raise
         self.traffic.bytes_received += len(answer)
-        return msgspec.json.decode(answer, type=Exchange)
+        return _decode(answer, Exchange)
 
     async def relay(self, helper: Contact, target: Contact) -> bool:
         """Ask ``helper`` whether it can reach ``target``."""
@@ -84,7 +93,7 @@
             answer = await self._post(helper, PROBE_PATH, body)
         except MemberUnreachableError:
             return False
-        return msgspec.json.decode(answer, type=bool)
+        return answer == b'true'
 
     async def _post(self, contact: Contact, path: str, body: bytes) -> bytes:
         address = self._addresses.find(contact)
@@ -100,12 +109,24 @@
 
     async def _send(self, url: str, body: bytes, patience: timedelta) -> bytes:
         limit = aiohttp.ClientTimeout(total=patience.total_seconds())
-        async with self._http.post(url, data=body, timeout=limit) as answer:
+        async with self._http.post(
+            url,
+            data=body,
+            timeout=limit,
+            skip_auto_headers=NEEDLESS_HEADERS,
+        ) as answer:
             if answer.status != HTTPStatus.OK:
                 raise MemberUnreachableError(f'{url}: {answer.status}')
             return await answer.read()
 
 
+def _decode(answer: bytes, kind: type[AnswerT]) -> AnswerT:
+    try:
+        return msgspec.json.decode(answer, type=kind)
+    except msgspec.MsgspecError as bad:
+        raise MemberUnreachableError('the answer is malformed') from bad
+
+
 @asynccontextmanager
 async def _type_failures(address: str) -> AsyncIterator[None]:
     try:
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
@@ -16,6 +16,7 @@
 from baobabhinge_standins.links import Links
 
 GATEWAY_MODULE = 'baobabhinge_gateway'
+REFUSING = '--fencing=refuse'
 STAND_IN_MODULES = {
     Role.engine: 'baobabhinge_standins.engine',
     Role.application: 'baobabhinge_standins.application',
@@ -68,7 +69,7 @@
         self._folder = folder
         self._http = http
         self.backends = Backends(http)
-        self.platform = Platform(http)
+        self.platform = Platform(http, has_weights=plan.has_weights)
         self.processes = processes
         self.roster = Roster()
         self.links = Links(http, self.platform.links_address)
@@ -85,6 +86,9 @@
             self.roster.add_backend(plan.role, plan.region, plan.service)
             for _ in range(plan.count)
         ]
+        if REFUSING in plan.options:
+            for engine in members:
+                engine.fencing = 'refuse'
         await asyncio.gather(
             *(
                 self.processes.start(
@@ -94,6 +98,7 @@
                         self._folder / f'{member.name}.journal',
                     ),
                     *plan.options,
+                    *self.platform.list_options(plan.role),
                 )
                 for member in members
             ),
@@ -101,10 +106,12 @@
 
     async def prepare_gateways(self) -> None:
         """Open the links of every gateway and write the lists of vms."""
+        gateways = self.roster.list_by(Role.gateway)
         await self._views.open_store_links(
-            self.roster.list_by(Role.gateway),
+            gateways,
             self.platform.store_address,
         )
+        await self._views.open_caller_links(gateways)
         await self.vm_lists.publish()
 
     async def start_gateway(self, name: str) -> None:
@@ -112,12 +119,17 @@
         member = self.roster.get(name)
         path = self._folder / f'{name}.ini'
         store = self._views.get_store_address(member)
-        path.write_text(self.platform.render_process_settings(member, store))
+        seeds = self.roster.list_by(Role.gateway, member.region)
+        path.write_text(
+            self.platform.render_process_settings(member, store, seeds),
+        )
         await self.processes.start(name, GATEWAY_MODULE, f'--settings={path}')
 
-    async def publish_vm_list(self) -> None:
-        """Write the list of vms as the roster stands."""
-        await self.vm_lists.publish()
+    def choose_entry(self, region: str, number: int) -> str:
+        """Return where callers of a region reach one of its gateways."""
+        gateways = self.roster.list_by(Role.gateway, region)
+        gateway = gateways[number % len(gateways)]
+        return self._views.get_caller_address(gateway)
 
     async def publish_folder(self, folder: Path) -> None:
         """Publish ``folder`` with the operators' command.
@@ -136,7 +148,8 @@
             f'--key-value={store}',
         )
         if await command.process.wait():
-            raise PublishFailedError(str(folder))
+            log = self._folder / 'operator.log'
+            raise PublishFailedError(log.read_text().splitlines()[-1:])
 
     async def wait_ready(self) -> None:
         """Wait until every gateway serves with a configuration."""
