--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/client.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/client.py
@@ -6,7 +6,7 @@
 import aiohttp
 import msgspec
 
-from baobabhinge_coordination.generations import Release
+from baobabhinge_coordination.generations import Publication, ReleaseDelta
 from baobabhinge_coordination.membership import (
     Contact,
     MemberUnreachableError,
@@ -42,15 +42,21 @@
         self._http = http
         self._addresses = addresses
 
-    async def fetch_release(self, contact: Contact) -> Release:
-        """Return the release that a gateway has in force.
+    async def fetch_newer(
+        self,
+        contact: Contact,
+        since: Publication,
+    ) -> ReleaseDelta:
+        """Return what leads from ``since`` to the release of a gateway.
 
         Raises
         ------
         MemberUnreachableError
             If it can't be read.
         """
-        return await self._fetch(contact, RELEASE_PATH, Release)
+        query = f'?generation={since.generation}&publish={since.publish_id}'
+        path = f'{RELEASE_PATH}{query}'
+        return await self._fetch(contact, path, ReleaseDelta)
 
     async def fetch_vms(self, contact: Contact) -> tuple[Vm, ...]:
         """Return the list of vms as a gateway has last seen it.
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/releases.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/releases.py
@@ -6,6 +6,11 @@
 import structlog
 from mode import Service
 
+from baobabhinge_coordination.generations import (
+    DeltaMismatchError,
+    Release,
+    apply_delta,
+)
 from baobabhinge_coordination.membership import (
     Contact,
     Member,
@@ -94,9 +99,13 @@
 
     async def _fetch_from(self, holder: Contact) -> None:
         try:
-            release = await self._client.fetch_release(holder)
-        except MemberUnreachableError:
-            log.info('release-unread', peer=holder.name)
+            release = await self._fetch_release(holder)
+        except (MemberUnreachableError, DeltaMismatchError) as bad:
+            log.info(
+                'release-unread',
+                peer=holder.name,
+                reason=type(bad).__name__,
+            )
             return
         if self._active.adopt(release):
             log.info(
@@ -104,3 +113,8 @@
                 generation=release.generation,
             )
             self._parts.urgent.set()
+
+    async def _fetch_release(self, holder: Contact) -> Release:
+        held = self._active.release
+        delta = await self._client.fetch_newer(holder, held.publication)
+        return apply_delta(held, delta)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/routes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/routes.py
@@ -3,6 +3,7 @@
 import msgspec
 from aiohttp import web
 
+from baobabhinge_coordination.generations import Publication, select_newer
 from baobabhinge_coordination.membership import (
     Contact,
     Exchange,
@@ -115,13 +116,25 @@
         app.router.add_get(VMS_PATH, self.report_vms)
 
     async def report_release(self, request: web.Request) -> web.Response:
-        """Answer with the release in force."""
-        if not self._active.generation:
+        """Answer with what the asking gateway lacks of the newest release."""
+        release = self._active.release
+        if not release.generation:
             raise web.HTTPNotFound
-        body = msgspec.json.encode(self._active.release)
+        since = Publication(
+            _parse_generation(request.query.get('generation', '0')),
+            request.query.get('publish', ''),
+        )
+        body = msgspec.json.encode(select_newer(release, since))
         return web.Response(body=body, content_type=JSON)
 
     async def report_vms(self, request: web.Request) -> web.Response:
         """Answer with the list of vms as last seen."""
         vms = list(self._watcher.index.by_name.values())
         return web.Response(body=msgspec.json.encode(vms), content_type=JSON)
+
+
+def _parse_generation(text: str) -> int:
+    try:
+        return int(text)
+    except ValueError as bad:
+        raise MalformedCallError('the generation is not a number') from bad
--- /dev/null
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/tests/test_codes.py
@@ -0,0 +1,32 @@
+"""The page of codes lists each code, and no other."""
+
+import re
+from pathlib import Path
+
+from baobabhinge_operator.exits import FAILURES
+from baobabhinge_settings import FaultCode
+
+PAGE = 'docs/errors-settings.md'
+
+
+def read_rows():
+    root = next(
+        folder for folder in Path(__file__).parents if (folder / PAGE).is_file()
+    )
+    faults, _, ends = (root / PAGE).read_text().partition('## Ends')
+    return (
+        re.findall('^. `([a-z0-9-]+)` .', faults, re.MULTILINE),
+        re.findall(r'^. `([a-z-]+)` \| (\d) .', ends, re.MULTILINE),
+    )
+
+
+def test_each_fault_is_listed():
+    faults, _ = read_rows()
+    assert faults == sorted(FaultCode)
+
+
+def test_each_end_is_listed_with_its_exit_code():
+    _, ends = read_rows()
+    assert ends == [
+        (failure.code, str(int(failure.exit_code))) for failure in FAILURES
+    ]
