--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/guards.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/guards.py
@@ -6,7 +6,7 @@
 
 from baobabhinge_gateway.calls import Call, HopList, headers
 from baobabhinge_gateway.calls.bindings import parse_regions
-from baobabhinge_gateway.calls.parsing import get_service_name
+from baobabhinge_gateway.calls.models import parse_model_name
 from baobabhinge_gateway.calls.regions import find_origin, restrict_call
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.errors import WrongRegionError
@@ -89,7 +89,7 @@
     if named is None:
         named = request.headers.get(headers.SERVICE)
     if named is not None:
-        return (get_service_name(named),)
+        return (parse_model_name(named).service,)
     return (
         service.name
         for service in settings.services.values()
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/tests/test_connections.py
@@ -0,0 +1,104 @@
+import asyncio
+
+import msgspec
+import pytest
+from aiohttp.web import Response, TCPSite
+
+from baobabhinge_gateway.callers.checks import check_sizes
+from baobabhinge_gateway.callers.connections import (
+    HEADER_PATIENCE,
+    GuardedRunner,
+)
+from baobabhinge_gateway.routes import build_app
+
+MODULE = 'baobabhinge_gateway.callers.connections'
+
+
+class Echo:
+    """One path that counts the requests it has run."""
+
+    def __init__(self):
+        self.runs = 0
+
+    def add_to(self, app):
+        app.router.add_post('/echo', self.echo)
+
+    async def echo(self, request):
+        check_sizes(request.raw_path, request.raw_headers)
+        body = await request.read()
+        self.runs += 1
+        return Response(body=body)
+
+
+@pytest.fixture
+async def echo():
+    return Echo()
+
+
+@pytest.fixture
+async def port(echo):
+    runner = GuardedRunner(build_app([echo]))
+    await runner.setup()
+    site = TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    yield runner.addresses[0][1]
+    await runner.cleanup()
+
+
+async def exchange(port, sent):
+    """Send raw bytes and return the problem in the answer."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(sent)
+    async with asyncio.timeout(20):
+        head = await reader.readuntil(b'\r\n\r\n')
+        _, _, rest = head.lower().partition(b'content-length: ')
+        body = await reader.readexactly(int(rest.split(b'\r\n')[0]))
+    writer.close()
+    assert b'application/problem+json' in head
+    return msgspec.json.decode(body)
+
+
+def post(headers=b'', body=b''):
+    length = b'Content-Length: %d\r\n' % len(body)
+    return b'POST /echo HTTP/1.1\r\nHost: g\r\n%b%b\r\n%b' % (
+        headers,
+        length,
+        body,
+    )
+
+
+@pytest.mark.parametrize(
+    ('sent', 'code'),
+    [
+        (post(headers=b'X-Long: %b\r\n' % (b'a' * 9000)), 'headers-too-large'),
+        (post(headers=b'X: %b\r\n' % (b'a' * 300) * 120), 'headers-too-large'),
+        (post(headers=b'X: 1\r\n' * 3000), 'malformed-request'),
+        (b'POST /%b HTTP/1.1\r\n\r\n' % (b'a' * 9000), 'headers-too-large'),
+        (post(body=b'a' * (5 << 20)), 'body-too-large'),
+        (b'GET /echo HTTP/1.1\r\nHost: g\r\n\r\n', 'method-not-allowed'),
+        (b'GET /none HTTP/1.1\r\nHost: g\r\n\r\n', 'no-such-path'),
+        (b'not http at all\r\n\r\n', 'malformed-request'),
+    ],
+)
+async def test_refusals_are_typed_and_nothing_runs(port, echo, sent, code):
+    problem = await exchange(port, sent)
+    assert problem['code'] == code
+    assert problem['outcome'] == 'not-run'
+    assert not echo.runs
+
+
+async def test_a_request_that_does_not_arrive_is_ended(monkeypatch, port):
+    monkeypatch.setattr(f'{MODULE}.HEADER_PATIENCE', HEADER_PATIENCE / 50)
+    problem = await exchange(port, b'POST /echo HTTP/1.1\r\nHo')
+    assert problem['code'] == 'slow-request'
+
+
+async def test_one_connection_too_many_is_refused(monkeypatch, port):
+    monkeypatch.setattr(f'{MODULE}.MAX_CONNECTIONS', 1)
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(post(body=b'first'))
+    async with asyncio.timeout(20):
+        await reader.readuntil(b'first')
+    problem = await exchange(port, post())
+    assert problem['code'] == 'too-many-connections'
+    writer.close()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/building.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/building.py
@@ -10,9 +10,9 @@
 from baobabhinge_gateway.calls.bodies import read_body
 from baobabhinge_gateway.calls.hops import HopList
 from baobabhinge_gateway.calls.model import Call
+from baobabhinge_gateway.calls.models import parse_model_name
 from baobabhinge_gateway.calls.parsing import (
     find_service,
-    get_service_name,
     parse_model_request,
     parse_terms,
 )
@@ -48,11 +48,9 @@
     """Return the call of a completion request."""
     body = await read_body(request)
     asked = parse_model_request(body)
-    service = find_service(
-        settings,
-        get_service_name(asked.model),
-        ServiceKind.model,
-    )
+    name = parse_model_name(asked.model)
+    service = find_service(settings, name.service, ServiceKind.model)
+    name.check(service)
     return Call(
         request_id=arrival.request_id,
         service=service,
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/models.py
@@ -0,0 +1,54 @@
+"""Names of models: ``service[:adapter][@version]``."""
+
+import msgspec
+
+from baobabhinge_gateway.errors import UnknownModelError
+from baobabhinge_settings.model import Service
+
+ADAPTER_SEPARATOR = ':'
+VERSION_SEPARATOR = '@'
+
+
+class ModelName(msgspec.Struct, frozen=True):
+    """A model as a caller names it.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    adapter, version : str
+        What of the service is asked for; empty for its own choice.
+    """
+
+    service: str
+    adapter: str = ''
+    version: str = ''
+
+    def check(self, service: Service) -> None:
+        """Refuse an adapter or a version that ``service`` does not have.
+
+        Raises
+        ------
+        UnknownModelError
+            If it has none of that name, or they do not fit.
+        """
+        versions = {version.name for version in service.versions}
+        if self.version and self.version not in versions:
+            raise UnknownModelError('the service has no such version')
+        if self.adapter:
+            self._check_adapter(service)
+
+    def _check_adapter(self, service: Service) -> None:
+        for adapter in service.adapters:
+            if adapter.name == self.adapter:
+                fits = not adapter.versions or self.version in adapter.versions
+                if fits or not self.version:
+                    return
+        raise UnknownModelError('the service has no such adapter')
+
+
+def parse_model_name(text: str) -> ModelName:
+    """Return the parts of a model's name."""
+    rest, _, version = text.partition(VERSION_SEPARATOR)
+    service, _, adapter = rest.partition(ADAPTER_SEPARATOR)
+    return ModelName(service, adapter, version)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/parsing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/parsing.py
@@ -14,8 +14,6 @@
 )
 from baobabhinge_settings.model import Service, ServiceKind, Settings
 
-MODEL_SEPARATORS = ':@'
-
 
 class ModelRequest(msgspec.Struct):
     """The part of a completion request that the gateway reads."""
@@ -86,10 +84,3 @@
     if service is None or service.kind is not kind:
         raise UnknownServiceError(f'no {kind} service has this name')
     return service
-
-
-def get_service_name(model: str) -> str:
-    """Return the service in ``service[:adapter][@version]``."""
-    for separator in MODEL_SEPARATORS:
-        model = model.partition(separator)[0]
-    return model
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
@@ -36,6 +36,9 @@
     MalformedCallError as MalformedCallError,
 )
 from baobabhinge_gateway.errors.requests import PathLoopError as PathLoopError
+from baobabhinge_gateway.errors.requests import (
+    UnknownModelError as UnknownModelError,
+)
 from baobabhinge_gateway.errors.requests import (
     UnknownServiceError as UnknownServiceError,
 )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/requests.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/requests.py
@@ -19,6 +19,13 @@
     status = HTTPStatus.NOT_FOUND
 
 
+class UnknownModelError(CallError):
+    """The service has no such adapter or version."""
+
+    code = 'unknown-model'
+    status = HTTPStatus.NOT_FOUND
+
+
 class PathLoopError(CallError):
     """The request came to a place for the second time."""
 
