--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_whole_answer.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_whole_answer.py
@@ -5,10 +5,10 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from baobabhinge_standins.engine.faults import EngineFaults
 from baobabhinge_standins.fleet import DeploymentPlan, Role
 from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_until
-from baobabhinge_standins.links import Impairment, LinkFault
 from baobabhinge_standins.tests.conftest import run_configured
 from baobabhinge_standins.tests.steps.completions import (
     ask,
@@ -49,8 +49,6 @@
     link_bits_per_second=1_000_000_000,
     faulty_backends=True,
 )
-HEAD_BYTES = 400
-EVENT_BYTES = 100
 LONGEST_PAUSE = timedelta(seconds=1)
 
 
@@ -80,14 +78,14 @@
     return found
 
 
-async def break_links(run, source, after):
+async def break_links(run, source):
+    """Reset every open connection of ``source``."""
     names = [
         name
         for name in run.links.book.find_touching(source)
         if name.startswith(source) and not name.endswith('store')
     ]
-    fault = LinkFault(backward=Impairment(reset_after_bytes=after))
-    await run.links.set_fault(fault, *names)
+    await run.links.reset(*names)
 
 
 async def freeze_runner(run, prompt):
@@ -99,21 +97,19 @@
 
 
 async def fail(run, entry, prompt, failure):
-    """Bring ``failure`` about; the caller has received two tokens."""
-    after = HEAD_BYTES + 12 * EVENT_BYTES
-    if failure == 'each connection to an engine breaks':
-        await break_links(run, 'west-gateway-1', after)
-    elif failure == 'each connection of the entry breaks':
-        await break_links(run, entry, after)
+    """Bring ``failure`` about in the middle of a stream."""
+    if failure in {'its connections break once', 'its connections break twice'}:
+        await break_links(run, entry)
     elif failure == 'the engine that runs it freezes':
         await freeze_runner(run, prompt)
 
 
 async def stream_and_fail(run, entry, asked, failure):
     address = run.roster.get(entry).caller_address
+    moments = {2, 20} if failure.endswith('twice') else {2}
 
     async def on_token(received):
-        if len(received.texts) == 2:
+        if len(received.texts) in moments:
             await fail(run, entry, asked.prompt, failure)
 
     async with aiohttp.ClientSession() as http:
@@ -149,19 +145,27 @@
 
 
 @when(
-    'a caller streams and every connection breaks again and again',
+    'a caller streams and every engine breaks off again and again',
     target_fixture='received',
 )
 def stream_and_break(run, loop):
+    return loop.run(stream_from_broken_engines(run))
+
+
+async def stream_from_broken_engines(run):
     asked = ask('breaks again and again', 400)
-    entry = 'west-gateway-1'
-    failure = 'each connection to an engine breaks'
-    return loop.run(stream_and_fail(run, entry, asked, failure))
+    faults = EngineFaults(reset_after_tokens=10)
+    for engine in run.roster.list_by(Role.engine):
+        await run.backends.set_faults(engine, faults)
+    received = await stream_and_fail(run, 'west-gateway-1', asked, 'nothing')
+    for engine in run.roster.list_by(Role.engine):
+        await run.backends.set_faults(engine, EngineFaults())
+    return received
 
 
 @then('the answer ends with an error event and without its end')
 def check_cut(received):
-    assert received.texts
+    assert len(received.texts) == 30
     assert received.error['code'] == 'answer-broken'
     assert received.error['outcome'] == 'unknown'
     assert received.is_broken
@@ -210,8 +214,8 @@
     return loop.run(send_many(run, 'after the late answer', count))
 
 
-async def send_many(run, prompt, count):
-    address = run.roster.get('west-gateway-1').caller_address
+async def send_many(run, prompt, count, entry='west-gateway-1'):
+    address = run.roster.get(entry).caller_address
     many = [
         ask(f'{prompt} {number}', 4, stream=bool(number % 2))
         for number in range(count)
@@ -234,6 +238,49 @@
         await asyncio.sleep(LONGEST_PAUSE.total_seconds())
 
 
+@when(
+    parsers.parse(
+        'the next {faulty:d} answers name another request, and {count:d} '
+        'callers ask at {entry}',
+    ),
+    target_fixture='calls',
+)
+def mix_up(run, loop, faulty, count, entry):
+    return loop.run(send_mixed_up(run, faulty, count, entry))
+
+
+async def send_mixed_up(run, faulty, count, entry):
+    """Let one answer of each west engine name another request."""
+    engines = run.roster.list_by(Role.engine, 'west')
+    assert len(engines) == faulty
+    faults = EngineFaults(wrong_request_id=True, count=1)
+    for engine in engines:
+        await run.backends.set_faults(engine, faults)
+    calls = []
+    while len(calls) < count or await count_extra(run, calls) < faulty:
+        prompt = f'mixed up at {entry} {len(calls)}'
+        calls += await send_many(run, prompt, count, entry)
+        assert len(calls) < 20 * count
+    for engine in engines:
+        await run.backends.set_faults(engine, EngineFaults())
+    return calls
+
+
+async def count_extra(run, calls):
+    """Return how many runs there were beyond one for each call."""
+    runs = [await find_runs(run, asked.prompt) for asked, _ in calls]
+    return sum(map(len, runs)) - len(calls)
+
+
+@then(
+    parsers.parse(
+        'the engines were asked {faulty:d} times more than callers asked',
+    ),
+)
+def check_extra(run, loop, calls, faulty):
+    assert loop.run(count_extra(run, calls)) == faulty
+
+
 @when(
     parsers.parse(
         '{count:d} distinct requests are sent at once, half of them streamed',
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/whole_answer.feature
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/whole_answer.feature
@@ -9,14 +9,26 @@
     Examples:
       | entry          | tokens | failure                              | runs |
       | west-gateway-1 | 40     | nothing fails                        | 1    |
-      | west-gateway-1 | 40     | each connection to an engine breaks  | 3    |
+      | west-gateway-1 | 60     | its connections break once           | 2    |
+      | west-gateway-1 | 60     | its connections break twice          | 3    |
       | west-gateway-1 | 60     | the engine that runs it freezes      | 2    |
       | east-gateway-1 | 60     | the engine that runs it freezes      | 2    |
-      | east-gateway-1 | 24     | each connection of the entry breaks  | 2    |
+      | east-gateway-1 | 60     | its connections break once           | 2    |
+
+  Scenario Outline: An answer that names another request is not handed out
+    Given a deployment whose engines and links can fail
+    When the next <faulty> answers name another request, and 24 callers ask at <entry>
+    Then each of them received its own whole answer
+    And the engines were asked <faulty> times more than callers asked
+
+    Examples:
+      | faulty | entry          |
+      | 3      | west-gateway-1 |
+      | 3      | east-gateway-1 |
 
   Scenario: A stream that can't go on ends visibly
     Given a deployment whose engines and links can fail
-    When a caller streams and every connection breaks again and again
+    When a caller streams and every engine breaks off again and again
     Then the answer ends with an error event and without its end
 
   Scenario Outline: A late answer reaches nobody
