--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_caller_library.py
@@ -0,0 +1,187 @@
+import asyncio
+from http import HTTPMethod
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from baobabhinge_caller import (
+    CallFailedError,
+    Completion,
+    OutcomeUnknownError,
+    ServiceCall,
+    Terms,
+    open_client,
+)
+from baobabhinge_standins.fleet import DeploymentPlan, Role
+from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
+from baobabhinge_standins.tests.conftest import run_configured
+from baobabhinge_standins.tests.steps.completions import ask, list_expected
+
+scenarios('caller_library.feature')
+
+SETTINGS = """
+[region west]
+failure-domains = west-a
+[region east]
+failure-domains = east-a
+[service llm]
+kind = model
+deadline = 20 s
+[placement llm west]
+replicas = 1 vms
+[service ledger]
+kind = plain
+deadline = 5 s
+[placement ledger west]
+replicas = 1 vms
+[placement ledger east]
+replicas = 1 vms
+[run-once ledger confirm]
+method = POST
+path = /trades/*/confirm
+"""
+PLAN = DeploymentPlan(
+    name='one-region',
+    gateways={'west': 2, 'east': 1},
+    backends=(
+        BackendPlan('llm', Role.engine, 'west', 1),
+        BackendPlan('ledger', Role.application, 'west', 1),
+    ),
+    wan_latency=WAN_LATENCY,
+    link_bits_per_second=1_000_000_000,
+)
+TOKENS = 60
+ANYWHERE = Terms()
+
+
+@pytest.fixture(scope='module')
+def one_region(loop, tmp_path_factory):
+    folder = tmp_path_factory.mktemp('one-region')
+    context = run_configured(PLAN, SETTINGS, folder)
+    yield loop.run(context.__aenter__())
+    loop.run(context.__aexit__(None, None, None))
+
+
+@given(
+    'a region with two gateways, an engine and a ledger',
+    target_fixture='run',
+)
+def start(one_region, loop):
+    loop.run(restart_dead(one_region))
+    return one_region
+
+
+async def restart_dead(run):
+    for gateway in run.roster.list_by(Role.gateway):
+        if run.processes.get(gateway.name).process.returncode is not None:
+            await run.processes.restart(gateway.name)
+    await run.wait_ready()
+
+
+def list_seeds(run, region):
+    gateways = run.roster.list_by(Role.gateway, region)
+    return [gateway.caller_address for gateway in gateways]
+
+
+async def stream(run, region, prompt, terms=ANYWHERE, on_token=None):
+    texts = []
+    async with open_client(list_seeds(run, region)) as client:
+        asked = Completion('llm', prompt, TOKENS, terms)
+        async for text in client.stream(asked):
+            texts.append(text)
+            if on_token is not None and len(texts) == 3:
+                await on_token()
+    return prompt, texts
+
+
+@when(
+    'a program streams and the gateway it uses is killed',
+    target_fixture='streamed',
+)
+def stream_and_kill(run, loop):
+    kill = run.processes.get('west-gateway-1').kill
+    return loop.run(stream(run, 'west', 'killed', on_token=kill))
+
+
+@when(
+    'a program that knows only the other region asks for bound work',
+    target_fixture='streamed',
+)
+def stream_bound(run, loop):
+    terms = Terms(regions=('west',))
+    return loop.run(stream(run, 'east', 'bound', terms))
+
+
+@then('the program has received each token once and in order')
+def check_texts(streamed):
+    prompt, texts = streamed
+    assert texts == list_expected(ask(prompt, TOKENS))
+
+
+@when(
+    parsers.parse(
+        'a program confirms {count:d} trades while a gateway is killed'
+    ),
+    target_fixture='confirmed',
+)
+def confirm(run, loop, count):
+    return loop.run(confirm_all(run, count))
+
+
+async def confirm_all(run, count):
+    """Return the trades by what the program was told of them."""
+    told = {'confirmed': [], 'unknown': {}, 'not run': []}
+    async with open_client(list_seeds(run, 'west')) as client:
+        trades = [confirm_one(client, number, told) for number in range(count)]
+        half = count // 2
+        await asyncio.gather(*trades[:half])
+        await run.processes.get('west-gateway-2').kill()
+        await asyncio.gather(*trades[half:])
+    return told
+
+
+def build_trade(number):
+    return ServiceCall(
+        'ledger',
+        f'/trades/{number}/confirm',
+        HTTPMethod.POST,
+        b'trade %d' % number,
+    )
+
+
+async def confirm_one(client, number, told):
+    try:
+        answer = await client.run_once(build_trade(number))
+    except OutcomeUnknownError as unknown:
+        told['unknown'][number] = unknown.key
+    except CallFailedError:
+        told['not run'].append(number)
+    else:
+        assert answer.status == 200
+        told['confirmed'].append(number)
+
+
+@then('each trade ran at most once, and those confirmed ran')
+def check_trades(run, loop, confirmed):
+    ledger = run.roster.list_by(Role.application, 'west')[0]
+    runs = loop.run(run.backends.read_runs(ledger))
+    paths = [entry.path for entry in runs]
+    assert len(paths) == len(set(paths))
+    for number in confirmed['confirmed']:
+        assert f'/trades/{number}/confirm' in paths
+    for number in confirmed['not run']:
+        assert f'/trades/{number}/confirm' not in paths
+    assert len(confirmed['confirmed']) >= 20
+
+
+@then('trades whose outcome is unknown can be asked for with their key')
+def check_unknown(run, loop, confirmed):
+    loop.run(ask_again(run, confirmed['unknown']))
+
+
+async def ask_again(run, unknown):
+    async with open_client(list_seeds(run, 'west')) as client:
+        for number, key in unknown.items():
+            with pytest.raises(CallFailedError) as failure:
+                await client.run_once(build_trade(number), key)
+            assert failure.value.problem.outcome in {'unknown', 'not-run'}
