--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/tests/test_events.py
@@ -0,0 +1,69 @@
+import asyncio
+from itertools import pairwise
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from baobabhinge_gateway.backends.events import check_events
+from baobabhinge_gateway.backends.splitting import MAX_EVENT_BYTES
+from baobabhinge_gateway.errors import AnswerBrokenError, CallError
+
+FIRST = b'data: {"id":"r1","choices":[{"text":"one"}]}\n\n'
+CHAT = b'data: {"id":"r1","choices":[{"delta":{"content":"two"}}]}\n\n'
+EMPTY = b'data: {"id":"r1","choices":[{"delta":{"role":"assistant"}}]}\n\n'
+OTHER = b'data: {"id":"r2","choices":[{"text":"x"}]}\n\n'
+PROBLEM = (
+    b'event: error\ndata: {"type":"t","title":"t","status":503,"detail":"d",'
+    b'"code":"overloaded","outcome":"not-run"}\n\n'
+)
+DONE = b'data: [DONE]\n\n'
+PING = b': ping\n\n'
+WHOLE = b''.join((FIRST, PING, CHAT, EMPTY, DONE))
+
+
+async def read(pieces):
+    async def iterate():
+        for piece in pieces:
+            yield piece
+
+    return [event async for event in check_events(iterate(), 'r1')]
+
+
+@given(st.sets(st.integers(1, len(WHOLE) - 1)))
+def test_events_do_not_depend_on_the_pieces(cuts):
+    edges = [0, *sorted(cuts), len(WHOLE)]
+    pieces = [WHOLE[start:end] for start, end in pairwise(edges)]
+    events = asyncio.run(read(pieces))
+    assert [event.frame for event in events] == [FIRST, CHAT, EMPTY, DONE]
+    assert [event.has_text for event in events] == [True, True, False, False]
+
+
+@pytest.mark.parametrize(
+    ('body', 'code'),
+    [
+        (FIRST, 'answer-broken'),
+        (FIRST + OTHER + DONE, 'answer-broken'),
+        (FIRST + CHAT[:-9], 'answer-broken'),
+        (b'data: {}\n\n', 'answer-broken'),
+        (b'a' * (MAX_EVENT_BYTES + 1), 'answer-broken'),
+        (FIRST + PROBLEM + DONE, 'overloaded'),
+        (b'event: error\ndata: {}\n\n', 'answer-broken'),
+    ],
+)
+async def test_broken_streams(body, code):
+    with pytest.raises(CallError) as broken:
+        await read([body])
+    assert broken.value.code == code
+
+
+async def test_nothing_after_the_end_is_handed_out():
+    events = await read([FIRST + DONE + OTHER])
+    assert [event.frame for event in events] == [FIRST, DONE]
+
+
+async def test_an_error_event_of_a_peer_keeps_its_outcome():
+    with pytest.raises(CallError) as refused:
+        await read([PROBLEM])
+    assert not isinstance(refused.value, AnswerBrokenError)
+    assert refused.value.outcome == 'not-run'
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/tests/test_writing.py
@@ -0,0 +1,47 @@
+import asyncio
+from datetime import timedelta
+
+import pytest
+from aiohttp.test_utils import TestServer
+from aiohttp.web import Application
+
+from baobabhinge_gateway.backends import Answer
+from baobabhinge_gateway.errors import CallerLostError
+from baobabhinge_gateway.execution.writing import CallerStream
+
+FRAME = b'a' * (1 << 20)
+MANY = 200
+MODULE = 'baobabhinge_gateway.execution.writing'
+
+
+@pytest.fixture
+def short_patience(monkeypatch):
+    monkeypatch.setattr(f'{MODULE}.WRITE_PATIENCE', timedelta(seconds=0.2))
+
+
+async def test_a_caller_that_does_not_read_is_disconnected(short_patience):
+    written = []
+    ended = asyncio.get_running_loop().create_future()
+
+    async def serve(request):
+        stream = CallerStream(request, 'r1')
+        response = await stream.start(Answer(200, (), iter(())))
+        try:
+            for _ in range(MANY):
+                await stream.write(response, FRAME)
+                written.append(FRAME)
+        except CallerLostError as lost:
+            ended.set_result(lost)
+        return response
+
+    app = Application()
+    app.router.add_get('/', serve)
+    async with TestServer(app) as server:
+        reader, writer = await asyncio.open_connection('127.0.0.1', server.port)
+        writer.write(b'GET / HTTP/1.1\r\nHost: g\r\n\r\n')
+        async with asyncio.timeout(30):
+            lost = await ended
+        writer.close()
+    assert isinstance(lost, CallerLostError)
+    assert len(written) < MANY
+    assert reader is not None
