--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/gateways.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/gateways.py
@@ -3,7 +3,6 @@
 from collections.abc import Sequence
 
 from baobabhinge_coordination.membership import (
-    Member,
     MembershipView,
     MemberState,
 )
@@ -43,8 +42,8 @@
         """
         listed = {vm.name: vm for vm in index.list_gateways(region)}
         for member in self._members.table.list_region(region):
-            if member.name not in listed and self._is_addressed(member):
-                listed[member.name] = convert_member(member)
+            if member.region == self._members.own.region:
+                listed.setdefault(member.name, convert_member(member))
         return [vm for vm in listed.values() if self._takes_calls(vm)]
 
     def find_own(self, name: str) -> Vm | None:
@@ -53,14 +52,17 @@
         member = self._members.table.find(name, region)
         return convert_member(member) if member else None
 
+    def find_incarnation(self, name: str) -> str | None:
+        """Return the present start of a gateway of this region, if known."""
+        own = self._members.own
+        member = self._members.table.find(name, own.region)
+        return None if member is None else member.incarnation
+
     def list_regions(self, index: VmIndex) -> Sequence[str]:
         """Return the regions in which a gateway is known."""
         known = self._members.table.list_regions()
         return sorted({*known, *index.list_gateway_regions()})
 
-    def _is_addressed(self, member: Member) -> bool:
-        return member.region == self._members.own.region
-
     def _takes_calls(self, vm: Vm) -> bool:
         if vm.state is not VmState.live:
             return False
