Check in the soak that a closed key never runs, whatever later attempts say

A refusal of one attempt (a draining gateway) may be followed by a run; the code not-run closes the key itself. test_invariants has evidence that violates it. bin/test .../traffic .../soak without the soak itself: 60 passed.

--- a/packages/baobabhinge-standins/src/baobabhinge_standins/soak/attempts.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/soak/attempts.py
@@ -18,11 +18,15 @@
         Number of the call.
     verdicts : list of Verdict or None
         What each attempt gave; ``None`` if nobody told the caller anything.
+    is_closed : bool
+        Whether an attempt was told that the key has not run and never will;
+        other refusals speak of their own attempt alone.
     """
 
     request: Request
     number: int
     verdicts: list[Verdict | None] = []
+    is_closed: bool = False
 
     @property
     def is_told(self) -> bool:
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/soak/callers.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/soak/callers.py
@@ -10,12 +10,14 @@
 from baobabhinge_standins.traffic import HttpSender, Verdict, judge
 from baobabhinge_standins.traffic.exchange import Timed
 from baobabhinge_standins.traffic.keys import NO_KEY, KeyRing
+from baobabhinge_standins.traffic.problems import read_problem
 from baobabhinge_standins.traffic.requests import Request
 
 MOST_ATTEMPTS = 12
 RESEND_INTERVAL = timedelta(milliseconds=700)
 THINK_INTERVAL = timedelta(milliseconds=100)
 DOUBLE_SHARE = 0.3
+CLOSED_CODE = 'not-run'
 
 
 class Callers:
@@ -104,6 +106,8 @@
         if timed.is_refused:
             return
         record.verdicts.append(_judge(record.request, timed))
+        if read_problem(timed.reply.body).code == CLOSED_CODE:
+            record.is_closed = True
 
 
 def _judge(request: Request, timed: Timed) -> Verdict | None:
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/soak/invariants/calls.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/soak/invariants/calls.py
@@ -33,6 +33,15 @@
             yield evidence.name_call(record)
 
 
+@register_check('a key that was closed as not run has not run')
+def find_broken_closings(evidence: Evidence) -> Iterator[str]:
+    """Yield the calls that ran although one attempt closed their key."""
+    paths = {run.path for _, run in evidence.journals.plain}
+    for record in evidence.records:
+        if record.is_closed and record.request.service_path in paths:
+            yield evidence.name_call(record)
+
+
 @register_check('no part of an answer and no foreign one is given as whole')
 def find_cut(evidence: Evidence) -> Iterator[str]:
     """Yield the calls with a wrong answer that seemed whole."""
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/soak/tests/test_invariants.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/soak/tests/test_invariants.py
@@ -30,6 +30,10 @@
     return CallRecord(request, 7, list(verdicts))
 
 
+def closed(*verdicts):
+    return CallRecord(TRADE, 7, list(verdicts), is_closed=True)
+
+
 @pytest.mark.parametrize(
     ('call', 'journals', 'violated'),
     [
@@ -43,6 +47,12 @@
         (record(TRADE), NOTHING, 'final outcome'),
         (record(TRADE, Verdict.answered), NOTHING, 'has run'),
         (record(TRADE, Verdict.cut, Verdict.unknown), NOTHING, 'no part'),
+        (closed(Verdict.not_run), NOTHING, ''),
+        (
+            closed(Verdict.not_run, Verdict.answered),
+            Journals([], [RAN]),
+            'closed',
+        ),
         (record(MODEL, Verdict.answered), NOTHING, ''),
         (record(MODEL, Verdict.not_run), Journals([PROMPTED], []), 'told not'),
         (record(MODEL, Verdict.broken), Journals([PROMPTED], []), ''),
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/traffic/judging.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/traffic/judging.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from baobabhinge_standins.engine.messages import EngineRequest
+from baobabhinge_standins.traffic.problems import read_problem
 from baobabhinge_standins.traffic.replies import (
     Echo,
     Reply,
@@ -17,10 +18,6 @@
 OUTCOMES = {'not-run': Verdict.not_run, 'unknown': Verdict.unknown}
 
 
-class _Problem(msgspec.Struct):
-    outcome: str
-
-
 def judge(request: Request, reply: Reply) -> Verdict:
     """Return what became of ``request``."""
     if reply.status != HTTPStatus.OK:
@@ -35,10 +32,7 @@
 
 
 def _judge_refusal(reply: Reply) -> Verdict:
-    try:
-        problem = msgspec.json.decode(reply.body, type=_Problem)
-    except msgspec.MsgspecError:
-        return Verdict.unknown
+    problem = read_problem(reply.body)
     return OUTCOMES.get(problem.outcome, Verdict.unknown)
 
 
