--- a/packages/baobabhinge-standins/src/baobabhinge_standins/soak/closing.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/soak/closing.py
@@ -47,6 +47,7 @@
 
 
 async def _recover(stage: Stage, monitor: GenerationMonitor) -> None:
+    await stage.revive_all()
     await stage.deployment.wait_ready()
     await wait_until(lambda: _publish(stage))
     with suppress(TimeoutError):
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/soak/faults/backends.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/soak/faults/backends.py
@@ -1,7 +1,9 @@
 """Faults of backend servers."""
 
 from collections.abc import AsyncIterator
+from contextlib import suppress
 
+import aiohttp
 import msgspec
 
 from baobabhinge_standins.application.messages import ApplicationFaults
@@ -31,8 +33,8 @@
     faults: dict[Role, msgspec.Struct],
 ) -> None:
     member = stage.deployment.roster.get(target)
-    child = stage.deployment.processes.get(target)
-    if child.process.returncode is None:
+    # Another fault may have ended the process.
+    with suppress(aiohttp.ClientError):
         await stage.deployment.backends.set_faults(member, faults[member.role])
 
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/soak/invariants/calls.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/soak/invariants/calls.py
@@ -3,10 +3,13 @@
 from collections import Counter
 from collections.abc import Iterator
 
+from baobabhinge_standins.engine.running import CRASH_MARK
 from baobabhinge_standins.soak.evidence import Evidence
 from baobabhinge_standins.soak.invariants.registry import register_check
 from baobabhinge_standins.traffic import Verdict
 
+MOST_ENGINES_LOST = 2
+
 
 @register_check('a call that may not be repeated runs at most once')
 def find_doubled(evidence: Evidence) -> Iterator[str]:
@@ -42,6 +45,16 @@
             yield evidence.name_call(record)
 
 
+@register_check('one request ends at most two engines')
+def find_crashes(evidence: Evidence) -> Iterator[str]:
+    """Yield the marked prompts that ran more often than that."""
+    prompts = [run.prompt for _, run in evidence.journals.models]
+    marked = Counter(prompt for prompt in prompts if CRASH_MARK in prompt)
+    for prompt, runs in marked.items():
+        if runs > MOST_ENGINES_LOST:
+            yield f'{prompt.strip()} ran {runs} times'
+
+
 @register_check('no part of an answer and no foreign one is given as whole')
 def find_cut(evidence: Evidence) -> Iterator[str]:
     """Yield the calls with a wrong answer that seemed whole."""
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/soak/tests/test_invariants.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/soak/tests/test_invariants.py
@@ -5,6 +5,7 @@
 
 from baobabhinge_standins.application.messages import Run
 from baobabhinge_standins.engine.journal import EngineRun
+from baobabhinge_standins.engine.running import CRASH_MARK
 from baobabhinge_standins.soak.attempts import CallRecord
 from baobabhinge_standins.soak.evidence import Evidence, name_call
 from baobabhinge_standins.soak.invariants import find_violations
@@ -86,5 +87,13 @@
     assert all(violated in one.invariant for one in found)
 
 
+@pytest.mark.parametrize(('runs', 'violations'), [(0, 0), (2, 0), (3, 1)])
+def test_crashing_requests(runs, violations):
+    crashed = ('west', EngineRun('r1', 'llm', f'{CRASH_MARK} 7'))
+    other = ('west', EngineRun('r2', 'llm', f'{CRASH_MARK} 8'))
+    journals = Journals([other, *[crashed for _ in range(runs)]], [])
+    assert len(find_violations(Evidence([], journals))) == violations
+
+
 def test_marks_differ_by_region():
     assert mark_bound('west') not in mark_bound('east')
