Come back from a long store outage without a burst, and count calls by role

Cause: watchers retried every 0.5 s and unconfigured gateways read as often: at 3,200 gateways 6,400 reads a second by calculation. Pauses grow with full jitter, to 15 s for the watchers and 2 min for gateways that their peers configure. /v1/status reports calls by role and the states of the gateways.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/status.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/status.py
@@ -1,10 +1,12 @@
 """Status of this gateway."""
 
+from collections.abc import Mapping
+
 import msgspec
 from aiohttp import web
 
-from baobabhinge_gateway.calls import Hop
 from baobabhinge_gateway.configuration import ActiveConfiguration
+from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.telemetry import Measures
 from baobabhinge_gateway.telemetry.measures import LatencySummary
 
@@ -24,6 +26,10 @@
         Why it can't.
     watches_manifest : bool
         Whether it holds a watch on the key-value service.
+    store_calls : dict of str to int
+        Calls made to the key-value service, by role.
+    gateways : dict of str to str
+        State of each gateway of the region that this one knows.
     outcomes, latencies : dict
         Calls by outcome, and percentiles.
     """
@@ -34,6 +40,8 @@
     refused_generation: int
     refused_faults: list[str]
     watches_manifest: bool
+    store_calls: dict[str, int]
+    gateways: dict[str, str]
     outcomes: dict[str, int]
     latencies: dict[str, LatencySummary]
 
@@ -43,26 +51,30 @@
 
     Parameters
     ----------
-    hop : Hop
-        This gateway.
+    fleet : FleetView
+        This gateway and the others.
     active : ActiveConfiguration
         Configuration in force.
     measures : Measures
         What has been counted.
+    store_calls : mapping of str to int
+        Calls made to the key-value service, by role.
     """
 
-    __slots__ = ('_active', '_hop', '_measures')
+    __slots__ = ('_active', '_fleet', '_measures', '_store_calls')
 
     def __init__(
         self,
-        hop: Hop,
+        fleet: FleetView,
         active: ActiveConfiguration,
         measures: Measures,
+        store_calls: Mapping[str, int],
     ) -> None:
         """Keep the parts."""
-        self._hop = hop
         self._active = active
+        self._fleet = fleet
         self._measures = measures
+        self._store_calls = store_calls
 
     def add_to(self, app: web.Application) -> None:
         """Add the path."""
@@ -71,12 +83,14 @@
     async def report_status(self, request: web.Request) -> web.Response:
         """Answer with counters and percentiles."""
         status = Status(
-            self._hop.gateway,
-            self._hop.region,
+            self._fleet.home.gateway,
+            self._fleet.home.region,
             self._active.generation,
             self._active.refusal.generation,
             [fault.render() for fault in self._active.refusal.faults],
             self._active.is_watching,
+            dict(self._store_calls),
+            self._fleet.list_states(),
             dict(self._measures.outcomes),
             self._measures.summarize(),
         )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/__init__.py
@@ -3,9 +3,9 @@
 from baobabhinge_gateway.configuration.active import (
     ActiveConfiguration as ActiveConfiguration,
 )
-from baobabhinge_gateway.configuration.watcher import (
-    ConfigurationWatcher as ConfigurationWatcher,
+from baobabhinge_gateway.configuration.assembly import (
+    build_watcher as build_watcher,
 )
 from baobabhinge_gateway.configuration.watcher import (
-    build_watcher as build_watcher,
+    ConfigurationWatcher as ConfigurationWatcher,
 )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/tests/test_active.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/tests/test_active.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from datetime import timedelta
+from random import Random
 
 import pytest
 from hypothesis import given
@@ -114,6 +115,8 @@
         self.name = name
 
 
+SEED = 7
+FIRST_RETRY = Random(SEED).random() * RETRY_INTERVAL
 MANY = tuple(f'west-{number}' for number in range(1, 40))
 
 
@@ -123,15 +126,20 @@
         ((), build_release(1), NO_PAUSE, ['watch'], 1),
         ((), build_release(1, UNREADABLE), NO_PAUSE, ['watch'], 0),
         ((), None, RANK_INTERVAL, ['watch'], 0),
-        ((), StoreUnavailableError(), RETRY_INTERVAL, ['watch'], 0),
+        ((), StoreUnavailableError(), FIRST_RETRY, ['watch'], 0),
         (MANY, build_release(1), RANK_INTERVAL, ['read'], 1),
-        (MANY, StoreAnswerLostError(), RETRY_INTERVAL, ['read'], 0),
+        (MANY, StoreAnswerLostError(), FIRST_RETRY, ['read'], 0),
     ],
 )
 def test_one_step_of_the_watcher(names, answer, pause, calls, generation):
     active = ActiveConfiguration()
     reader = Reader(answer)
-    watcher = ConfigurationWatcher(active, reader, Fleet(*names))
+    watcher = ConfigurationWatcher(
+        active,
+        reader,
+        Fleet(*names),
+        Random(SEED),
+    )
     assert asyncio.run(watcher._learn()) == pause
     assert reader.calls == calls
     assert active.generation == generation
@@ -141,6 +149,6 @@
     active = ActiveConfiguration()
     active.adopt(build_release(1))
     reader = Reader()
-    watcher = ConfigurationWatcher(active, reader, Fleet(*MANY))
+    watcher = ConfigurationWatcher(active, reader, Fleet(*MANY), Random())
     assert asyncio.run(watcher._learn()) == RANK_INTERVAL
     assert not reader.calls
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/watcher.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/watcher.py
@@ -1,46 +1,32 @@
 """Learning newer configurations from the key-value service."""
 
-from collections.abc import Sequence
 from datetime import timedelta
-from typing import Protocol
+from random import Random
 
 import msgspec
 import structlog
 from mode import Service
 
+from baobabhinge_coordination.backoff import Backoff
 from baobabhinge_coordination.generations import (
     Release,
     ReleaseReader,
     is_watcher,
 )
-from baobabhinge_coordination.store import KeyValueStore, StoreError
-from baobabhinge_gateway.calls import Hop
+from baobabhinge_coordination.store import StoreError
 from baobabhinge_gateway.configuration.active import ActiveConfiguration
-from baobabhinge_platform.machines import Vm
+from baobabhinge_gateway.configuration.gateways import GatewayList
 
 NO_PAUSE = timedelta()
 RETRY_INTERVAL = timedelta(milliseconds=500)
+LONGEST_WATCHER_RETRY = timedelta(seconds=15)
+LONGEST_READER_RETRY = timedelta(minutes=2)
 RANK_INTERVAL = timedelta(seconds=1)
 WATCH_PATIENCE = timedelta(seconds=20)
 
 log = structlog.get_logger(__name__)
 
 
-class GatewayList(Protocol):
-    """Gateways as this one sees them.
-
-    Attributes
-    ----------
-    home : Hop
-        This gateway.
-    """
-
-    home: Hop
-
-    def list_gateways(self, region: str | None = None) -> Sequence[Vm]:
-        """Return the live ones of one region, this one among them or not."""
-
-
 class ConfigurationWatcher(Service):
     """Hold a watch on the manifest if this gateway is among the watchers.
 
@@ -55,6 +41,8 @@
         Reader of releases.
     fleet : GatewayList
         Gateways of the region.
+    random : Random
+        Jitter of the pauses after failures.
     """
 
     def __init__(
@@ -62,12 +50,17 @@
         active: ActiveConfiguration,
         reader: ReleaseReader,
         fleet: GatewayList,
+        random: Random,
     ) -> None:
         """Watch nothing yet."""
         super().__init__()
         self._active = active
         self._reader = reader
         self._fleet = fleet
+        self._backoffs = {
+            True: Backoff(random, RETRY_INTERVAL, LONGEST_WATCHER_RETRY),
+            False: Backoff(random, RETRY_INTERVAL, LONGEST_READER_RETRY),
+        }
 
     @Service.task
     async def _watch(self) -> None:
@@ -81,7 +74,8 @@
             release = await self._read()
         except (StoreError, msgspec.MsgspecError) as bad:
             log.warning('manifest-unread', reason=type(bad).__name__)
-            return RETRY_INTERVAL
+            return self._backoffs[self._active.is_watching].draw_pause()
+        self._backoffs[self._active.is_watching].reset()
         if release is not None and self._active.adopt(release):
             log.info('configuration-adopted', generation=release.generation)
         if self._active.is_watching and self._reader.has_manifest:
@@ -99,12 +93,3 @@
         if self._active.generation:
             return None
         return await self._reader.read_current()
-
-
-def build_watcher(
-    active: ActiveConfiguration,
-    store: KeyValueStore,
-    fleet: GatewayList,
-) -> ConfigurationWatcher:
-    """Return the watcher of the manifest in ``store``."""
-    return ConfigurationWatcher(active, ReleaseReader(store), fleet)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -101,7 +101,12 @@
             KeyRoutes(run_once, identity.region),
             HealthReport(self._active, self._lifecycle),
             EntryReport(fleet, self._lifecycle),
-            StatusReport(fleet.home, self._active, calls.measures),
+            StatusReport(
+                fleet,
+                self._active,
+                calls.measures,
+                platform.transport.calls,
+            ),
         )
         await self.add_runtime_dependency(Drainer(self._lifecycle))
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
@@ -34,7 +34,14 @@
         This gateway.
     """
 
-    __slots__ = ('_availability', '_reports', '_roll', '_watcher', 'home')
+    __slots__ = (
+        '_availability',
+        '_members',
+        '_reports',
+        '_roll',
+        '_watcher',
+        'home',
+    )
 
     def __init__(
         self,
@@ -46,6 +53,7 @@
     ) -> None:
         """Keep the parts."""
         self.home = home
+        self._members = members
         self._roll = GatewayRoll(members)
         self._availability = Availability(reports, active)
         self._watcher = watcher
@@ -88,6 +96,11 @@
         listed = self._watcher.index.by_name.get(name)
         return listed or self._roll.find_own(name)
 
+    def list_states(self) -> dict[str, str]:
+        """Return the states of the gateways of the region by name."""
+        members = self._members.table.list_region(self.home.region)
+        return {member.name: member.state.name for member in members}
+
     def find_report(self, vm: Vm) -> LoadReport | None:
         """Return the newest load report of ``vm``, if one is known."""
         return self._reports.find(vm)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/assembly.py
@@ -45,8 +45,8 @@
         clock = SystemClock()
         home = fleet.home
         self.keeper = LeaseKeeper(
-            platform.store,
-            platform.leases,
+            platform.leases.keys,
+            platform.leases.sessions,
             clock,
             LeaseTerms(f'{LEASE_PREFIX}{home.region}', home.gateway),
         )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/platform.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/platform.py
@@ -11,6 +11,33 @@
     ConsulTransport,
 )
 
+CONFIGURATION = 'configuration'
+LEASES = 'leases'
+
+
+class LeaseAccess:
+    """Leases, and the keys held under them.
+
+    Parameters
+    ----------
+    transport : ConsulTransport
+        Sender of calls.
+
+    Attributes
+    ----------
+    keys : ConsulStore
+        Keys under leases.
+    sessions : ConsulLeases
+        The leases themselves.
+    """
+
+    __slots__ = ('keys', 'sessions')
+
+    def __init__(self, transport: ConsulTransport) -> None:
+        """Build the clients; no call is made."""
+        self.keys = ConsulStore(transport)
+        self.sessions = ConsulLeases(transport)
+
 
 class Platform:
     """Clients of the platform's services over one HTTP session.
@@ -20,10 +47,10 @@
     http : aiohttp.ClientSession
         Session of the gateway, for all its outgoing requests.
     transport : ConsulTransport
-        Counts the calls to the key-value service.
+        Counts the calls to the key-value service by role.
     store : ConsulStore
-        Values of the key-value service.
-    leases : ConsulLeases
+        Values of the key-value service, for the configuration.
+    leases : LeaseAccess
         Leases of the key-value service.
     vm_list : VmList
         Lagging list of vms.
@@ -48,11 +75,15 @@
         """Build the clients; no call is made."""
         self.http = http
         self.transport = ConsulTransport(http, addresses.key_value)
-        self.store = ConsulStore(self.transport)
-        self.leases = ConsulLeases(self.transport)
+        self.store = self.open_store(CONFIGURATION)
+        self.leases = LeaseAccess(self.transport.share(LEASES))
         self.vm_list = VmList(http, addresses.vm_list)
         self.directory = ClientDirectory(http, addresses.client_directory)
 
+    def open_store(self, role: str) -> ConsulStore:
+        """Return the key-value service, its calls counted under ``role``."""
+        return ConsulStore(self.transport.share(role))
+
 
 async def send_once(
     request: aiohttp.ClientRequest,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/assembly.py
@@ -8,6 +8,8 @@
 from baobabhinge_gateway.runonce.environment import Environment
 from baobabhinge_gateway.runonce.parts import RunOnceParts
 
+STORE_ROLE = 'run-once'
+
 
 def build_run_once(
     fleet: FleetView,
@@ -21,4 +23,5 @@
         SystemClock(),
         SystemRandom(),
     )
-    return RunOnceParts(environment, platform.store, incarnation)
+    store = platform.open_store(STORE_ROLE)
+    return RunOnceParts(environment, store, incarnation)
--- a/packages/baobabhinge-platform/src/baobabhinge_platform/store/transport.py
+++ b/packages/baobabhinge-platform/src/baobabhinge_platform/store/transport.py
@@ -5,6 +5,7 @@
 Consul HTTP API, ``/v1/kv`` and ``/v1/session``.
 """
 
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from datetime import timedelta
@@ -19,6 +20,7 @@
 )
 
 WRITE = 'PUT'
+OTHER_ROLE = 'other'
 CALL_TIMEOUT = timedelta(seconds=2)
 
 
@@ -53,15 +55,34 @@
         Session that the caller owns and closes.
     address : str
         Base address of the service.
+    role : str, optional
+        For what the calls are made; they are counted under it.
+
+    Attributes
+    ----------
+    calls : Counter
+        Calls made so far by role, a waiting watch as one.
     """
 
-    __slots__ = ('_address', '_http', 'calls')
+    __slots__ = ('_address', '_http', '_role', 'calls')
 
-    def __init__(self, http: aiohttp.ClientSession, address: str) -> None:
+    def __init__(
+        self,
+        http: aiohttp.ClientSession,
+        address: str,
+        role: str = OTHER_ROLE,
+    ) -> None:
         """Keep the session; no call is made."""
         self._http = http
         self._address = address
-        self.calls = 0
+        self._role = role
+        self.calls: Counter[str] = Counter()
+
+    def share(self, role: str) -> 'ConsulTransport':
+        """Return a transport of another role that counts into this one."""
+        sharer = ConsulTransport(self._http, self._address, role)
+        sharer.calls = self.calls
+        return sharer
 
     @asynccontextmanager
     async def open(
@@ -77,7 +98,7 @@
         StoreAnswerLostError
             If it may have had one.
         """
-        self.calls += 1
+        self.calls[self._role] += 1
         limit = aiohttp.ClientTimeout(total=call.timeout.total_seconds())
         try:
             async with self._http.request(
