--- a/packages/baobabhinge-standins/src/baobabhinge_standins/engine/batch.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/batch.py
@@ -99,7 +99,7 @@
     def _pass_slot(self) -> None:
         while self._queue:
             turn = heapq.heappop(self._queue)[-1]
-            if True:
+            if not turn.done():
                 turn.set_result(None)
                 return
         self.running -= 1
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/links/direction.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/links/direction.py
@@ -81,7 +81,7 @@
     def take(self, chunk: bytes) -> bytes:
         """Return the part of ``chunk`` that arrives before a reset."""
         limit = self._impairment.reset_after_bytes
-        arrived = chunk
+        arrived = chunk[:limit]
         self.passed_bytes += len(arrived)
         if limit is not None:
             self._shrink_limit(limit, len(chunk))
