--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/configuration.feature
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/configuration.feature
@@ -73,6 +73,18 @@
     When an operator publishes a file
     Then every gateway has the newest generation
 
+  Scenario: An operator drains a gateway
+    When an operator drains west-gateway-3
+    Then callers are not told to use west-gateway-3
+    When an operator takes the drain of west-gateway-3 back
+    Then callers are told to use west-gateway-3 again
+
+  Scenario: An operator drains a backend server
+    When an operator drains west-ledger-1
+    Then west-ledger-1 runs none of 10 calls that come in its region
+    When an operator takes the drain of west-ledger-1 back
+    Then west-ledger-1 runs calls again
+
   Scenario: Time until a change is in force everywhere
     When an operator publishes 10 changes one after another
     Then every gateway has each of them, and the times are reported
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/operators.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/operators.py
@@ -32,22 +32,14 @@
         self._folders = 0
 
     async def run(self, *words, author='lead'):
-        """Run one command of ``author`` to its end."""
+        """Run one command of ``author`` on the key-value service."""
         store = self._running.platform.store_address
-        settings = self._folder / f'{author}.ini'
-        settings.write_text(f'[operator]\nauthor = {author}\n')
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'baobabhinge_operator',
-            *words,
-            f'--key-value={store}',
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.STDOUT,
-            env=os.environ | {'BAOBABHINGE_SETTINGS': str(settings)},
-        )
-        text, _ = await process.communicate()
-        return Ended(process.returncode, text.decode())
+        return await self._run(*words, f'--key-value={store}', author=author)
+
+    async def ask(self, gateway, query):
+        """Run one query of a gateway."""
+        address = self._running.roster.get(gateway).caller_address
+        return await self._run(query, f'--gateway={address}', author='lead')
 
     async def publish(self, files, *options, author='lead'):
         """Publish a folder with these texts by name."""
@@ -68,6 +60,21 @@
         release = await self.read_release()
         return {listed['name']: listed['text'] for listed in release['files']}
 
+    async def _run(self, *words, author):
+        settings = self._folder / f'{author}.ini'
+        settings.write_text(f'[operator]\nauthor = {author}\n')
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'baobabhinge_operator',
+            *words,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+            env=os.environ | {'BAOBABHINGE_SETTINGS': str(settings)},
+        )
+        text, _ = await process.communicate()
+        return Ended(process.returncode, text.decode())
+
 
 class Generations:
     """What the gateways say is in force; each life of one never goes down."""
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_configuration.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_configuration.py
@@ -342,6 +342,69 @@
         raise LateError(loop.run(generations.describe())) from late
 
 
+@when(parsers.parse('an operator drains {vm}'))
+def drain(operators, loop, generations, vm):
+    loop.run(change_drain(operators, generations, vm))
+
+
+@when(parsers.parse('an operator takes the drain of {vm} back'))
+def undo_drain(operators, loop, generations, vm):
+    loop.run(change_drain(operators, generations, vm, '--undo'))
+
+
+async def change_drain(operators, generations, *words):
+    ended = await operators.run('drain', *words)
+    assert not ended.exit_code, ended.text
+    release = await operators.read_release()
+    await generations.wait_for(release['generation'])
+
+
+@then(parsers.parse('callers are not told to use {vm}'))
+def check_left_out(running, operators, loop, vm):
+    loop.run(wait_until(lambda: is_listed(running, operators, vm, False)))
+
+
+@then(parsers.parse('callers are told to use {vm} again'))
+def check_listed(running, operators, loop, vm):
+    loop.run(wait_until(lambda: is_listed(running, operators, vm, True)))
+
+
+async def is_listed(running, operators, vm, wanted):
+    """Tell whether every gateway lists the vm, or none does."""
+    listed = [
+        vm in (await operators.ask(gateway, 'entries')).text
+        for gateway in list_gateways(running)
+    ]
+    return set(listed) == {wanted}
+
+
+@then(
+    parsers.parse('{vm} runs none of {count:d} calls that come in its region'),
+)
+def check_runs_nothing(running, loop, http, vm, count):
+    assert not loop.run(count_runs(running, http, vm, count))
+
+
+@then(parsers.parse('{vm} runs calls again'))
+def check_runs_again(running, loop, http, vm):
+    async def check():
+        return await count_runs(running, http, vm, 1) == 1
+
+    loop.run(wait_until(check))
+
+
+async def count_runs(running, http, vm, count):
+    """Return how many of some calls the backend server ran."""
+    member = running.roster.get(vm)
+    before = len(await running.backends.read_runs(member))
+    gateway = running.roster.get(list_gateways(running, member.region)[0])
+    url = f'http://{gateway.caller_address}/services/ledger/owners/9'
+    for _ in range(count):
+        async with http.get(url) as answer:
+            assert answer.status == 200, await answer.text()
+    return len(await running.backends.read_runs(member)) - before
+
+
 @when(
     parsers.parse('an operator publishes {count:d} changes one after another'),
 )
