--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
@@ -36,7 +36,14 @@
         Gateways as the list and they themselves tell them.
     """
 
-    __slots__ = ('_availability', '_reports', '_watcher', 'home', 'roll')
+    __slots__ = (
+        '_availability',
+        '_members',
+        '_reports',
+        '_watcher',
+        'home',
+        'roll',
+    )
 
     def __init__(
         self,
@@ -48,6 +55,7 @@
     ) -> None:
         """Keep the parts."""
         self.home = home
+        self._members = members
         self.roll = GatewayRoll(members)
         self._availability = Availability(reports, active)
         self._watcher = watcher
@@ -90,6 +98,11 @@
         listed = self._watcher.index.by_name.get(name)
         return listed or self.roll.find_own(name)
 
+    def list_states(self) -> dict[str, str]:
+        """Return the states of the gateways of the region by name."""
+        members = self._members.table.list_region(self.home.region)
+        return {member.name: member.state.name for member in members}
+
     def find_report(self, vm: Vm) -> LoadReport | None:
         """Return the newest load report of ``vm``, if one is known."""
         return self._reports.find(vm)
