Leave the region for a neighbour in time before shedding; a refusing region rests

Ruled out: link budget and circuits (no candidate was blocked). Now a neighbour that is in time comes before a late home.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
@@ -32,6 +32,9 @@
 from baobabhinge_gateway.errors.relayed import (
     CallerLostError as CallerLostError,
 )
+from baobabhinge_gateway.errors.relayed import (
+    RelayedProblemError as RelayedProblemError,
+)
 from baobabhinge_gateway.errors.requests import (
     MalformedCallError as MalformedCallError,
 )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/estimated.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/estimated.py
@@ -83,7 +83,7 @@
         is_late = self._switches[call.service.name].update(first, goal)
         if not (home and away):
             return bool(away)
-        return is_late and away[0].score < home[0].score
+        return is_late and _is_better(away[0], home[0], goal)
 
     def _find_objective(self, call: Call) -> Objective:
         return self._parts.objectives.find_objective(call.service.name)
@@ -117,3 +117,8 @@
 
 def _order(candidate: Candidate) -> tuple[timedelta, int]:
     return (candidate.first, candidate.target.in_flight)
+
+
+def _is_better(away: Candidate, home: Candidate, goal: timedelta) -> bool:
+    is_only_one_in_time = home.first > goal and away.first <= goal
+    return is_only_one_in_time or away.score < home.score
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/tests/test_policies.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/tests/test_policies.py
@@ -12,6 +12,7 @@
 )
 
 FULL = Report(running=4, waiting=12)
+LATE = Report(running=4, waiting=9)
 IDLE = Report(running=0, waiting=0)
 HOME = [make_target('w1'), make_target('w2')]
 AWAY = [make_target('e1', region='east')]
@@ -25,6 +26,7 @@
         ({'w2': FULL}, 'w1'),
         ({'w1': FULL, 'w2': FULL}, 'e1'),
         ({'w1': FULL, 'w2': Report(running=4, waiting=0)}, 'w2'),
+        ({'w1': LATE, 'w2': LATE}, 'e1'),
     ],
 )
 def test_home_comes_first_unless_it_is_late(reports, first):
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/tracking.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/tracking.py
@@ -5,7 +5,11 @@
 
 from baobabhinge_coordination.clock import Clock
 from baobabhinge_gateway.backends import Outbound
-from baobabhinge_gateway.errors import NotReachedError, OutcomeUnknownError
+from baobabhinge_gateway.errors import (
+    NotReachedError,
+    OutcomeUnknownError,
+    RelayedProblemError,
+)
 from baobabhinge_gateway.routing.circuits import Circuits
 from baobabhinge_gateway.routing.counters import InFlight
 from baobabhinge_gateway.routing.decisions import Candidate
@@ -78,7 +82,7 @@
     def _judge(self, place: str) -> Iterator[None]:
         try:
             yield
-        except (NotReachedError, OutcomeUnknownError):
+        except (NotReachedError, OutcomeUnknownError, RelayedProblemError):
             self.circuits.record_failure(place)
             raise
         self.circuits.record_success(place)
