--- a/packages/baobabhinge-standins/src/baobabhinge_standins/links/app.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/links/app.py
@@ -45,7 +45,7 @@
     async def _open_one(self, order: LinkOrder) -> OpenedLink:
         link = self._table.add(order)
         await link.apply(HEALTHY)
-        return OpenedLink(order.name, link.port)
+        return OpenedLink(order.name, link.gate.port)
 
     async def _count(self, request: web.Request) -> web.Response:
         return _answer([link.count() for link in self._table.find()])
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/links/connection.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/links/connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Awaitable, Callable
 
 from baobabhinge_coordination.clock import Clock
 from baobabhinge_standins.links.direction import Direction
@@ -58,10 +59,23 @@
         self._near.reset()
         self._far.reset()
 
-    async def carry(self, forward: Direction, backward: Direction) -> None:
-        """Carry bytes until both ends have closed or one was reset."""
+    async def carry(
+        self,
+        forward: Direction,
+        backward: Direction,
+        before_end: Callable[[], Awaitable[None]],
+    ) -> None:
+        """Carry bytes until both ends have closed or one was reset.
+
+        Parameters
+        ----------
+        forward, backward : Direction
+            Towards the far end, and back.
+        before_end : callable
+            Awaited when the far end has closed, before the near one learns.
+        """
         there = Passage(forward, self._clock)
-        back = Passage(backward, self._clock)
+        back = Passage(backward, self._clock, before_end)
         try:
             async with asyncio.TaskGroup() as passages:
                 passages.create_task(
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/links/link.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/links/link.py
@@ -1,11 +1,11 @@
 """One link: a listening port and its connections."""
 
 import asyncio
-from contextlib import suppress
 
 from baobabhinge_coordination.clock import Clock
 from baobabhinge_standins.links.connection import Connection, End
 from baobabhinge_standins.links.direction import Direction
+from baobabhinge_standins.links.listening import Gate
 from baobabhinge_standins.links.messages import (
     HEALTHY,
     LinkFault,
@@ -13,8 +13,6 @@
     LinkTraffic,
 )
 
-HOST = '127.0.0.1'
-
 
 class Link:
     """Pass connections on to the target of an order.
@@ -30,8 +28,8 @@
 
     Attributes
     ----------
-    port : int
-        Port at which the link listens; 0 before it is opened.
+    gate : Gate
+        Where the link listens.
     """
 
     __slots__ = (
@@ -42,8 +40,7 @@
         '_fault',
         '_forward',
         '_order',
-        '_server',
-        'port',
+        'gate',
     )
 
     def __init__(
@@ -59,23 +56,19 @@
         self._backward = backward
         self._clock = clock
         self._fault = HEALTHY
-        self._server: asyncio.Server | None = None
+        self.gate = Gate(order.target, self._serve)
         self._connections: set[Connection] = set()
         self._count = 0
-        self.port = 0
 
     async def apply(self, fault: LinkFault) -> None:
         """Set the fault, in place of the present one."""
         self._fault = fault
         self._forward.apply(fault.forward)
         self._backward.apply(fault.backward)
-        if fault.is_refused and self._server:
-            self._server.close()
-            self._server = None
-        elif not fault.is_refused and not self._server:
-            server = await asyncio.start_server(self._serve, HOST, self.port)
-            self.port = server.sockets[0].getsockname()[1]
-            self._server = server
+        if fault.is_refused:
+            self.gate.close()
+        else:
+            await self.gate.open()
 
     def reset(self) -> None:
         """Reset every open connection."""
@@ -111,14 +104,19 @@
         handshake = self._forward.delay + self._backward.delay
         await asyncio.sleep(handshake.total_seconds())
         await self._forward.wait_open()
-        host, _, port = self._order.target.rpartition(':')
-        with suppress(OSError):
-            far = End(*await asyncio.open_connection(host, int(port)))
+        far = await self.gate.connect()
+        if far is None:
+            near.reset()
+        else:
             await self._carry(Connection(near, far, self._clock))
 
     async def _carry(self, connection: Connection) -> None:
         self._connections.add(connection)
         try:
-            await connection.carry(self._forward, self._backward)
+            await connection.carry(
+                self._forward,
+                self._backward,
+                self.gate.check_target,
+            )
         finally:
             self._connections.discard(connection)
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/links/passage.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/links/passage.py
@@ -1,6 +1,7 @@
 """Bytes of one connection in one direction."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 import msgspec
@@ -32,14 +33,22 @@
         How they are carried.
     clock : Clock
         Clock of the delays.
+    before_end : callable, optional
+        Awaited when the reader has ended, before the writer learns of it.
     """
 
-    __slots__ = ('_clock', '_direction', '_queue')
+    __slots__ = ('_before_end', '_clock', '_direction', '_queue')
 
-    def __init__(self, direction: Direction, clock: Clock) -> None:
+    def __init__(
+        self,
+        direction: Direction,
+        clock: Clock,
+        before_end: Callable[[], Awaitable[None]] | None = None,
+    ) -> None:
         """Start with nothing on its way."""
         self._direction = direction
         self._clock = clock
+        self._before_end = before_end
         self._queue: asyncio.Queue[_Delivery] = asyncio.Queue(MAX_CHUNKS)
 
     async def carry(
@@ -73,6 +82,8 @@
             await self._enqueue(chunk, is_broken=False)
 
     async def _enqueue(self, chunk: bytes, *, is_broken: bool) -> None:
+        if self._before_end is not None and not chunk:
+            await self._before_end()
         left = self._direction.send(len(chunk))
         arrives = left + self._direction.delay
         await self._queue.put(_Delivery(arrives, chunk, is_broken))
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/links/tests/test_links.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/links/tests/test_links.py
@@ -43,7 +43,7 @@
             'a>b', f'127.0.0.1:{port}', 'west', 'east', latency_ms
         )
         ports = await links.add([order])
-        yield links, ports['a>b']
+        yield links, ports['a>b'], target
 
 
 async def exchange(reader, writer, sent=b'ping'):
@@ -68,7 +68,7 @@
     ],
 )
 async def test_cut_holds_bytes_until_healed(fault):
-    async with run_link() as (links, port):
+    async with run_link() as (links, port, _):
         reader, writer = await asyncio.open_connection('127.0.0.1', port)
         assert await exchange(reader, writer) == b'ping'
         await links.set_fault(fault, 'a>b')
@@ -82,7 +82,7 @@
 
 
 async def test_region_is_cut_at_its_border_only():
-    async with run_link() as (links, port):
+    async with run_link() as (links, port, _):
         assert links.book.find_crossing('east') == ['a>b']
         assert links.book.find_crossing('north') == []
         assert links.book.find_touching('b') == ['a>b']
@@ -94,7 +94,7 @@
 
 
 async def test_refused_link_listens_again_at_its_port():
-    async with run_link() as (links, port):
+    async with run_link() as (links, port, _):
         await links.set_fault(REFUSED)
         with pytest.raises(ConnectionRefusedError):
             await asyncio.open_connection('127.0.0.1', port)
@@ -105,7 +105,7 @@
 
 
 async def test_half_open_link_accepts_and_says_nothing():
-    async with run_link() as (links, port):
+    async with run_link() as (links, port, _):
         await links.set_fault(HALF_OPEN)
         reader, writer = await asyncio.open_connection('127.0.0.1', port)
         writer.write(b'ping')
@@ -114,7 +114,7 @@
 
 
 async def test_reset_ends_open_connections():
-    async with run_link() as (links, port):
+    async with run_link() as (links, port, _):
         reader, writer = await asyncio.open_connection('127.0.0.1', port)
         assert await exchange(reader, writer) == b'ping'
         await links.reset('a>b')
@@ -123,7 +123,7 @@
 
 
 async def test_reset_in_the_body_delivers_what_came_before():
-    async with run_link() as (links, port):
+    async with run_link() as (links, port, _):
         fault = LinkFault(backward=Impairment(reset_after_bytes=6))
         await links.set_fault(fault)
         reader, writer = await asyncio.open_connection('127.0.0.1', port)
@@ -147,10 +147,38 @@
     ],
 )
 async def test_bytes_take_their_time(latency_ms, impairment, at_least):
-    async with run_link(latency_ms) as (links, port):
+    async with run_link(latency_ms) as (links, port, _):
         await links.set_fault(LinkFault(backward=impairment))
         reader, writer = await asyncio.open_connection('127.0.0.1', port)
         started = asyncio.get_running_loop().time()
         await exchange(reader, writer, b'x' * 1000)
         assert asyncio.get_running_loop().time() - started >= at_least
         writer.close()
+
+
+async def test_link_refuses_while_its_target_is_gone():
+    async with run_link() as (links, port, target):
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        assert await exchange(reader, writer) == b'ping'
+        address = target.sockets[0].getsockname()
+        target.close()
+        await links.reset()
+        await asyncio.wait_for(wait_state(port, is_open=False), PATIENCE)
+        async with await asyncio.start_server(echo, *address):
+            await asyncio.wait_for(wait_state(port, is_open=True), PATIENCE)
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            assert await exchange(reader, writer) == b'ping'
+            writer.close()
+
+
+async def wait_state(port, *, is_open):
+    state = not is_open
+    while state is not is_open:
+        state = True
+        try:
+            _, writer = await asyncio.open_connection('127.0.0.1', port)
+        except ConnectionError:
+            state = False
+        else:
+            writer.close()
+        await asyncio.sleep(0.01)
