--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/status.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/status.py
@@ -5,6 +5,8 @@
 import msgspec
 from aiohttp import web
 
+from baobabhinge_coordination.leases import LeaseKeeper, LeaseLapsedError
+from baobabhinge_coordination.membership import MemberState
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.telemetry import Measures
@@ -26,6 +28,10 @@
         Why it can't.
     watches_manifest : bool
         Whether it holds a watch on the key-value service.
+    draining : bool
+        Whether it is leaving, or operators drain it.
+    leases : list of str
+        Leases that it holds, with their fencing numbers.
     store_calls : dict of str to int
         Calls made to the key-value service, by role.
     gateways : dict of str to str
@@ -40,6 +46,8 @@
     refused_generation: int
     refused_faults: list[str]
     watches_manifest: bool
+    draining: bool
+    leases: list[str]
     store_calls: dict[str, int]
     gateways: dict[str, str]
     outcomes: dict[str, int]
@@ -59,9 +67,11 @@
         What has been counted.
     store_calls : mapping of str to int
         Calls made to the key-value service, by role.
+    keeper : LeaseKeeper
+        The lease of the region.
     """
 
-    __slots__ = ('_active', '_fleet', '_measures', '_store_calls')
+    __slots__ = ('_active', '_fleet', '_keeper', '_measures', '_store_calls')
 
     def __init__(
         self,
@@ -69,12 +79,14 @@
         active: ActiveConfiguration,
         measures: Measures,
         store_calls: Mapping[str, int],
+        keeper: LeaseKeeper,
     ) -> None:
         """Keep the parts."""
         self._active = active
         self._fleet = fleet
         self._measures = measures
         self._store_calls = store_calls
+        self._keeper = keeper
 
     def add_to(self, app: web.Application) -> None:
         """Add the path."""
@@ -82,15 +94,20 @@
 
     async def report_status(self, request: web.Request) -> web.Response:
         """Answer with counters and percentiles."""
+        home = self._fleet.home
+        states = self._fleet.list_states()
         status = Status(
-            self._fleet.home.gateway,
-            self._fleet.home.region,
+            home.gateway,
+            home.region,
             self._active.generation,
             self._active.refusal.generation,
             [fault.render() for fault in self._active.refusal.faults],
             self._active.is_watching,
+            states.get(home.gateway) == MemberState.draining.name
+            or self._is_drained(home.gateway),
+            self._list_leases(),
             dict(self._store_calls),
-            self._fleet.list_states(),
+            states,
             dict(self._measures.outcomes),
             self._measures.summarize(),
         )
@@ -98,3 +115,15 @@
             body=msgspec.json.encode(status),
             content_type='application/json',
         )
+
+    def _is_drained(self, vm: str) -> bool:
+        settings = self._active.find_settings()
+        return settings is not None and settings.is_drained(vm)
+
+    def _list_leases(self) -> list[str]:
+        region = self._fleet.home.region
+        try:
+            lease = self._keeper.require()
+        except LeaseLapsedError:
+            return []
+        return [f'lease of {region}, fencing number {lease.fencing}']
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -55,10 +55,9 @@
         fleet = await self._start_watchers(platform)
         peers = PeerStack(platform, fleet, self._lifecycle, self._active)
         await self.add_runtime_dependency(peers)
-        await self.add_runtime_dependency(
-            DutyStack(platform, self._active, fleet.view),
-        )
-        await self._start_listeners(platform, fleet.view, peers)
+        duties = DutyStack(platform, self._active, fleet.view)
+        await self.add_runtime_dependency(duties)
+        await self._start_listeners(platform, fleet.view, peers, duties)
 
     async def _start_watchers(self, platform: Platform) -> FleetService:
         fleet = FleetService(
@@ -78,6 +77,7 @@
         platform: Platform,
         fleet: FleetView,
         peers: PeerStack,
+        duties: DutyStack,
     ) -> None:
         run_once = build_run_once(
             fleet,
@@ -115,6 +115,7 @@
                 self._active,
                 calls.measures,
                 platform.transport.calls,
+                duties.keeper,
             ),
         )
         await self.add_runtime_dependency(Drainer(self._lifecycle))
--- a/packages/baobabhinge-operator/src/baobabhinge_operator/queries/answers.py
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/queries/answers.py
@@ -33,8 +33,12 @@
         Newer generation that it can't read; 0 for none.
     leases : list of str
         Duties that it holds.
+    gateways : dict of str to str
+        State of each gateway of its region that it knows.
     answers : bool
         Whether it answers.
+    is_entry : bool
+        Whether callers are told to use it.
     """
 
     vm: str
@@ -43,4 +47,6 @@
     draining: bool = False
     refused_generation: int = 0
     leases: list[str] = []
+    gateways: dict[str, str] = {}
     answers: bool = True
+    is_entry: bool = True
--- a/packages/baobabhinge-operator/src/baobabhinge_operator/queries/gateways.py
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/queries/gateways.py
@@ -11,8 +11,11 @@
     EntryList,
     GatewayStatus,
 )
+from baobabhinge_operator.queries.rendering import render_status
 from baobabhinge_operator.reaching import fetch, fetch_first, render_json
 
+STATUS_PATH = '/v1/status'
+
 
 async def entries(*, gateway: str | None = None, json: bool = False) -> str:
     """List the gateways that callers are to use now.
@@ -38,6 +41,9 @@
 async def status(*, gateway: str | None = None, json: bool = False) -> str:
     """Show each gateway with its generation, draining and leases.
 
+    A gateway that callers are not told to use is asked too if its address is
+    given, and else listed with the state that its neighbours know.
+
     Exit codes: 0 done, 2 wrong usage, 4 no gateway answers.
 
     Parameters
@@ -48,10 +54,12 @@
         Write JSON.
     """
     listed = await _read_entries(gateway)
-    statuses = await asyncio.gather(*map(_read_status, listed.entries))
+    entered = await asyncio.gather(*map(_read_status, listed.entries))
+    asked = [*entered, *await _ask_others(gateway, listed)]
+    statuses = [*asked, *_list_others(asked)]
     if json:
         return render_json(statuses)
-    return '\n'.join(map(_render_status, statuses))
+    return '\n'.join(map(render_status, statuses))
 
 
 async def _read_entries(gateway: str | None) -> EntryList:
@@ -61,22 +69,47 @@
 
 
 async def _read_status(entry: Entry) -> GatewayStatus:
-    body = await fetch(entry.address, '/v1/status')
+    body = await fetch(entry.address, STATUS_PATH)
     if body is None:
         return GatewayStatus(entry.vm, entry.region, answers=False)
     return msgspec.json.decode(body, type=GatewayStatus)
 
 
-def _render_status(gateway: GatewayStatus) -> str:
-    return ', '.join(_list_remarks(gateway))
+async def _ask_others(
+    gateway: str | None,
+    listed: EntryList,
+) -> list[GatewayStatus]:
+    entered = {entry.address for entry in listed.entries}
+    given = read_addresses().list_gateways(gateway)
+    bodies = [
+        await fetch(address, STATUS_PATH)
+        for address in given
+        if address not in entered
+    ]
+    statuses = [
+        msgspec.json.decode(body, type=GatewayStatus)
+        for body in bodies
+        if body is not None
+    ]
+    return [
+        msgspec.structs.replace(status, is_entry=False) for status in statuses
+    ]
 
 
-def _list_remarks(gateway: GatewayStatus) -> Iterable[str]:
-    yield f'{gateway.vm} {gateway.region}: generation {gateway.generation}'
-    if not gateway.answers:
-        yield 'does not answer'
-    if gateway.draining:
-        yield 'draining'
-    if gateway.refused_generation:
-        yield f'can not read generation {gateway.refused_generation}'
-    yield from gateway.leases
+def _list_others(entered: Iterable[GatewayStatus]) -> list[GatewayStatus]:
+    known = {
+        (name, gateway.region): state
+        for gateway in entered
+        for name, state in gateway.gateways.items()
+    }
+    listed = {(gateway.vm, gateway.region) for gateway in entered}
+    return [
+        GatewayStatus(
+            *place,
+            gateways={place[0]: state},
+            answers=False,
+            is_entry=False,
+        )
+        for place, state in sorted(known.items())
+        if place not in listed
+    ]
--- /dev/null
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/queries/rendering.py
@@ -0,0 +1,24 @@
+"""Lines of the status of gateways."""
+
+from collections.abc import Iterable
+
+from baobabhinge_operator.queries.answers import GatewayStatus
+
+
+def render_status(gateway: GatewayStatus) -> str:
+    """Return the line of one gateway."""
+    return ', '.join(_list_remarks(gateway))
+
+
+def _list_remarks(gateway: GatewayStatus) -> Iterable[str]:
+    yield f'{gateway.vm} {gateway.region}: generation {gateway.generation}'
+    if not gateway.is_entry:
+        yield 'no entry for callers'
+        yield gateway.gateways.get(gateway.vm, 'alive')
+    elif not gateway.answers:
+        yield 'does not answer'
+    if gateway.draining:
+        yield 'draining'
+    if gateway.refused_generation:
+        yield f'can not read generation {gateway.refused_generation}'
+    yield from gateway.leases
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/configuration.feature
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/configuration.feature
@@ -76,6 +76,7 @@
   Scenario: An operator drains a gateway
     When an operator drains west-gateway-3
     Then callers are not told to use west-gateway-3
+    And the operators' status lists west-gateway-3 as no entry, and one lease in each region
     When an operator takes the drain of west-gateway-3 back
     Then callers are told to use west-gateway-3 again
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/operators.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/operators.py
@@ -36,10 +36,12 @@
         store = self._running.platform.store_address
         return await self._run(*words, f'--key-value={store}', author=author)
 
-    async def ask(self, gateway, query):
-        """Run one query of a gateway."""
-        address = self._running.roster.get(gateway).caller_address
-        return await self._run(query, f'--gateway={address}', author='lead')
+    async def ask(self, query, *gateways):
+        """Run one query of some gateways."""
+        roster = self._running.roster
+        addresses = [roster.get(name).caller_address for name in gateways]
+        option = ','.join(addresses)
+        return await self._run(query, f'--gateway={option}', author='lead')
 
     async def publish(self, files, *options, author='lead'):
         """Publish a folder with these texts by name."""
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_configuration.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_configuration.py
@@ -372,12 +372,32 @@
 async def is_listed(running, operators, vm, wanted):
     """Tell whether every gateway lists the vm, or none does."""
     listed = [
-        vm in (await operators.ask(gateway, 'entries')).text
+        vm in (await operators.ask('entries', gateway)).text
         for gateway in list_gateways(running)
     ]
     return set(listed) == {wanted}
 
 
+@then(
+    parsers.parse(
+        "the operators' status lists {vm} as no entry, and one lease in each "
+        'region',
+    ),
+)
+def check_status(running, operators, loop, vm):
+    async def check():
+        ended = await operators.ask('status', *list_gateways(running))
+        lines = ended.text.splitlines()
+        leases = [line for line in lines if 'fencing number' in line]
+        others = [line for line in lines if 'no entry' in line]
+        assert len(lines) == len(list_gateways(running)), lines
+        assert [line.split()[0] for line in others] == [vm], lines
+        assert 'draining' in others[0], lines
+        return len(leases) == 2
+
+    loop.run(wait_until(check))
+
+
 @then(
     parsers.parse('{vm} runs none of {count:d} calls that come in its region'),
 )
