--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/at_most_once.feature
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/at_most_once.feature
@@ -24,6 +24,8 @@
       | no failure              | entry   | kill owner and witness | once  | unknown         | unknown         |
       | no failure              | entry   | freeze owner           | once  | unknown         | unknown         |
       | no failure              | entry   | freeze witness         | once  | answered        | answered        |
+      | no failure              | entry   | kill entry             | once  | none            | answered        |
+      | no failure              | entry   | freeze entry           | once  | none            | answered        |
       | no failure              | entry   | cut entry to owner     | once  | known-later     | any             |
       | no failure              | entry   | cut owner to witness   | once  | answered        | answered        |
 
@@ -53,3 +55,9 @@
       | store losing | entry   | no failure | once  | answered | answered |
       | store down   | entry   | no failure | never | unknown  | unknown  |
       | no failure   | owner   | kill owner | once  | none     | unknown  |
+
+  Scenario: A region cut off from the others and from the store goes on
+    Given a confirmation without a key, and isolate west
+    Then it gets a key with a witness, and is answered once
+    When the owner is killed and started again while still cut off
+    Then it gets a key with a witness, and is answered twice
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/confirmations.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/confirmations.py
@@ -40,7 +40,7 @@
 """
 LEDGER_PLAN = DeploymentPlan(
     name='ledger',
-    gateways={'west': 3, 'east': 1},
+    gateways={'east': 1, 'west': 3},
     backends=(
         BackendPlan('ledger', Role.application, 'west', 2),
         BackendPlan('ledger', Role.application, 'east', 1),
@@ -51,7 +51,7 @@
     faulty_peers=True,
 )
 LOST_REPLIES = LinkFault(backward=Impairment(is_cut=True))
-LIMIT = aiohttp.ClientTimeout(total=30)
+LIMIT = aiohttp.ClientTimeout(total=8)
 NUMBERS = count(1)
 OWNER = 'west-gateway-1'
 
@@ -152,6 +152,12 @@
     async def has_run(self):
         return bool(await self.list_runs())
 
+    async def restart(self, role):
+        """Kill a gateway, start it again and wait until it serves."""
+        await self._do_kill(role)
+        await self.running.processes.restart(self.names[role])
+        await self.running.wait_ready()
+
     async def fail(self, failure):
         """Bring ``failure`` about: verbs, each with what it is done to."""
         for part in failure.split(' + '):
@@ -190,7 +196,7 @@
             ) as answer:
                 outcome = answer.headers.get('Baobabhinge-Outcome', '')
                 return answer.status, outcome, await answer.read()
-        except aiohttp.ClientError:
+        except (aiohttp.ClientError, TimeoutError):
             return None
 
     async def _do_no(self, _):
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_at_most_once.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_at_most_once.py
@@ -12,6 +12,7 @@
 scenarios('at_most_once.feature')
 
 RUNS = {'once': ['a'], 'never': []}
+TIMES = {'once': 1, 'twice': 2}
 TOLD = {
     'known-later': {'answered', 'unknown'},
     'any': {'answered', 'unknown', 'none'},
@@ -76,3 +77,21 @@
     for one in confirmation.told:
         assert one.outcome != 'not-run' or not ran
         assert one.outcome != 'answered' or '"echo": "a"' in one.body
+
+
+@given(parsers.parse('a confirmation without a key, and {failure}'))
+def cut_off(confirmation, loop, failure):
+    loop.run(confirmation.fail(failure))
+
+
+@when('the owner is killed and started again while still cut off')
+def restart(confirmation, loop):
+    loop.run(confirmation.restart('owner'))
+
+
+@then(
+    parsers.parse('it gets a key with a witness, and is answered {times}'),
+)
+def check_answered(confirmation, loop, times):
+    loop.run(confirmation.wait_answered())
+    assert len(loop.run(confirmation.list_runs())) == TIMES[times]
