--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/assembly.py
@@ -13,6 +13,8 @@
 from baobabhinge_gateway.runonce.state import RunOnceState
 from baobabhinge_gateway.runonce.sweeping import BindingSweeper
 
+STORE_ROLE = 'run-once'
+
 
 def build_run_once(
     fleet: FleetView,
@@ -33,6 +35,7 @@
         environment.clock,
         environment.random,
     )
-    binder = KeyBinder(platform.store, memory, active)
-    sweeper = BindingSweeper(platform.store)
+    store = platform.open_store(STORE_ROLE)
+    binder = KeyBinder(store, memory, active)
+    sweeper = BindingSweeper(store)
     return RunOnceParts(environment, memory, binder, sweeper)
