Bound the keys that one gateway remembers to the memory it may use

Cause: 20 epochs of 5,000 keys at 1,329 bytes each (tracemalloc, 5,000 keys) are 133 MB, over the 64 MB of a node. Now 10 epochs of 2,000: 26 MB (computed). A batch holds up to 100 keys, so that one caller does not empty an epoch.

--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/retention.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/retention.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-KEY_AGE = timedelta(minutes=10)
+KEY_AGE = timedelta(minutes=5)
 EPOCH_SPAN = timedelta(minutes=1)
-EPOCH_AGE = timedelta(minutes=15)
-KEYS_PER_EPOCH = 5000
+EPOCH_AGE = timedelta(minutes=8)
+KEYS_PER_EPOCH = 2000
 MAX_EPOCHS = 256
 MAX_ANSWER_BYTES = 64 << 10
 MAX_KEPT_BYTES = 8 << 20
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/keyroutes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/keyroutes.py
@@ -21,7 +21,7 @@
 from baobabhinge_gateway.runonce.parts import RunOnceParts
 
 KEYS_PATH = '/v1/keys'
-MAX_COUNT = 1000
+MAX_COUNT = 100
 SECOND = timedelta(seconds=1)
 JSON_TYPE = 'application/json'
 
--- a/packages/baobabhinge-standins/benchmarks/runonce.py
+++ b/packages/baobabhinge-standins/benchmarks/runonce.py
@@ -22,6 +22,7 @@
 )
 
 CALLS = 400
+BATCH = 100
 PARTS = 20
 KEY = 'Baobabhinge-Key'
 MILLISECONDS_PER_SECOND = 1000
@@ -64,15 +65,18 @@
 
     async def _take_keys(self):
         """Return keys that name a witness."""
-        batch = {}
-        while not batch.get('witnessed'):
+        keys = []
+        while len(keys) < 2 * CALLS:
             async with self._http.post(
                 f'http://{self._gateways[0]}/v1/keys',
-                json={'count': 2 * CALLS},
+                json={'count': BATCH},
             ) as answer:
                 batch = await answer.json()
-            await asyncio.sleep(1)
-        return batch['keys']
+            if batch.get('witnessed'):
+                keys.extend(batch['keys'])
+            else:
+                await asyncio.sleep(1)
+        return keys
 
     async def _send(self, kind, gateway, path, headers):
         url = f'http://{self._gateways[gateway]}/services/ledger{path}'
