--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/confirmations.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/confirmations.py
@@ -40,7 +40,7 @@
 """
 LEDGER_PLAN = DeploymentPlan(
     name='ledger',
-    gateways={'west': 3, 'east': 1},
+    gateways={'east': 1, 'west': 3},
     backends=(
         BackendPlan('ledger', Role.application, 'west', 2),
         BackendPlan('ledger', Role.application, 'east', 1),
@@ -51,7 +51,7 @@
     faulty_peers=True,
 )
 LOST_REPLIES = LinkFault(backward=Impairment(is_cut=True))
-LIMIT = aiohttp.ClientTimeout(total=30)
+LIMIT = aiohttp.ClientTimeout(total=8)
 NUMBERS = count(1)
 OWNER = 'west-gateway-1'
 
@@ -74,6 +74,7 @@
         self._headers = {'Baobabhinge-Deadline-Ms': '3000'}
         self.told = []
         self.silent = set()
+        self.stopping = set()
         self.names = {'owner': OWNER, 'entry': 'west-gateway-2'}
 
     async def take_key(self):
@@ -108,6 +109,8 @@
 
     async def send_everywhere(self):
         """Send it through all gateways at once, twice each."""
+        for name in self.stopping:
+            await self.running.processes.get(name).process.wait()
         names = [
             member.name
             for member in self.list_gateways()
@@ -152,6 +155,12 @@
     async def has_run(self):
         return bool(await self.list_runs())
 
+    async def restart(self, role):
+        """Kill a gateway, start it again and wait until it serves."""
+        await self._do_kill(role)
+        await self.running.processes.restart(self.names[role])
+        await self.running.wait_ready()
+
     async def fail(self, failure):
         """Bring ``failure`` about: verbs, each with what it is done to."""
         for part in failure.split(' + '):
@@ -190,7 +199,7 @@
             ) as answer:
                 outcome = answer.headers.get('Baobabhinge-Outcome', '')
                 return answer.status, outcome, await answer.read()
-        except aiohttp.ClientError:
+        except (aiohttp.ClientError, TimeoutError):
             return None
 
     async def _do_no(self, _):
@@ -206,6 +215,11 @@
             self.running.processes.get(self.names[role]).freeze()
             self.silent.add(self.names[role])
 
+    async def _do_stop(self, role):
+        self.silent.add(self.names[role])
+        self.stopping.add(self.names[role])
+        self.running.processes.get(self.names[role]).terminate()
+
     async def _do_cut(self, ends):
         await self._set_link(ends, CUT)
 
@@ -233,8 +247,8 @@
         }
         await self.running.platform.store.send('PUT', '-/faults', faults[state])
 
-    async def _do_slow(self, _):
-        await self._set_ledgers(ApplicationFaults(slow_seconds=1))
+    async def _do_slow(self, seconds):
+        await self._set_ledgers(ApplicationFaults(slow_seconds=float(seconds)))
 
     async def _do_reply(self, _):
         await self._set_ledgers(ApplicationFaults(cut_after_effect=1))
