Pass paths on as they came, and apply run-once rules to their one decoded form

Cause: the path was decoded once and quoted again, so that %3F became a query; and a run-once rule was matched against one spelling only: //trades//9/confirm was taken for a call that may be repeated, while a service that merges slashes confirms it. Dot segments are refused.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/exchange.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/exchange.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import msgspec
+from yarl import URL
 
 from baobabhinge_gateway.backends.answers import Answer
 from baobabhinge_gateway.calls.headers import (
@@ -68,7 +69,7 @@
     try:
         async with http.request(
             outbound.method,
-            outbound.url,
+            URL(outbound.url, encoded=True),
             headers=outbound.headers,
             data=outbound.body,
             timeout=limit,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/building.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/building.py
@@ -6,8 +6,11 @@
 import msgspec
 from aiohttp import web
 
-from baobabhinge_gateway.calls import headers
 from baobabhinge_gateway.calls.bodies import read_body
+from baobabhinge_gateway.calls.encodings import (
+    ask_plain_text,
+    keep_encoding,
+)
 from baobabhinge_gateway.calls.hops import HopList
 from baobabhinge_gateway.calls.model import Call
 from baobabhinge_gateway.calls.models import parse_model_name
@@ -16,6 +19,10 @@
     parse_model_request,
     parse_terms,
 )
+from baobabhinge_gateway.calls.paths import (
+    extract_service_path,
+    strip_forward,
+)
 from baobabhinge_settings.model import ServiceKind, Settings
 
 
@@ -55,8 +62,8 @@
         request_id=arrival.request_id,
         service=service,
         method=request.method,
-        path=request.path.removeprefix(headers.FORWARD_PREFIX),
-        headers=headers.keep_end_to_end(request.headers.items()),
+        path=strip_forward(request.path),
+        headers=ask_plain_text(request.headers.items()),
         body=body,
         terms=parse_terms(request, arrival.instant, service),
         hops=arrival.hops,
@@ -75,13 +82,12 @@
         request.match_info['service'],
         ServiceKind.plain,
     )
-    query = f'?{request.query_string}' if request.query_string else ''
     return Call(
         request_id=arrival.request_id,
         service=service,
         method=request.method,
-        path=f'/{request.match_info["rest"]}{query}',
-        headers=headers.keep_end_to_end(request.headers.items()),
+        path=extract_service_path(request.raw_path),
+        headers=keep_encoding(request.headers.items()),
         body=await read_body(request),
         terms=parse_terms(request, arrival.instant, service),
         hops=arrival.hops,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/headers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/headers.py
@@ -18,6 +18,7 @@
     (
         'connection',
         'content-length',
+        'expect',
         'host',
         'keep-alive',
         'proxy-authenticate',
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/model.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/model.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from baobabhinge_gateway.calls.hops import Hop, HopList
+from baobabhinge_gateway.calls.paths import decode_path
 from baobabhinge_settings.model import Service
 
 Headers = tuple[tuple[str, str], ...]
@@ -68,8 +69,7 @@
     @property
     def is_run_once(self) -> bool:
         """Tell whether the call may not be repeated."""
-        path = self.path.partition('?')[0]
-        return self.service.is_run_once(self.method, path)
+        return self.service.is_run_once(self.method, decode_path(self.path))
 
     def add_tried(self, hop: Hop) -> 'Call':
         """Return the call with ``hop`` among its earlier attempts."""
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/paths.py
@@ -0,0 +1,48 @@
+"""Paths at plain services, as callers send them."""
+
+import re
+from urllib.parse import unquote
+
+from baobabhinge_gateway.calls.headers import FORWARD_PREFIX
+from baobabhinge_gateway.errors import MalformedCallError
+
+SERVICE_PARTS = 3
+DOT_SEGMENTS = frozenset(('.', '..'))
+SLASHES = re.compile('/+')
+QUERY_MARK = '?'
+
+
+def extract_service_path(raw_path: str) -> str:
+    """Return path and query at the service, unchanged.
+
+    Parameters
+    ----------
+    raw_path : str
+        Path and query as they came in, still percent-encoded.
+
+    Raises
+    ------
+    MalformedCallError
+        If the path has dot segments: the service might resolve them to
+        another path than the one that rules are applied to.
+    """
+    rest = strip_forward(raw_path).split('/', SERVICE_PARTS)[-1]
+    service_path = f'/{rest}'
+    if DOT_SEGMENTS & set(decode_path(service_path).split('/')):
+        raise MalformedCallError('the path has dot segments')
+    return service_path
+
+
+def strip_forward(path: str) -> str:
+    """Return the path as the first gateway got it."""
+    return path.removeprefix(FORWARD_PREFIX)
+
+
+def decode_path(path: str) -> str:
+    """Return the path without its query, decoded, with single slashes.
+
+    Rules about paths are applied to this form, so that no other spelling of
+    a path gets round them.
+    """
+    decoded = unquote(path.partition(QUERY_MARK)[0])
+    return SLASHES.sub('/', decoded)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/tests/test_headers.py
@@ -0,0 +1,37 @@
+import pytest
+
+from baobabhinge_gateway.calls.encodings import ask_plain_text, keep_encoding
+from baobabhinge_gateway.calls.headers import keep_end_to_end
+
+GZIP = ('accept-encoding', 'gzip')
+IDENTITY = ('Accept-Encoding', 'identity')
+OTHER = ('X-Other', '1')
+
+
+@pytest.mark.parametrize(
+    ('change', 'before', 'after'),
+    [
+        (ask_plain_text, (OTHER,), (OTHER, IDENTITY)),
+        (ask_plain_text, (GZIP, OTHER), (OTHER, IDENTITY)),
+        (keep_encoding, (OTHER,), (OTHER, IDENTITY)),
+        (keep_encoding, (GZIP, OTHER), (GZIP, OTHER)),
+    ],
+)
+def test_encodings(change, before, after):
+    assert change(before) == after
+
+
+@pytest.mark.parametrize(
+    'dropped',
+    [
+        ('Connection', 'close, X-Named'),
+        ('X-Named', '1'),
+        ('Expect', '100-continue'),
+        ('Transfer-Encoding', 'chunked'),
+        ('Baobabhinge-Path', 'a@b'),
+        ('X-Request-Id', 'r1'),
+    ],
+)
+def test_headers_that_end_here(dropped):
+    pairs = (('Connection', 'X-Named'), dropped, OTHER)
+    assert keep_end_to_end(pairs) == (OTHER,)
