Never tell a call that ran to be not run, nor run one again whose caller is gone

Cause, found on reading: the call that crashed two engines was told crashing-request with outcome not-run; and a caller that was gone when the last event was written looked like an engine that broke off, so that the call was tried again.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/attempts.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/attempts.py
@@ -1,5 +1,7 @@
 """Attempts of one call: which target is next, and what the caller is told."""
 
+from collections.abc import Sequence
+
 from baobabhinge_coordination.budgets import RetryBudget
 from baobabhinge_gateway.calls import Call, Hop
 from baobabhinge_gateway.errors import (
@@ -7,8 +9,8 @@
     CrashingRequestError,
     EngineCrashedError,
     NoBackendServerError,
-    Outcome,
 )
+from baobabhinge_gateway.execution.failures import Failures
 from baobabhinge_gateway.routing import Router, Target
 from baobabhinge_gateway.routing.decisions import Candidate, Decision
 from baobabhinge_gateway.suspects import Isolation
@@ -41,12 +43,10 @@
 
     __slots__ = (
         '_budget',
-        '_failure',
-        '_is_final',
+        '_failures',
         '_isolation',
         '_ranked',
         '_router',
-        '_runs',
         '_tried',
         'call',
     )
@@ -64,10 +64,8 @@
         self._budget = budget
         self._isolation = isolation
         self._tried: set[str] = set()
-        self._runs = 0
-        self._is_final = False
         self._ranked: tuple[Candidate, ...] = ()
-        self._failure: CallError | None = None
+        self._failures = Failures()
 
     def choose_candidate(self) -> Candidate:
         """Return the next candidate.
@@ -77,11 +75,11 @@
         CallError
             If there is none, or no retry is allowed: what the caller is told.
         """
-        if self._failure is not None and self._is_final:
-            raise self._failure
+        if self._failures.told is not None and self._failures.is_final:
+            raise self._failures.told
         candidate = self._find_candidate()
         target = candidate.target
-        if self._runs:
+        if self._failures.count:
             self._check_retry(target)
         elif not self._tried:
             self._budget.deposit(target.vm.role)
@@ -92,12 +90,8 @@
         """Note that ``target`` gave no whole answer."""
         if isinstance(failure, NoBackendServerError):
             return
-        self._runs += 1
+        self._failures.add(failure)
         self._ranked = ()
-        if failure.code == CrashingRequestError.code:
-            self._is_final = True
-        if self._failure is None or failure.outcome is Outcome.unknown:
-            self._failure = failure
         if target.is_remote:
             passed = Hop(target.vm.name, target.vm.region)
             self.call = self.call.add_tried(passed)
@@ -105,34 +99,40 @@
     def _find_candidate(self) -> Candidate:
         if not self._ranked:
             self._ranked = self._decide().candidates
-        unspent = [
-            candidate
-            for candidate in self._ranked
-            if not self._is_spent(candidate.target)
-        ]
-        chosen = self._isolation.choose(self.call, unspent)
+        chosen = self._choose(
+            [
+                candidate
+                for candidate in self._ranked
+                if candidate.target.vm.name not in self._tried
+                and not _is_passed(candidate.target, self.call)
+            ],
+        )
         if chosen is not None:
             return chosen
-        raise self._failure or NoBackendServerError(
+        raise self._failures.told or NoBackendServerError(
             'no backend server could be reached',
         )
 
-    def _is_spent(self, target: Target) -> bool:
-        if target.vm.name in self._tried:
-            return True
-        return target.is_remote and self.call.hops.has_region(target.vm.region)
+    def _choose(self, unspent: Sequence[Candidate]) -> Candidate | None:
+        try:
+            return self._isolation.choose(self.call, unspent)
+        except CrashingRequestError as refused:
+            raise self._failures.combine(refused) from refused
 
     def _decide(self) -> Decision:
         try:
             return self._router.decide(self.call)
         except CallError as refused:
-            raise self._failure or refused from refused
+            raise self._failures.told or refused from refused
 
     def _check_retry(self, target: Target) -> None:
-        if isinstance(self._failure, EngineCrashedError):
+        told = self._failures.told
+        if told is None or isinstance(told, EngineCrashedError):
             return
-        is_allowed = self._runs < MAX_ATTEMPTS and self._budget.withdraw(
-            target.vm.role,
-        )
-        if self._failure is not None and not is_allowed:
-            raise self._failure
+        is_early = self._failures.count < MAX_ATTEMPTS
+        if not (is_early and self._budget.withdraw(target.vm.role)):
+            raise told
+
+
+def _is_passed(target: Target, call: Call) -> bool:
+    return target.is_remote and call.hops.has_region(target.vm.region)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/failures.py
@@ -0,0 +1,51 @@
+"""What is known about a call after the failures of its attempts."""
+
+from baobabhinge_gateway.errors import (
+    CallError,
+    CrashingRequestError,
+    DeadlinePassedError,
+    Outcome,
+)
+
+FINAL_CODES = frozenset(
+    (CrashingRequestError.code, DeadlinePassedError.code),
+)
+
+
+class Failures:
+    """Failures of one call so far.
+
+    Attributes
+    ----------
+    count : int
+        Number of attempts that failed.
+    told : CallError or None
+        What the caller is told if no attempt follows.
+    is_final : bool
+        Whether no attempt may follow.
+    """
+
+    __slots__ = ('count', 'is_final', 'told')
+
+    def __init__(self) -> None:
+        """Start without failures."""
+        self.count = 0
+        self.told: CallError | None = None
+        self.is_final = False
+
+    def add(self, failure: CallError) -> None:
+        """Note one more failure."""
+        self.count += 1
+        self.told = self.combine(failure)
+        self.is_final = failure.code in FINAL_CODES
+
+    def combine(self, failure: CallError) -> CallError:
+        """Return what is to be told after ``failure`` and those before it.
+
+        A call that may have run once is never told to be not run.
+        """
+        if self.told is None or failure.outcome is Outcome.unknown:
+            return failure
+        if failure.code == CrashingRequestError.code:
+            return CrashingRequestError(self.told.outcome)
+        return self.told
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/relay.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/relay.py
@@ -94,7 +94,7 @@
             response = await self._caller.start(answer)
             await self._caller.write(response, event.frame)
             self._tokens += event.has_text
-        await response.write_eof()
+        await self._caller.end(response)
         return response
 
     async def fail(self, failure: CallError) -> None:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/writing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/writing.py
@@ -1,6 +1,7 @@
 """Writing to callers, within limits of time and memory."""
 
 import asyncio
+from collections.abc import Awaitable
 from datetime import timedelta
 
 import msgspec
@@ -49,7 +50,7 @@
             self.response = web.StreamResponse(status=answer.status)
             copy_headers(answer, self.response)
             self.response.headers[REQUEST_ID] = self._request_id
-            await self.response.prepare(self._request)
+            await self._finish_within(self.response.prepare(self._request))
         return self.response
 
     async def write(self, response: web.StreamResponse, frame: bytes) -> None:
@@ -60,11 +61,17 @@
         CallerLostError
             If the caller went away, or did not make room in time.
         """
-        try:
-            await _write_within(response, frame)
-        except (ConnectionError, TimeoutError) as lost:
-            self._abort()
-            raise CallerLostError('the caller does not read') from lost
+        await self._finish_within(response.write(frame))
+
+    async def end(self, response: web.StreamResponse) -> None:
+        """Write the end of the body.
+
+        Raises
+        ------
+        CallerLostError
+            If the caller went away, or did not make room in time.
+        """
+        await self._finish_within(response.write_eof())
 
     async def cut(
         self,
@@ -78,16 +85,24 @@
         if self._request.transport is not None:
             self._request.transport.close()
 
+    async def _finish_within(self, step: Awaitable[object]) -> None:
+        """Do one step of writing.
+
+        A caller that is lost must not look like a failure of the engine,
+        which would run the call again.
+        """
+        try:
+            async with asyncio.timeout(WRITE_PATIENCE.total_seconds()):
+                await step
+        except (ConnectionError, TimeoutError) as lost:
+            self._abort()
+            raise CallerLostError('the caller does not read') from lost
+
     def _abort(self) -> None:
         if self._request.transport is not None:
             self._request.transport.abort()
 
 
-async def _write_within(response: web.StreamResponse, frame: bytes) -> None:
-    async with asyncio.timeout(WRITE_PATIENCE.total_seconds()):
-        await response.write(frame)
-
-
 def copy_headers(answer: Answer, response: web.StreamResponse) -> None:
     """Take the headers of ``answer`` over, repeated ones included."""
     for name, text in answer.headers:
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_crashing_request.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_crashing_request.py
@@ -173,6 +173,7 @@
     codes = [received.error['code'] for received in refusals]
     assert set(codes) == {'crashing-request'}
     outcomes = [received.error['outcome'] for received in refusals]
+    assert outcomes[0] == 'unknown'
     assert set(outcomes[-6:]) == {'not-run'}
 
 
