--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/ledger.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/ledger.py
@@ -4,6 +4,11 @@
 from datetime import timedelta
 
 from baobabhinge_coordination.clock import Clock
+from baobabhinge_coordination.suspects.expiry import (
+    CULPRIT_CRASHES,
+    count_crashes,
+    keep_current,
+)
 from baobabhinge_coordination.suspects.records import (
     Crash,
     CrashRecord,
@@ -12,9 +17,6 @@
 
 MILLISECOND = timedelta(milliseconds=1)
 SAME_CRASH = timedelta(seconds=3)
-LIFETIME = timedelta(minutes=30)
-MAX_CRASHES = 256
-CULPRIT_CRASHES = 2
 
 
 class SuspectLedger:
@@ -60,8 +62,8 @@
     def judge(self, fingerprint: str) -> Verdict:
         """Return what is held against a request."""
         now = self._clock.read_monotonic()
-        self._crashes = _keep_young(self._crashes, now)
-        count = sum(crash.accuses(fingerprint) for crash in self._crashes)
+        self._crashes = keep_current(self._crashes, now)
+        count = count_crashes(self._crashes)[fingerprint]
         if count >= CULPRIT_CRASHES:
             return Verdict.culprit
         return Verdict.suspect if count else Verdict.clear
@@ -69,7 +71,7 @@
     def export(self) -> list[CrashRecord]:
         """Return every crash for the peers."""
         now = self._clock.read_monotonic()
-        self._crashes = _keep_young(self._crashes, now)
+        self._crashes = keep_current(self._crashes, now)
         return [
             CrashRecord(
                 crash.server,
@@ -86,7 +88,7 @@
         for told in records:
             instant = now - told.age_ms * MILLISECOND
             self._add(Crash(told.server, instant, told.suspects, told.cleared))
-        self._crashes = _keep_young(self._crashes, now)
+        self._crashes = keep_current(self._crashes, now)
 
     def _add(self, crash: Crash) -> None:
         same = [
@@ -96,9 +98,3 @@
             self._crashes.remove(known)
             crash = crash.join(known)
         self._crashes.append(crash)
-
-
-def _keep_young(crashes: list[Crash], now: timedelta) -> list[Crash]:
-    young = [crash for crash in crashes if crash.instant >= now - LIFETIME]
-    young.sort(key=lambda crash: crash.instant)
-    return young[-MAX_CRASHES:]
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/tests/test_ledger.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/tests/test_ledger.py
@@ -71,3 +71,22 @@
             (told is Verdict.clear) == (accused[0] is Verdict.clear)
             for told in accused
         )
+
+
+@pytest.mark.parametrize(
+    ('minutes', 'told'),
+    [(0, 'abcd'), (2, 'acd'), (6, 'a'), (31, '')],
+)
+def test_peers_are_told_what_still_counts(minutes, told):
+    clock = ManualClock()
+    ledger = SuspectLedger(clock)
+    ledger.record('e1', 'abc')
+    ledger.record('e2', 'ad')
+    ledger.clear('b')
+    clock.advance(timedelta(minutes=minutes))
+    exported = ledger.export()
+    assert set().union(*(crash.suspects for crash in exported)) == set(told)
+    other = SuspectLedger(clock)
+    other.merge(exported)
+    for fingerprint in 'abcd':
+        assert other.judge(fingerprint) is ledger.judge(fingerprint)
