Keep the hints of a refusal to the call that was refused

Cause, found on reading: the entries of a wrong-region refusal were put before all others for every later call. bin/test baobabhinge-caller: 11 passed.

--- a/packages/baobabhinge-caller/src/baobabhinge_caller/attempts.py
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/attempts.py
@@ -1,6 +1,7 @@
 """Attempts of one call at one gateway after another."""
 
 import asyncio
+from collections import deque
 
 from baobabhinge_caller.entries import EntryBook
 from baobabhinge_caller.messages import Problem
@@ -23,7 +24,7 @@
         Gateway of the present attempt.
     """
 
-    __slots__ = ('_count', '_entries', '_is_repeatable', 'address')
+    __slots__ = ('_count', '_entries', '_hinted', '_is_repeatable', 'address')
 
     def __init__(self, entries: EntryBook, *, is_repeatable: bool) -> None:
         """Start before the first attempt."""
@@ -31,11 +32,15 @@
         self._entries = entries
         self._is_repeatable = is_repeatable
         self._count = 0
+        self._hinted: deque[str] = deque()
 
     async def choose(self) -> str:
         """Return the gateway of the next attempt."""
-        addresses = await self._entries.list_addresses()
-        self.address = addresses[0]
+        if self._hinted:
+            self.address = self._hinted.popleft()
+        else:
+            addresses = await self._entries.list_addresses()
+            self.address = addresses[0]
         self._count += 1
         return self.address
 
@@ -52,6 +57,7 @@
             self._count,
             is_repeatable=self._is_repeatable,
         )
-        self._entries.avoid(self.address)
-        self._entries.prefer(problem.entries)
+        if not problem.entries:
+            self._entries.avoid(self.address)
+        self._hinted = deque(entry.address for entry in problem.entries)
         await asyncio.sleep(move.pause.total_seconds())
--- a/packages/baobabhinge-caller/src/baobabhinge_caller/entries.py
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/entries.py
@@ -6,7 +6,7 @@
 import aiohttp
 import msgspec
 
-from baobabhinge_caller.messages import Entry, EntryList
+from baobabhinge_caller.messages import EntryList
 from baobabhinge_coordination.clock import Clock
 
 ASK_TIMEOUT = aiohttp.ClientTimeout(total=2)
@@ -48,12 +48,6 @@
         known = dict.fromkeys([*self._listed, *self._seeds])
         return sorted(known, key=self._avoided.__contains__)
 
-    def prefer(self, entries: Sequence[Entry]) -> None:
-        """Put the gateways that a refusal named before all others."""
-        named = [entry.address for entry in entries]
-        self._avoided.difference_update(named)
-        self._listed = list(dict.fromkeys([*named, *self._listed]))
-
     def avoid(self, address: str) -> None:
         """Put a gateway last until the list is asked for again."""
         self._avoided.add(address)
