--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/status.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/status.py
@@ -5,6 +5,7 @@
 import msgspec
 from aiohttp import web
 
+from baobabhinge_coordination.leases import LeaseKeeper, is_held
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.telemetry import Measures
@@ -28,6 +29,8 @@
         Whether it holds a watch on the key-value service.
     store_calls : dict of str to int
         Calls made to the key-value service, by role.
+    holds_lease : bool
+        Whether this gateway holds the lease of its region.
     gateways : dict of str to str
         State of each gateway of the region that this one knows.
     outcomes, latencies : dict
@@ -41,6 +44,7 @@
     refused_faults: list[str]
     watches_manifest: bool
     store_calls: dict[str, int]
+    holds_lease: bool
     gateways: dict[str, str]
     outcomes: dict[str, int]
     latencies: dict[str, LatencySummary]
@@ -59,9 +63,11 @@
         What has been counted.
     store_calls : mapping of str to int
         Calls made to the key-value service, by role.
+    keeper : LeaseKeeper
+        The lease of the region.
     """
 
-    __slots__ = ('_active', '_fleet', '_measures', '_store_calls')
+    __slots__ = ('_active', '_fleet', '_keeper', '_measures', '_store_calls')
 
     def __init__(
         self,
@@ -69,12 +75,14 @@
         active: ActiveConfiguration,
         measures: Measures,
         store_calls: Mapping[str, int],
+        keeper: LeaseKeeper,
     ) -> None:
         """Keep the parts."""
         self._active = active
         self._fleet = fleet
         self._measures = measures
         self._store_calls = store_calls
+        self._keeper = keeper
 
     def add_to(self, app: web.Application) -> None:
         """Add the path."""
@@ -90,7 +98,8 @@
             [fault.render() for fault in self._active.refusal.faults],
             self._active.is_watching,
             dict(self._store_calls),
-            self._fleet.list_states(),
+            is_held(self._keeper),
+            self._fleet.roll.list_states(),
             dict(self._measures.outcomes),
             self._measures.summarize(),
         )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -8,6 +8,7 @@
     EntryReport,
     HealthReport,
     StatusReport,
+    build_call_parts,
     build_call_server,
     build_forward_routes,
 )
@@ -54,10 +55,9 @@
         fleet = await self._start_watchers(platform)
         peers = PeerStack(platform, fleet, self._lifecycle, self._active)
         await self.add_runtime_dependency(peers)
-        await self.add_runtime_dependency(
-            DutyStack(platform, self._active, fleet.view),
-        )
-        await self._start_listeners(platform, fleet.view, peers)
+        duties = DutyStack(platform, self._active, fleet.view)
+        await self.add_runtime_dependency(duties)
+        await self._start_listeners(platform, fleet.view, peers, duties)
 
     async def _start_watchers(self, platform: Platform) -> FleetService:
         fleet = FleetService(
@@ -77,16 +77,25 @@
         platform: Platform,
         fleet: FleetView,
         peers: PeerStack,
+        duties: DutyStack,
     ) -> None:
-        incarnation = self._lifecycle.incarnation
-        run_once = build_run_once(fleet, platform, incarnation)
+        run_once = build_run_once(
+            fleet,
+            platform,
+            self._lifecycle,
+            self._active,
+        )
         await self.add_runtime_dependency(run_once)
         calls = build_call_server(
             self._active,
             fleet,
             platform,
-            self._lifecycle,
-            RunOnceExecutor(run_once),
+            build_call_parts(
+                self._lifecycle,
+                RunOnceExecutor(run_once),
+                fleet,
+                peers.node.parts,
+            ),
         )
         identity = self._settings.identity
         await self._listen(
@@ -106,6 +115,7 @@
                 self._active,
                 calls.measures,
                 platform.transport.calls,
+                duties.keeper,
             ),
         )
         await self.add_runtime_dependency(Drainer(self._lifecycle))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/executor.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/executor.py
@@ -14,9 +14,11 @@
 from baobabhinge_gateway.calls import Call, headers
 from baobabhinge_gateway.errors import (
     BadKeyError,
+    KeyedRefusalError,
     KeyRequiredError,
     RegionBoundError,
 )
+from baobabhinge_gateway.execution import EXECUTED
 from baobabhinge_gateway.runonce.attempt import Attempt, build_attempt
 from baobabhinge_gateway.runonce.parts import RunOnceParts
 from baobabhinge_gateway.runonce.rendering import render_outcome
@@ -25,6 +27,7 @@
     'this call may not be repeated: take a key from POST /v1/keys and send it '
     'as Baobabhinge-Key, or bring an Idempotency-Key'
 )
+OTHER_REGION = 'the key was made in a region that the call may not be in'
 
 
 class RunOnceExecutor:
@@ -54,9 +57,10 @@
         CallError
             If there is no answer; its outcome tells what is known.
         """
+        request[EXECUTED] = True
         key = await self._find_key(request, call)
         if not call.terms.allows(key.region):
-            raise RegionBoundError('the key was made in another region')
+            raise KeyedRefusalError(RegionBoundError(OTHER_REGION))
         attempt = build_attempt(key, call)
         return render_outcome(attempt, await self._conclude(attempt))
 
