--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/telemetry/logs.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/telemetry/logs.py
@@ -1,9 +1,12 @@
 """Structured logs: one JSON object a line on standard error."""
 
+import logging
 import sys
 
 import structlog
 
+from baobabhinge_gateway.telemetry.crashes import CrashHandler
+
 
 def set_up_logs(vm: str) -> None:
     """Write JSON lines that carry the name of this vm.
@@ -24,3 +27,4 @@
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(vm=vm)
+    logging.basicConfig(level=logging.WARNING, handlers=[CrashHandler()])
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/tests/test_crashes.py
@@ -0,0 +1,24 @@
+import logging
+
+import structlog
+
+from baobabhinge_gateway.telemetry.crashes import CrashHandler
+
+
+def fail_in(logger):
+    try:
+        {}['text of a request']
+    except KeyError:
+        logger.exception('crashed on %r', 'text of a request')
+
+
+def test_a_failed_service_is_logged_without_the_message_of_its_error():
+    logger = logging.getLogger('some.service')
+    logger.addHandler(CrashHandler())
+    with structlog.testing.capture_logs() as lines:
+        fail_in(logger)
+    logger.handlers.clear()
+    assert [line['event'] for line in lines] == ['service-failed']
+    assert lines[0]['reason'] == 'KeyError'
+    assert lines[0]['place'].startswith('test_crashes.py:')
+    assert 'text of a request' not in str(lines)
