--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/benchmark/__main__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/benchmark/__main__.py
@@ -7,6 +7,7 @@
 from baobabhinge_gateway.peers.benchmark.figures import show_figures
 from baobabhinge_gateway.peers.benchmark.large import measure_large
 from baobabhinge_gateway.peers.benchmark.loopback import measure_loopback
+from baobabhinge_gateway.peers.benchmark.memory import measure_memory
 
 
 def loopback(*, gateways: int = 12, seconds: int = 20, seed: int = 1) -> None:
@@ -48,5 +49,18 @@
     show_figures(found)
 
 
+def memory(*, members: int = 3200, vms: int = 13_200) -> None:
+    """Measure what one gateway needs to know a fleet.
+
+    Parameters
+    ----------
+    members
+        Gateways of all regions.
+    vms
+        Vms on the list of the platform.
+    """
+    show_figures(measure_memory(members, vms))
+
+
 if __name__ == '__main__':
-    defopt.run([loopback, protocol])
+    defopt.run([loopback, memory, protocol])
