--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/status.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/status.py
@@ -95,7 +95,7 @@
     async def report_status(self, request: web.Request) -> web.Response:
         """Answer with counters and percentiles."""
         home = self._fleet.home
-        states = self._fleet.list_states()
+        states = self._fleet.roll.list_states()
         status = Status(
             home.gateway,
             home.region,
