Report what heartbeats cost; probe half as often above 8 gateways

Cause: at 16 gateways and a period of 1 s a gateway sent and received 3,192 bytes a second, more than the 3 KB of all control.

--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/membership/scaling.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/membership/scaling.py
@@ -4,7 +4,7 @@
 
 from baobabhinge_coordination.membership.messages import MembershipTiming
 
-SMALL_REGION = 16
+SMALL_REGION = 8
 LARGE_FACTOR = 2
 SMALL_DOUBLINGS = 4
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/benchmark/loopback.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/benchmark/loopback.py
@@ -20,6 +20,7 @@
 from baobabhinge_gateway.platform import build_http_session
 
 SETTLING_ROUNDS = 20
+SETTLING_ROUNDS_PER_GATEWAY = 2
 
 
 async def measure_loopback(
@@ -46,7 +47,8 @@
     meter: Meter,
     seconds: int,
 ) -> None:
-    await _run(fleet, SETTLING_ROUNDS)
+    settling = SETTLING_ROUNDS_PER_GATEWAY * len(fleet)
+    await _run(fleet, SETTLING_ROUNDS + settling)
     meter.reset()
     started = time.process_time()
     await _run(fleet, seconds)
