--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/status.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/status.py
@@ -5,7 +5,8 @@
 import msgspec
 from aiohttp import web
 
-from baobabhinge_coordination.leases import LeaseKeeper, is_held
+from baobabhinge_coordination.leases import LeaseKeeper, LeaseLapsedError
+from baobabhinge_coordination.membership import MemberState
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.telemetry import Measures
@@ -27,10 +28,12 @@
         Why it can't.
     watches_manifest : bool
         Whether it holds a watch on the key-value service.
+    draining : bool
+        Whether it is leaving, or operators drain it.
+    leases : list of str
+        Leases that it holds, with their fencing numbers.
     store_calls : dict of str to int
         Calls made to the key-value service, by role.
-    holds_lease : bool
-        Whether this gateway holds the lease of its region.
     gateways : dict of str to str
         State of each gateway of the region that this one knows.
     outcomes, latencies : dict
@@ -43,8 +46,9 @@
     refused_generation: int
     refused_faults: list[str]
     watches_manifest: bool
+    draining: bool
+    leases: list[str]
     store_calls: dict[str, int]
-    holds_lease: bool
     gateways: dict[str, str]
     outcomes: dict[str, int]
     latencies: dict[str, LatencySummary]
@@ -90,16 +94,20 @@
 
     async def report_status(self, request: web.Request) -> web.Response:
         """Answer with counters and percentiles."""
+        home = self._fleet.home
+        states = self._fleet.roll.list_states()
         status = Status(
-            self._fleet.home.gateway,
-            self._fleet.home.region,
+            home.gateway,
+            home.region,
             self._active.generation,
             self._active.refusal.generation,
             [fault.render() for fault in self._active.refusal.faults],
             self._active.is_watching,
+            states.get(home.gateway) == MemberState.draining.name
+            or self._is_drained(home.gateway),
+            self._list_leases(),
             dict(self._store_calls),
-            is_held(self._keeper),
-            self._fleet.roll.list_states(),
+            states,
             dict(self._measures.outcomes),
             self._measures.summarize(),
         )
@@ -107,3 +115,15 @@
             body=msgspec.json.encode(status),
             content_type='application/json',
         )
+
+    def _is_drained(self, vm: str) -> bool:
+        settings = self._active.find_settings()
+        return settings is not None and settings.is_drained(vm)
+
+    def _list_leases(self) -> list[str]:
+        region = self._fleet.home.region
+        try:
+            lease = self._keeper.require()
+        except LeaseLapsedError:
+            return []
+        return [f'lease of {region}, fencing number {lease.fencing}']
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_store_outage.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_store_outage.py
@@ -105,7 +105,7 @@
 def lapse(gateways, loop):
     async def is_lapsed():
         reports = [await read_status(address) for address in gateways]
-        return not any(report['holds_lease'] for report in reports)
+        return not any(report['leases'] for report in reports)
 
     assert not loop.run(is_lapsed())
     loop.run(wait_until(is_lapsed))
