--- a/packages/baobabhinge-standins/src/baobabhinge_standins/hop/__main__.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/hop/__main__.py
@@ -9,6 +9,7 @@
 from baobabhinge_standins.hop import work
 from baobabhinge_standins.hop.bench import Bench
 from baobabhinge_standins.hop.meter import MILLISECONDS_PER_SECOND
+from baobabhinge_standins.hop.publishing import measure_publishing
 from baobabhinge_standins.hop.starting import start_bench
 
 REST = timedelta(seconds=10)
@@ -16,8 +17,8 @@
 OPEN_STREAMS = 200
 
 
-def main(*, calls: int = 1000) -> None:
-    """Measure one hop and print a table.
+def measure_calls(*, calls: int = 1000) -> None:
+    """Measure one hop and print a line for each kind of work.
 
     Parameters
     ----------
@@ -28,6 +29,20 @@
         sys.stdout.write(f'{line}\n')
 
 
+def measure_changes(*, files: int = 100, changes: int = 20) -> None:
+    """Measure what a gateway spends on changes of the configuration.
+
+    Parameters
+    ----------
+    files
+        Files of the settings folder; each change is to one of them.
+    changes
+        Changes to publish, one after another.
+    """
+    spent = asyncio.run(measure_publishing(files, changes))
+    sys.stdout.write(f'{files} files: {spent:.1f} ms of processor a change\n')
+
+
 async def _measure_all(calls: int) -> list[str]:
     async with start_bench() as bench:
         lines = await _measure_rest(bench)
@@ -66,4 +81,4 @@
 
 
 if __name__ == '__main__':
-    defopt.run(main)
+    defopt.run({'calls': measure_calls, 'changes': measure_changes})
