--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/contending.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/contending.py
@@ -8,7 +8,7 @@
 from mode import Service
 
 from baobabhinge_coordination.backoff import Backoff
-from baobabhinge_coordination.leases import LeaseKeeper, LeaseLapsedError
+from baobabhinge_coordination.leases import LeaseKeeper, is_held
 from baobabhinge_coordination.store import StoreError
 from baobabhinge_gateway.fleet import FleetView, pick_owners
 
@@ -56,7 +56,7 @@
     async def _contend(self) -> None:
         while not self.should_stop:
             pause = RENEW_INTERVAL
-            if self._is_held() or self._is_contender():
+            if is_held(self._keeper) or self._is_contender():
                 pause = await self._advance()
             await self.sleep(pause)
 
@@ -69,11 +69,6 @@
         self._backoff.reset()
         return RENEW_INTERVAL
 
-    def _is_held(self) -> bool:
-        with suppress(LeaseLapsedError):
-            return bool(self._keeper.require().fencing)
-        return False
-
     def _is_contender(self) -> bool:
         region = self._fleet.home.region
         names = [vm.name for vm in self._fleet.list_gateways(region)]
