--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/watcher.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/configuration/watcher.py
@@ -19,7 +19,7 @@
 
 NO_PAUSE = timedelta()
 RETRY_INTERVAL = timedelta(milliseconds=500)
-LONGEST_WATCHER_RETRY = timedelta(seconds=2)
+LONGEST_WATCHER_RETRY = timedelta(seconds=15)
 LONGEST_READER_RETRY = timedelta(minutes=2)
 RANK_INTERVAL = timedelta(seconds=1)
 WATCH_PATIENCE = timedelta(seconds=20)
