--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/assembly.py
@@ -9,8 +9,8 @@
 from baobabhinge_gateway.platform import Platform
 from baobabhinge_gateway.runonce.binding import KeyBinder
 from baobabhinge_gateway.runonce.environment import Environment
+from baobabhinge_gateway.runonce.memory import RunOnceMemory
 from baobabhinge_gateway.runonce.parts import RunOnceParts
-from baobabhinge_gateway.runonce.state import RunOnceState
 from baobabhinge_gateway.runonce.sweeping import BindingSweeper
 
 STORE_ROLE = 'run-once'
@@ -29,7 +29,7 @@
         SystemClock(),
         SystemRandom(),
     )
-    memory = RunOnceState(
+    memory = RunOnceMemory(
         fleet.home,
         lifecycle.incarnation,
         environment.clock,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/binding.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/binding.py
@@ -22,7 +22,7 @@
     KeysUnavailableError,
     OutcomeUnknownError,
 )
-from baobabhinge_gateway.runonce.state import RunOnceState
+from baobabhinge_gateway.runonce.memory import RunOnceMemory
 
 BINDING_PREFIX = 'baobabhinge/run-once/'
 DIGEST_BYTES = 20
@@ -48,23 +48,23 @@
     ----------
     store : KeyValueStore
         The key-value service.
-    state : RunOnceState
+    memory : RunOnceMemory
         Maker of keys.
     active : ActiveConfiguration
         Configuration in force; it names the regions.
     """
 
-    __slots__ = ('_active', '_state', '_store')
+    __slots__ = ('_active', '_memory', '_store')
 
     def __init__(
         self,
         store: KeyValueStore,
-        state: RunOnceState,
+        memory: RunOnceMemory,
         active: ActiveConfiguration,
     ) -> None:
         """Keep the parts."""
         self._store = store
-        self._state = state
+        self._memory = memory
         self._active = active
 
     async def bind(self, call: Call, idempotency_key: str) -> RunOnceKey:
@@ -88,7 +88,7 @@
 
     def _mint(self) -> RunOnceKey:
         try:
-            return self._state.mint.mint(1)[0]
+            return self._memory.mint.mint(1)[0]
         except KeysExhaustedError as full:
             raise KeyedRefusalError(KeysUnavailableError(str(full))) from full
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/inquiry.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/inquiry.py
@@ -11,8 +11,8 @@
     report_unknown,
 )
 from baobabhinge_gateway.runonce.environment import Environment
+from baobabhinge_gateway.runonce.memory import RunOnceMemory
 from baobabhinge_gateway.runonce.peerclient import PeerSilentError
-from baobabhinge_gateway.runonce.state import RunOnceState
 
 RUNNING = report_unknown(Reason.running)
 FORGED = report_unknown(Reason.expired)
@@ -23,29 +23,29 @@
 
     Parameters
     ----------
-    state : RunOnceState
+    memory : RunOnceMemory
         What this gateway remembers.
     environment : Environment
         Surroundings.
     """
 
-    __slots__ = ('_fleet', '_peers', '_state')
+    __slots__ = ('_fleet', '_memory', '_peers')
 
-    def __init__(self, state: RunOnceState, environment: Environment) -> None:
+    def __init__(self, memory: RunOnceMemory, environment: Environment) -> None:
         """Keep the parts."""
-        self._state = state
+        self._memory = memory
         self._fleet = environment.fleet
         self._peers = environment.peers
 
     def ask_here(self, key: RunOnceKey) -> Outcome:
         """Return what this owner knows; an unused key is closed."""
-        if self._state.is_forged(key):
+        if self._memory.is_forged(key):
             return FORGED
-        return self._state.owner.ask(key).outcome or RUNNING
+        return self._memory.owner.ask(key).outcome or RUNNING
 
     async def ask(self, order: AskOutcome) -> Outcome:
         """Ask the owner, then the witness."""
-        place = locate_owner(order.key, self._state.party)
+        place = locate_owner(order.key, self._memory.party)
         if place is Place.here:
             return self.ask_here(order.key)
         if place is Place.elsewhere:
@@ -58,8 +58,8 @@
         """Ask the witness of the key, which seals an unused key."""
         if order.key.witness is None:
             return conclude(None)
-        if order.key.witness.vm == self._state.party.vm:
-            return conclude(self._state.witness.ask(order))
+        if order.key.witness.vm == self._memory.party.vm:
+            return conclude(self._memory.witness.ask(order))
         vm = self._fleet.find_gateway(order.key.witness.vm)
         if vm is None:
             return conclude(None)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/keeping.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/keeping.py
@@ -10,8 +10,8 @@
 from baobabhinge_coordination.runonce import OpenEpoch, Window
 from baobabhinge_gateway.runonce.choosing import WitnessChooser
 from baobabhinge_gateway.runonce.environment import Environment
+from baobabhinge_gateway.runonce.memory import RunOnceMemory
 from baobabhinge_gateway.runonce.peerclient import PeerSilentError
-from baobabhinge_gateway.runonce.state import RunOnceState
 from baobabhinge_platform.machines import Vm
 
 CHECK_INTERVAL = timedelta(seconds=1)
@@ -25,7 +25,7 @@
 
     Parameters
     ----------
-    state : RunOnceState
+    memory : RunOnceMemory
         What this gateway remembers.
     environment : Environment
         Surroundings.
@@ -33,12 +33,12 @@
 
     def __init__(
         self,
-        state: RunOnceState,
+        memory: RunOnceMemory,
         environment: Environment,
     ) -> None:
         """Ask nobody yet."""
         super().__init__()
-        self._state = state
+        self._memory = memory
         self._chooser = WitnessChooser(environment.fleet, environment.random)
         self._peers = environment.peers
         self._clock = environment.clock
@@ -56,13 +56,13 @@
     async def _keep(self) -> None:
         while not self.should_stop:
             await _wait_for(self._is_due)
-            self._state.drop_expired()
+            self._memory.drop_expired()
             if self._needs_renewal():
                 await self._renew()
 
     def _needs_renewal(self) -> bool:
-        mint = self._state.mint
-        span = self._state.retention.epoch_span / RENEWALS_PER_SPAN
+        mint = self._memory.mint
+        span = self._memory.retention.epoch_span / RENEWALS_PER_SPAN
         if self._is_due.is_set() or mint.age > span:
             return True
         return not self._chooser.is_live(mint.witness)
@@ -73,13 +73,13 @@
         for vm in self._chooser.list_candidates():
             window = await self._open(vm, started)
             if window is not None:
-                self._state.mint.adopt(window)
+                self._memory.mint.adopt(window)
                 return
         log.warning('no-witness')
-        self._state.mint.adopt(Window(started))
+        self._memory.mint.adopt(Window(started))
 
     async def _open(self, vm: Vm, started: timedelta) -> Window | None:
-        order = OpenEpoch(self._state.party)
+        order = OpenEpoch(self._memory.party)
         try:
             opened = await self._peers.open_epoch(vm.address, order)
         except PeerSilentError:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/state.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/memory.py
@@ -16,7 +16,7 @@
 from baobabhinge_gateway.calls import Hop
 
 
-class RunOnceState:
+class RunOnceMemory:
     """Mint, owner and witness of one gateway.
 
     Parameters
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/parts.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/parts.py
@@ -7,10 +7,10 @@
 from baobabhinge_gateway.runonce.forwarding import OwnerForwarder
 from baobabhinge_gateway.runonce.inquiry import Inquirer
 from baobabhinge_gateway.runonce.keeping import WitnessKeeper
+from baobabhinge_gateway.runonce.memory import RunOnceMemory
 from baobabhinge_gateway.runonce.recorder import Recorder
 from baobabhinge_gateway.runonce.running import OwnerRunner
 from baobabhinge_gateway.runonce.sending import RunOnceSender
-from baobabhinge_gateway.runonce.state import RunOnceState
 from baobabhinge_gateway.runonce.sweeping import (
     BindingSweeper,
     SweepService,
@@ -24,7 +24,7 @@
     ----------
     environment : Environment
         Surroundings.
-    memory : RunOnceState
+    memory : RunOnceMemory
         What this gateway remembers.
     binder : KeyBinder
         Keys for callers with an Idempotency-Key.
@@ -46,7 +46,7 @@
     def __init__(
         self,
         environment: Environment,
-        memory: RunOnceState,
+        memory: RunOnceMemory,
         binder: KeyBinder,
         sweeper: BindingSweeper,
     ) -> None:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/peerroutes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/peerroutes.py
@@ -19,7 +19,7 @@
 )
 from baobabhinge_gateway.runonce import peerclient
 from baobabhinge_gateway.runonce.inquiry import Inquirer
-from baobabhinge_gateway.runonce.state import RunOnceState
+from baobabhinge_gateway.runonce.memory import RunOnceMemory
 
 OrderT = TypeVar('OrderT')
 
@@ -29,17 +29,17 @@
 
     Parameters
     ----------
-    state : RunOnceState
+    memory : RunOnceMemory
         What this gateway remembers.
     inquirer : Inquirer
         Asker of this owner.
     """
 
-    __slots__ = ('_inquirer', '_state')
+    __slots__ = ('_inquirer', '_memory')
 
-    def __init__(self, state: RunOnceState, inquirer: Inquirer) -> None:
+    def __init__(self, memory: RunOnceMemory, inquirer: Inquirer) -> None:
         """Keep the parts."""
-        self._state = state
+        self._memory = memory
         self._inquirer = inquirer
 
     def add_to(self, app: web.Application) -> None:
@@ -57,18 +57,18 @@
     async def _open_epoch(self, request: web.Request) -> web.Response:
         order = await _read(request, OpenEpoch)
         try:
-            opened = self._state.witness.open_epoch(order)
+            opened = self._memory.witness.open_epoch(order)
         except WitnessFullError as full:
             raise KeysUnavailableError(str(full)) from full
         return _render(opened)
 
     async def _record(self, request: web.Request) -> web.Response:
         order = await _read(request, RecordIntent)
-        return _render(IntentReply(self._state.witness.record(order)))
+        return _render(IntentReply(self._memory.witness.record(order)))
 
     async def _copy(self, request: web.Request) -> web.Response:
         order = await _read(request, CopyOutcome)
-        self._state.witness.copy(order)
+        self._memory.witness.copy(order)
         return _render(peerclient.Done())
 
     async def _ask_owner(self, request: web.Request) -> web.Response:
@@ -77,7 +77,7 @@
 
     async def _ask_witness(self, request: web.Request) -> web.Response:
         order = await _read(request, AskOutcome)
-        return _render(self._state.witness.ask(order))
+        return _render(self._memory.witness.ask(order))
 
 
 async def _read(request: web.Request, kind: type[OrderT]) -> OrderT:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/tests/test_binding.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/tests/test_binding.py
@@ -16,7 +16,7 @@
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.errors import CallError, Outcome
 from baobabhinge_gateway.runonce.binding import KeyBinder
-from baobabhinge_gateway.runonce.state import RunOnceState
+from baobabhinge_gateway.runonce.memory import RunOnceMemory
 from baobabhinge_gateway.runonce.sweeping import BindingSweeper
 from baobabhinge_settings.model import Service, ServiceKind
 
@@ -75,9 +75,9 @@
     clock = ManualClock()
     active = ActiveConfiguration()
     active.adopt(Release(1, (ReleaseFile('10.ini', FOLDER),)))
-    state = RunOnceState(Hop(vm, 'west'), vm, clock, Random(vm))
-    state.mint.adopt(Window(clock.read_monotonic()))
-    return KeyBinder(store, state, active)
+    memory = RunOnceMemory(Hop(vm, 'west'), vm, clock, Random(vm))
+    memory.mint.adopt(Window(clock.read_monotonic()))
+    return KeyBinder(store, memory, active)
 
 
 def build_call(regions=None, workspace=''):
