--- a/examples/embedding_runonce.py
+++ b/examples/embedding_runonce.py
@@ -71,7 +71,7 @@
 
 def ask_without_owner(key: RunOnceKey) -> Outcome:
     """Find out what may be said while the owner is silent."""
-    return conclude(WITNESS.ask(AskOutcome(key)))
+    return conclude(WITNESS.seal(AskOutcome(key)))
 
 
 def run() -> None:
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/outcomes.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/outcomes.py
@@ -27,6 +27,7 @@
     answer_lost = 'answer-lost'
     in_doubt = 'in-doubt'
     running = 'running'
+    unused = 'unused'
     expired = 'expired'
     owner_lost = 'owner-lost'
     witness_lost = 'witness-lost'
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/owner.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/owner.py
@@ -115,16 +115,26 @@
         if verdict is IntentVerdict.recorded:
             self.entries.put(key, Entry(Step.dispatched, entry.digest))
             return Instruction(Action.dispatch)
-        return self._finish(key, entry, INTENT_OUTCOMES[verdict])
+        return _finish(self.entries, key, entry, INTENT_OUTCOMES[verdict])
 
     def settle(self, key: RunOnceKey, outcome: Outcome) -> Instruction:
         """Keep the outcome of a dispatched call."""
         entry = self.entries.find(key)
         if entry is None or entry.step is not Step.dispatched:
             return _describe(entry)
-        return self._finish(key, entry, outcome)
+        return _finish(self.entries, key, entry, outcome)
 
-    def ask(self, key: RunOnceKey) -> Instruction:
+    def tell(self, key: RunOnceKey) -> Outcome:
+        """Return what is known about ``key``, and change nothing."""
+        refusal = self._refuse(key)
+        if refusal is not None:
+            return refusal
+        entry = self.entries.find(key)
+        if entry is None:
+            return report_unknown(Reason.unused)
+        return entry.outcome or report_unknown(Reason.running)
+
+    def close(self, key: RunOnceKey) -> Instruction:
         """Return the outcome; a key that was not used is closed."""
         refusal = self._refuse(key)
         if refusal is not None:
@@ -132,7 +142,9 @@
         entry = self.entries.find(key)
         if entry is None:
             unused = Entry(Step.final, '')
-            return self._finish(key, unused, report_not_run(Reason.closed))
+            return _finish(
+                self.entries, key, unused, report_not_run(Reason.closed)
+            )
         return _describe(entry)
 
     def _refuse(self, key: RunOnceKey) -> Outcome | None:
@@ -142,14 +154,15 @@
             return report_unknown(Reason.expired)
         return None
 
-    def _finish(
-        self,
-        key: RunOnceKey,
-        entry: Entry,
-        outcome: Outcome,
-    ) -> Instruction:
-        kept = self.entries.finish(key, entry, outcome)
-        return Instruction(Action.report, kept)
+
+def _finish(
+    entries: Entries,
+    key: RunOnceKey,
+    entry: Entry,
+    outcome: Outcome,
+) -> Instruction:
+    kept = entries.finish(key, entry, outcome)
+    return Instruction(Action.report, kept)
 
 
 def _describe(entry: Entry | None) -> Instruction:
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/tests/exploring.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/tests/exploring.py
@@ -231,7 +231,7 @@
         self._answer(message.number, instruction)
 
     def _on_query(self, message):
-        self._answer(message.number, self._change('_owner').ask(self._key))
+        self._answer(message.number, self._change('_owner').close(self._key))
 
     def _on_verdict(self, message):
         if self._owner.party == OWNER:
@@ -305,7 +305,7 @@
     def _on_ask(self, message):
         digest = self._scenario.digests[message.number]
         order = runonce.AskOutcome(self._key, digest)
-        told = self._change('_witness').ask(order)
+        told = self._change('_witness').seal(order)
         self._tell(message.number, runonce.conclude(told))
 
     # Helpers.
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/tests/mutations.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/tests/mutations.py
@@ -141,16 +141,16 @@
 
 @mutate
 def tell_not_run_of_an_unused_key_without_closing_it(patch):
-    ask = Owner.ask
+    close = Owner.close
 
     def changed(machine, key):
         unused = machine.entries.find(key) is None
-        instruction = ask(machine, key)
+        instruction = close(machine, key)
         if unused:
             machine.entries._rows.pop(key, None)
         return instruction
 
-    patch.setattr(Owner, 'ask', changed)
+    patch.setattr(Owner, 'close', changed)
 
 
 @mutate
@@ -166,16 +166,16 @@
 
 @mutate
 def tell_not_run_without_sealing(patch):
-    ask = Witness.ask
+    seal = Witness.seal
 
     def changed(machine, order):
-        outcome = ask(machine, order)
+        outcome = seal(machine, order)
         if outcome is witnessing.SEALED:
             rows = machine.epochs._open[order.key.epoch].rows
             rows.pop(order.key, None)
         return outcome
 
-    patch.setattr(Witness, 'ask', changed)
+    patch.setattr(Witness, 'seal', changed)
 
 
 @mutate
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/tests/test_parts.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/tests/test_parts.py
@@ -106,7 +106,7 @@
     recorded = runonce.IntentVerdict.recorded
     assert verdicts == [recorded, recorded, runonce.IntentVerdict.refused]
     assert (
-        witness.ask(runonce.AskOutcome(keys[2])).reason
+        witness.seal(runonce.AskOutcome(keys[2])).reason
         is runonce.Reason.witness_lost
     )
 
@@ -140,9 +140,9 @@
         outcome = runonce.report_answered(runonce.KeptAnswer(200, body=body))
         owner.settle(key, outcome)
         witness.copy(runonce.CopyOutcome(key, outcome))
-    told = [owner.ask(used).outcome for used in keys]
+    told = [owner.tell(used) for used in keys]
     assert [outcome.answer.body for outcome in told] == kept
-    told = [witness.ask(runonce.AskOutcome(used)) for used in keys]
+    told = [witness.tell(runonce.AskOutcome(used)) for used in keys]
     assert [outcome.answer.body for outcome in told] == kept
 
 
@@ -159,7 +159,7 @@
         owner.settle(
             key, runonce.report_answered(runonce.KeptAnswer(200, body=b'1234'))
         )
-        assert owner.ask(key).outcome.answer.body == b'1234'
+        assert owner.tell(key).answer.body == b'1234'
         clock.advance(timedelta(hours=1))
         owner.entries.drop_expired()
         assert owner.begin(key, 'd').outcome.reason is runonce.Reason.expired
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/witness.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/witness.py
@@ -86,7 +86,16 @@
         if row is not None and row.outcome is None:
             self.epochs.put(order.key, Row(row.digest, order.outcome))
 
-    def ask(self, order: AskOutcome) -> Outcome:
+    def tell(self, order: AskOutcome) -> Outcome:
+        """Return what is known about a key, and change nothing."""
+        if not self._holds(order.key):
+            return LOST
+        row = self.epochs.find(order.key)
+        if row is None:
+            return report_unknown(Reason.unused)
+        return _describe(row, order.digest)
+
+    def seal(self, order: AskOutcome) -> Outcome:
         """Return the outcome; a key without intent is sealed for good."""
         if not self._holds(order.key):
             return LOST
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/executor.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/executor.py
@@ -91,4 +91,4 @@
             if told is not None:
                 return told
         order = AskOutcome(attempt.key, attempt.digest)
-        return await self._parts.inquirer.ask_witness(order)
+        return await self._parts.inquirer.seal(order)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/inquiry.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/inquiry.py
@@ -3,16 +3,15 @@
 from baobabhinge_coordination.runonce import (
     AskOutcome,
     Outcome,
-    Place,
+    Party,
     Reason,
     RunOnceKey,
     conclude,
-    locate_owner,
     report_unknown,
 )
 from baobabhinge_gateway.runonce.environment import Environment
 from baobabhinge_gateway.runonce.memory import RunOnceMemory
-from baobabhinge_gateway.runonce.peerclient import PeerSilentError
+from baobabhinge_gateway.runonce.peerclient import PeerSilentError, Question
 
 RUNNING = report_unknown(Reason.running)
 FORGED = report_unknown(Reason.expired)
@@ -37,42 +36,67 @@
         self._fleet = environment.fleet
         self._peers = environment.peers
 
-    def ask_here(self, key: RunOnceKey) -> Outcome:
-        """Return what this owner knows; an unused key is closed."""
-        if self._memory.is_forged(key):
+    def ask_here(self, question: Question, order: AskOutcome) -> Outcome:
+        """Return what this gateway knows as owner or as witness."""
+        if question is Question.witness_tells:
+            return self._memory.witness.tell(order)
+        if question is Question.witness_seals:
+            return self._memory.witness.seal(order)
+        if self._memory.is_forged(order.key):
             return FORGED
-        return self._memory.owner.ask(key).outcome or RUNNING
+        if question is Question.owner_tells:
+            return self._memory.owner.tell(order.key)
+        return self._memory.owner.close(order.key).outcome or RUNNING
 
-    async def ask(self, order: AskOutcome) -> Outcome:
-        """Ask the owner, then the witness."""
-        place = locate_owner(order.key, self._memory.party)
-        if place is Place.here:
-            return self.ask_here(order.key)
-        if place is Place.elsewhere:
-            told = await self._ask_owner(order)
-            if told is not None and told.reason is not Reason.owner_lost:
-                return told
-        return await self.ask_witness(order)
+    async def tell(self, key: RunOnceKey) -> Outcome:
+        """Return what owner or witness know, and change nothing."""
+        order = AskOutcome(key)
+        told = await self._ask(Question.owner_tells, key.owner, order)
+        if told is not None:
+            return told
+        told = await self._ask(Question.witness_tells, key.witness, order)
+        return conclude(told)
 
-    async def ask_witness(self, order: AskOutcome) -> Outcome:
+    async def close(self, key: RunOnceKey) -> Outcome:
+        """Return the outcome; a key that was not used is closed."""
+        order = AskOutcome(key)
+        told = await self._ask(Question.owner_closes, key.owner, order)
+        if told is not None:
+            return told
+        return await self.seal(order)
+
+    async def seal(self, order: AskOutcome) -> Outcome:
         """Ask the witness of the key, which seals an unused key."""
-        if order.key.witness is None:
-            return conclude(None)
-        if order.key.witness.vm == self._memory.party.vm:
-            return conclude(self._memory.witness.ask(order))
-        vm = self._fleet.find_gateway(order.key.witness.vm)
-        if vm is None:
-            return conclude(None)
-        try:
-            return conclude(await self._peers.ask_witness(vm.address, order))
-        except PeerSilentError:
-            return conclude(None)
+        witness = order.key.witness
+        return conclude(
+            await self._ask(Question.witness_seals, witness, order),
+        )
+
+    async def _ask(
+        self,
+        question: Question,
+        party: Party | None,
+        order: AskOutcome,
+    ) -> Outcome | None:
+        """Return what ``party`` says; ``None`` if it is silent or has ended."""
+        if party is None:
+            return None
+        told = await self._pass_on(question, party.vm, order)
+        is_lost = told is not None and told.reason is Reason.owner_lost
+        return None if is_lost else told
 
-    async def _ask_owner(self, order: AskOutcome) -> Outcome | None:
-        vm = self._fleet.find_gateway(order.key.owner.vm)
+    async def _pass_on(
+        self,
+        question: Question,
+        name: str,
+        order: AskOutcome,
+    ) -> Outcome | None:
+        if name == self._memory.party.vm:
+            return self.ask_here(question, order)
+        vm = self._fleet.find_gateway(name)
         if vm is None:
             return None
         try:
-            return await self._peers.ask_owner(vm.address, order)
+            return await self._peers.ask(vm.address, question, order)
         except PeerSilentError:
             return None
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/keyroutes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/keyroutes.py
@@ -6,9 +6,9 @@
 from aiohttp import web
 
 from baobabhinge_coordination.runonce import (
-    AskOutcome,
     KeysExhaustedError,
     MalformedKeyError,
+    RunOnceKey,
     decode_key,
     encode_key,
 )
@@ -72,6 +72,7 @@
         """Add the paths."""
         app.router.add_post(KEYS_PATH, self.mint)
         app.router.add_get(f'{KEYS_PATH}/{{key}}', self.report)
+        app.router.add_delete(f'{KEYS_PATH}/{{key}}', self.close)
 
     async def mint(self, request: web.Request) -> web.Response:
         """Answer with a batch of keys."""
@@ -86,24 +87,33 @@
             self._parts.memory.retention.key_age // SECOND,
             mint.witness is not None,
         )
-        return web.Response(
-            body=msgspec.json.encode(batch),
-            content_type=JSON_TYPE,
-        )
+        return _render(batch)
 
     async def report(self, request: web.Request) -> web.Response:
+        """Answer with what is known, and change nothing."""
+        key = self._read_key(request)
+        return _render(await self._parts.inquirer.tell(key))
+
+    async def close(self, request: web.Request) -> web.Response:
         """Answer with the outcome; a key that was not used is closed."""
+        key = self._read_key(request)
+        return _render(await self._parts.inquirer.close(key))
+
+    def _read_key(self, request: web.Request) -> RunOnceKey:
         try:
             key = decode_key(request.match_info['key'])
         except MalformedKeyError as bad:
             raise BadKeyError(str(bad)) from bad
         if key.region != self._region:
             raise OutcomeUnknownError(f'ask a gateway of {key.region}')
-        outcome = await self._parts.inquirer.ask(AskOutcome(key))
-        return web.Response(
-            body=msgspec.json.encode(outcome),
-            content_type=JSON_TYPE,
-        )
+        return key
+
+
+def _render(message: msgspec.Struct) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(message),
+        content_type=JSON_TYPE,
+    )
 
 
 def _read_order(body: bytes) -> KeyOrder:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/peerclient.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/peerclient.py
@@ -1,5 +1,6 @@
 """Messages to owners and witnesses on other gateways."""
 
+import enum
 from datetime import timedelta
 from http import HTTPStatus
 from typing import TypeVar
@@ -23,8 +24,6 @@
 EPOCHS = 'epochs'
 INTENTS = 'intents'
 OUTCOMES = 'outcomes'
-ASKED_OWNER = 'ask-owner'
-ASKED_WITNESS = 'ask-witness'
 
 ReplyT = TypeVar('ReplyT')
 
@@ -33,6 +32,15 @@
     """The other gateway gave no answer; it may have got the message."""
 
 
+class Question(enum.StrEnum):
+    """Who is asked, and whether an unused key is closed by it."""
+
+    owner_tells = 'owner/outcome'
+    owner_closes = 'owner/close'
+    witness_tells = 'witness/outcome'
+    witness_seals = 'witness/seal'
+
+
 class Done(msgspec.Struct, frozen=True):
     """Answer to a message that needs no other."""
 
@@ -66,13 +74,14 @@
         """Tell the witness how a call ended."""
         await self._send(address, OUTCOMES, order, Done)
 
-    async def ask_owner(self, address: str, order: AskOutcome) -> Outcome:
-        """Ask the owner for an outcome."""
-        return await self._send(address, ASKED_OWNER, order, Outcome)
-
-    async def ask_witness(self, address: str, order: AskOutcome) -> Outcome:
-        """Ask the witness for an outcome; an unused key is sealed."""
-        return await self._send(address, ASKED_WITNESS, order, Outcome)
+    async def ask(
+        self,
+        address: str,
+        question: Question,
+        order: AskOutcome,
+    ) -> Outcome:
+        """Ask an owner or a witness what became of a key."""
+        return await self._send(address, question, order, Outcome)
 
     async def _send(
         self,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/peerroutes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/peerroutes.py
@@ -22,6 +22,7 @@
 from baobabhinge_gateway.runonce.memory import RunOnceMemory
 
 OrderT = TypeVar('OrderT')
+QUESTIONS = '|'.join(peerclient.Question)
 
 
 class PeerRoutes:
@@ -49,8 +50,7 @@
             (peerclient.EPOCHS, self._open_epoch),
             (peerclient.INTENTS, self._record),
             (peerclient.OUTCOMES, self._copy),
-            (peerclient.ASKED_OWNER, self._ask_owner),
-            (peerclient.ASKED_WITNESS, self._ask_witness),
+            (f'{{question:{QUESTIONS}}}', self._ask),
         ):
             app.router.add_post(f'{prefix}/{path}', answer)
 
@@ -71,13 +71,10 @@
         self._memory.witness.copy(order)
         return _render(peerclient.Done())
 
-    async def _ask_owner(self, request: web.Request) -> web.Response:
+    async def _ask(self, request: web.Request) -> web.Response:
         order = await _read(request, AskOutcome)
-        return _render(self._inquirer.ask_here(order.key))
-
-    async def _ask_witness(self, request: web.Request) -> web.Response:
-        order = await _read(request, AskOutcome)
-        return _render(self._memory.witness.ask(order))
+        question = peerclient.Question(request.match_info['question'])
+        return _render(self._inquirer.ask_here(question, order))
 
 
 async def _read(request: web.Request, kind: type[OrderT]) -> OrderT:
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/not_run_true.feature
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/not_run_true.feature
@@ -18,10 +18,10 @@
       | kill witness                                    |
       | freeze owner + store down                       |
 
-  Scenario Outline: Asking about an unused key closes it
+  Scenario Outline: Closing an unused key
     Given a confirmation with a key
     When <failure> comes first
-    And the <gateway> is asked what became of it
+    And it is closed through the <gateway>
     Then the asker is told not-run
     When everything is healed
     Then it has run never, also after the owner was sent it again
@@ -33,6 +33,22 @@
       | freeze owner  | entry   |
       | freeze owner  | witness |
 
+  Scenario Outline: Asking about an unused key changes nothing
+    Given a confirmation with a key
+    When <failure> comes first
+    And the <gateway> is asked what became of it
+    Then the asker is told unknown
+    When everything is healed
+    And it is sent through the entry
+    Then the caller is told answered
+    And it has run once
+
+    Examples:
+      | failure       | gateway |
+      | no failure    | owner   |
+      | no failure    | entry   |
+      | freeze owner  | entry   |
+
   Scenario: A key is good for one request
     Given a confirmation with a key
     When the bodies a, b and c are sent through every gateway at once
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/confirmations.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/confirmations.py
@@ -131,10 +131,10 @@
 
         await wait_until(is_answered)
 
-    async def ask(self, gateway):
-        """Ask what became of the key."""
+    async def ask(self, gateway, method):
+        """Ask what became of the key, by GET, or close it, by DELETE."""
         key = self._headers['Baobabhinge-Key']
-        answer = await self._exchange('GET', gateway, f'/v1/keys/{key}', b'')
+        answer = await self._exchange(method, gateway, f'/v1/keys/{key}', b'')
         if answer is None or answer[0] != 200:
             return None
         return msgspec.json.decode(answer[2])['kind']
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_not_run_true.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_not_run_true.py
@@ -43,7 +43,15 @@
     target_fixture='asked',
 )
 def ask(confirmation, loop, gateway):
-    return loop.run(confirmation.ask(confirmation.names[gateway]))
+    return loop.run(confirmation.ask(confirmation.names[gateway], 'GET'))
+
+
+@when(
+    parsers.parse('it is closed through the {gateway}'),
+    target_fixture='asked',
+)
+def close(confirmation, loop, gateway):
+    return loop.run(confirmation.ask(confirmation.names[gateway], 'DELETE'))
 
 
 @when('the bodies a, b and c are sent through every gateway at once')
