--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/leases/tests/test_leases.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/leases/tests/test_leases.py
@@ -5,8 +5,8 @@
 from baobabhinge_coordination.clock import ManualClock
 from baobabhinge_coordination.leases import (
     LeaseKeeper,
-    LeaseLapsedError,
     LeaseTerms,
+    is_held,
 )
 from baobabhinge_coordination.store import (
     StoreAnswerLostError,
@@ -102,14 +102,6 @@
     return LeaseKeeper(service, service, service.clock, TERMS)
 
 
-def is_held(keeper):
-    try:
-        keeper.require()
-    except LeaseLapsedError:
-        return False
-    return True
-
-
 async def test_one_of_two_holds_and_the_next_has_a_higher_number(service):
     first, second = build_keeper(service), build_keeper(service)
     await first.advance()
