See a crash also where something accepts connections for a dead engine, and try no third region

Cause: a call whose engine had died behind a link that accepts connections was not a suspect, and went on to the next region: 3 engines of 3 in test_crash_in_regions.py (assert 3 <= 2).

--- a/packages/baobabhinge-caller/src/baobabhinge_caller/moving.py
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/moving.py
@@ -16,7 +16,7 @@
 MAX_ATTEMPTS = 6
 LONGEST_PAUSE = timedelta(seconds=30)
 SERVED_ELSEWHERE = frozenset(('wrong-region', 'draining', 'no-connection'))
-NEVER_REPEATED = frozenset(('crashing-request',))
+NEVER_REPEATED = frozenset(('crashing-request', 'engine-crashed'))
 PASSING_STATUSES = frozenset(
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.MISDIRECTED_REQUEST),
 )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/crashes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/crashes.py
@@ -12,6 +12,8 @@
 class EngineCrashedError(AnswerBrokenError):
     """The engine died while it ran the request."""
 
+    code = 'engine-crashed'
+
 
 class CrashingRequestError(CallError):
     """The request has crashed two engines and is refused.
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/failures.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/failures.py
@@ -4,6 +4,7 @@
     CallError,
     CrashingRequestError,
     DeadlinePassedError,
+    EngineCrashedError,
     Outcome,
 )
 
@@ -37,7 +38,7 @@
         """Note one more failure."""
         self.count += 1
         self.told = self.combine(failure)
-        self.is_final = failure.code in FINAL_CODES
+        self.is_final = failure.code in FINAL_CODES or _is_told(failure)
 
     def combine(self, failure: CallError) -> CallError:
         """Return what is to be told after ``failure`` and those before it.
@@ -49,3 +50,13 @@
         if failure.code == CrashingRequestError.code:
             return CrashingRequestError(self.told.outcome)
         return self.told
+
+
+def _is_told(failure: CallError) -> bool:
+    """Tell whether the call crashed engines of another region.
+
+    That region has run it again as far as it may; a further region would
+    lose engines too.
+    """
+    is_own = isinstance(failure, EngineCrashedError)
+    return failure.code == EngineCrashedError.code and not is_own
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/tests/test_attempts.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/tests/test_attempts.py
@@ -14,6 +14,8 @@
     NoBackendServerError,
     Outcome,
 )
+from baobabhinge_gateway.errors.problem import describe_problem
+from baobabhinge_gateway.errors.relayed import RelayedProblemError
 from baobabhinge_gateway.execution.attempts import Attempts
 from baobabhinge_gateway.routing import Candidate, Target
 from baobabhinge_gateway.routing.decisions import Decision
@@ -23,6 +25,7 @@
 CRASHED = EngineCrashedError('died')
 DRAINING = DrainingError('leaving')
 LATE = DeadlinePassedError('late')
+ELSEWHERE = RelayedProblemError(describe_problem(CRASHED))
 CULPRIT = CrashingRequestError(Outcome.not_run)
 
 
@@ -88,6 +91,7 @@
         ([DRAINING, BROKEN, DRAINING], 'answer-broken', 'unknown'),
         ([LATE], 'deadline-passed', 'not-run'),
         ([BROKEN, LATE], 'answer-broken', 'unknown'),
+        ([ELSEWHERE], 'engine-crashed', 'unknown'),
         ([CULPRIT], 'crashing-request', 'not-run'),
         ([CRASHED, CULPRIT], 'crashing-request', 'unknown'),
     ],
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/suspects/watch.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/suspects/watch.py
@@ -13,6 +13,7 @@
 from baobabhinge_platform.machines import Vm
 
 PROBE_TIMEOUT = timedelta(seconds=1)
+PROBE = b'GET /load HTTP/1.1\r\nHost: %b\r\nConnection: close\r\n\r\n'
 
 log = structlog.get_logger(__name__)
 
@@ -77,14 +78,26 @@
 
 
 async def _is_dead(vm: Vm) -> bool:
-    """Tell whether nothing listens any more at a vm that is up."""
-    host, _, port = vm.address.rpartition(':')
+    """Tell whether a vm that is up has no engine any more.
+
+    Connections are then refused, or end without an answer where something
+    in between accepts them. An engine that is silent is not dead.
+    """
     try:
         async with asyncio.timeout(PROBE_TIMEOUT.total_seconds()):
-            _, writer = await asyncio.open_connection(host, int(port))
-    except ConnectionRefusedError:
+            return not await _probe(vm.address)
+    except ConnectionError:
         return True
     except (OSError, TimeoutError):
         return False
-    writer.close()
-    return False
+
+
+async def _probe(address: str) -> bytes:
+    """Return the first byte of the answer to a request for the load."""
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(PROBE % address.encode())
+    try:
+        return await reader.read(1)
+    finally:
+        writer.close()
