Round the age of a told load report up

Cause: rounded down, a report that came back passed for a newer one and was told again, younger by up to 250 ms each time.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/spread.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/spread.py
@@ -93,7 +93,8 @@
 
 def pack_row(vm: Vm, report: LoadReport) -> bytes:
     """Return ``report`` of ``vm`` in the compact form."""
-    age_steps = min(report.age // AGE_STEP, MAX_AGE_STEPS)
+    # Rounded up: an age rounded down would pass for a newer report.
+    age_steps = min(-(-report.age // AGE_STEP), MAX_AGE_STEPS)
     flag = DRAINING_FLAG if report.draining else 0
     return ROW.pack(
         hash_name(vm.name),
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/tests/test_reports.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/tests/test_reports.py
@@ -117,6 +117,18 @@
     assert first.stays_home
 
 
+@pytest.mark.parametrize('milliseconds', [0, 1, 249, 250, 251, 1130])
+def test_a_report_told_back_is_not_newer(milliseconds):
+    vm = build_vm('e1')
+    reports = LoadReports(ManualClock())
+    view = FleetView(Hop('g1', 'west'), Listed(vm), reports, MEMBERS, NONE)
+    part = LoadPart(view, reports)
+    age = timedelta(milliseconds=milliseconds)
+    reports.put('e1', build_report(running=7, age=age))
+    part.absorb(None, part.compose())
+    assert reports.find(vm).age == age
+
+
 def test_the_age_on_the_wire_is_kept():
     body = b'{"running":1,"waiting":2,"slots":8,"age_ms":250}'
     expected = LoadReport(1, 2, 8, False, timedelta(milliseconds=250))
