Ask for the list of vms only if it has changed

Ruled out: decoding, which was skipped already. The entity tag of the answer is sent back, and an unchanged list is not sent.

--- a/packages/baobabhinge-platform/src/baobabhinge_platform/machines/listing.py
+++ b/packages/baobabhinge-platform/src/baobabhinge_platform/machines/listing.py
@@ -14,6 +14,8 @@
 
 from baobabhinge_platform.machines.vm import Fencing, Role, Vm, VmState
 
+ETAG = 'ETag'
+IF_NONE_MATCH = 'If-None-Match'
 READ_TIMEOUT = timedelta(seconds=2)
 
 
@@ -48,36 +50,53 @@
         Address of the list, with its path.
     """
 
-    __slots__ = ('_address', '_body', '_http', '_vms')
+    __slots__ = ('_address', '_body', '_etag', '_http', '_vms')
 
     def __init__(self, http: aiohttp.ClientSession, address: str) -> None:
         """Keep the session; no call is made."""
         self._http = http
         self._address = address
         self._body = b''
+        self._etag = ''
         self._vms: tuple[Vm, ...] = ()
 
     async def read(self) -> tuple[Vm, ...]:
         """Return every listed vm; the same tuple if nothing has changed.
 
+        A list with an entity tag is not sent again while it is unchanged.
+
         Raises
         ------
         VmListError
             If the list can't be reached or is malformed.
         """
         limit = aiohttp.ClientTimeout(total=READ_TIMEOUT.total_seconds())
+        headers = {IF_NONE_MATCH: self._etag} if self._etag else {}
         try:
-            async with self._http.get(self._address, timeout=limit) as answer:
-                return self._take(answer.status, await answer.read())
+            async with self._http.get(
+                self._address,
+                headers=headers,
+                timeout=limit,
+            ) as answer:
+                return self._take(answer, await answer.read())
         except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as bad:
             raise VmListError(str(bad)) from bad
 
-    def _take(self, status: int, body: bytes) -> tuple[Vm, ...]:
-        if status != HTTPStatus.OK:
-            raise VmListError(f'the list of vms answered with status {status}')
+    def _take(
+        self,
+        answer: aiohttp.ClientResponse,
+        body: bytes,
+    ) -> tuple[Vm, ...]:
+        if answer.status == HTTPStatus.NOT_MODIFIED:
+            return self._vms
+        if answer.status != HTTPStatus.OK:
+            raise VmListError(
+                f'the list of vms answered with status {answer.status}',
+            )
         if body != self._body:
             self._vms = _decode(body)
             self._body = body
+        self._etag = answer.headers.get(ETAG, '')
         return self._vms
 
 
--- /dev/null
+++ b/packages/baobabhinge-platform/src/baobabhinge_platform/machines/tests/test_listing.py
@@ -0,0 +1,79 @@
+from itertools import pairwise
+
+import msgspec
+import pytest
+from aiohttp import ClientSession, web
+
+from baobabhinge_platform.machines import VmList, VmListError
+
+ETAG = 'ETag'
+
+
+class Lists:
+    """A list of vms over HTTP that counts the bodies it sends."""
+
+    def __init__(self, *, has_etags):
+        self.has_etags = has_etags
+        self.names = ['a']
+        self.bodies = 0
+
+    async def answer(self, request):
+        etag = '"{}"'.format('-'.join(self.names))
+        if self.has_etags and request.headers.get('If-None-Match') == etag:
+            return web.Response(status=304, headers={ETAG: etag})
+        self.bodies += 1
+        body = msgspec.json.encode([render(name) for name in self.names])
+        headers = {ETAG: etag} if self.has_etags else {}
+        return web.Response(body=body, headers=headers)
+
+
+def render(name):
+    labels = {
+        'vm': name,
+        'region': 'west',
+        'failure_domain': 'west-a',
+        'role': 'engine',
+    }
+    return {'targets': [f'{name}:1'], 'labels': labels}
+
+
+async def read_all(lists, steps):
+    app = web.Application()
+    app.router.add_get('/vms', lists.answer)
+    runner = web.AppRunner(app)
+    await runner.setup()
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    host, port = runner.addresses[0]
+    readings = []
+    async with ClientSession() as http:
+        reader = VmList(http, f'http://{host}:{port}/vms')
+        for names in steps:
+            lists.names = names
+            readings.append(await reader.read())
+    await runner.cleanup()
+    return readings
+
+
+@pytest.mark.parametrize(
+    ('has_etags', 'steps', 'bodies'),
+    [
+        (True, [['a'], ['a'], ['a']], 1),
+        (True, [['a'], ['a', 'b'], ['a', 'b']], 2),
+        (False, [['a'], ['a'], ['b']], 3),
+    ],
+)
+async def test_unchanged_list_is_not_sent_again(has_etags, steps, bodies):
+    lists = Lists(has_etags=has_etags)
+    readings = await read_all(lists, steps)
+    assert lists.bodies == bodies
+    named = [[vm.name for vm in reading] for reading in readings]
+    assert named == steps
+    for before, after in pairwise(readings):
+        assert (before is after) is (before == after)
+
+
+async def test_unreachable_list_is_a_typed_error():
+    async with ClientSession() as http:
+        with pytest.raises(VmListError):
+            await VmList(http, 'http://127.0.0.1:1/vms').read()
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/machines/app.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/machines/app.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from datetime import timedelta
+from http import HTTPStatus
 from itertools import takewhile
 
 import msgspec
+import xxhash
 from aiohttp import web
 
 from baobabhinge_coordination.clock import Clock
@@ -69,7 +71,7 @@
         versions = self._documents.get(request.path)
         if versions is None:
             raise web.HTTPNotFound
-        return web.Response(body=self._choose(versions), content_type=JSON)
+        return _answer(request, self._choose(versions))
 
     async def _write(self, request: web.Request) -> web.Response:
         version = _Version(self._clock.read_monotonic(), await request.read())
@@ -86,3 +88,11 @@
         body = await request.read()
         self._faults = msgspec.json.decode(body, type=ListFaults)
         return web.Response()
+
+
+def _answer(request: web.Request, body: bytes) -> web.Response:
+    etag = f'"{xxhash.xxh3_64_hexdigest(body)}"'
+    headers = {'ETag': etag}
+    if request.headers.get('If-None-Match') == etag:
+        return web.Response(status=HTTPStatus.NOT_MODIFIED, headers=headers)
+    return web.Response(body=body, content_type=JSON, headers=headers)
