--- /dev/null
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/tests/scenarios.py
@@ -0,0 +1,41 @@
+"""What is explored: messages, faults and the two attempts."""
+
+import enum
+
+import msgspec
+
+from baobabhinge_coordination.runonce import Outcome
+
+
+class Kind(enum.IntEnum):
+    attempt = 1
+    query = 2
+    intent = 3
+    verdict = 4
+    dispatch = 5
+    served = 6
+    copy = 7
+    ask = 8
+    open_epoch = 9
+
+
+REPEATABLE = frozenset(Kind) - {Kind.dispatch, Kind.served}
+
+
+class Message(msgspec.Struct, frozen=True, cache_hash=True):
+    kind: Kind
+    number: int = 0
+    text: str = ''
+    outcome: Outcome | None = None
+
+
+class Scenario(msgspec.Struct, frozen=True):
+    """Digest of each attempt; an empty one only asks for the outcome."""
+
+    digests: tuple[str, ...]
+    has_witness: bool = True
+    faults: int = 2
+
+
+class PromiseBrokenError(AssertionError):
+    """A promise of the protocol does not hold."""
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/tests/test_protocol.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/tests/test_protocol.py
@@ -1,11 +1,11 @@
 import pytest
 
-from baobabhinge_coordination.runonce.tests.exploring import (
+from baobabhinge_coordination.runonce.tests.exploring import explore
+from baobabhinge_coordination.runonce.tests.mutations import MUTATIONS
+from baobabhinge_coordination.runonce.tests.scenarios import (
     PromiseBrokenError,
     Scenario,
-    explore,
 )
-from baobabhinge_coordination.runonce.tests.mutations import MUTATIONS
 
 SAME = ('a', 'a')
 OTHER = ('a', 'b')
