--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/gateways.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/gateways.py
@@ -58,6 +58,11 @@
         member = self._members.table.find(name, own.region)
         return None if member is None else member.incarnation
 
+    def list_states(self) -> dict[str, str]:
+        """Return the states of the gateways of the own region by name."""
+        members = self._members.table.list_region(self._members.own.region)
+        return {member.name: member.state.name for member in members}
+
     def list_regions(self, index: VmIndex) -> Sequence[str]:
         """Return the regions in which a gateway is known."""
         known = self._members.table.list_regions()
@@ -68,12 +73,12 @@
             return False
         member = self._members.table.find(vm.name, vm.region)
         if member is None:
-            return not self._has_met(vm.region)
+            return not _has_met(self._members, vm.region)
         return member.state is MemberState.alive
 
-    def _has_met(self, region: str) -> bool:
-        own = self._members.own
-        return any(
-            member.name != own.name and member.state is MemberState.alive
-            for member in self._members.table.list_region(region)
-        )
+
+def _has_met(members: MembershipView, region: str) -> bool:
+    return any(
+        member.name != members.own.name and member.state is MemberState.alive
+        for member in members.table.list_region(region)
+    )
