Wait while the key-value service limits the rate of a publication

Cause: publishing a folder of 1,000 new files was refused with publish-unavailable, since its writes pass the rates of the service and the first limited call ended the publication; trying again met the same limit. Ruled out: lost answers (the service said 429, so no call had an effect). Bounded to 30 pauses of 1 s.

--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/publishing.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/publishing.py
@@ -28,6 +28,7 @@
     StoreAnswerLostError,
     StoreError,
 )
+from baobabhinge_coordination.store.pacing import PacedStore
 
 MAX_ATTEMPTS = 20
 READ_BACK_PAUSE = timedelta(milliseconds=500)
@@ -61,9 +62,10 @@
         pause: Pause,
     ) -> None:
         """Keep the parts; no call is made."""
-        self._store = store
-        self._reader = ReleaseReader(store)
-        self._writer = ManifestWriter(store, clock)
+        paced = PacedStore(store, pause)
+        self._store = paced
+        self._reader = ReleaseReader(paced)
+        self._writer = ManifestWriter(paced, clock)
         self._check = check
         self._pause = pause
 
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/store/__init__.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/store/__init__.py
@@ -4,6 +4,9 @@
     StoreAnswerLostError as StoreAnswerLostError,
 )
 from baobabhinge_coordination.store.errors import StoreError as StoreError
+from baobabhinge_coordination.store.errors import (
+    StoreThrottledError as StoreThrottledError,
+)
 from baobabhinge_coordination.store.errors import (
     StoreUnavailableError as StoreUnavailableError,
 )
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/store/errors.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/store/errors.py
@@ -13,3 +13,7 @@
 
 class StoreAnswerLostError(StoreError):
     """The call may have taken effect, but its answer did not arrive."""
+
+
+class StoreThrottledError(StoreUnavailableError):
+    """The service limits the rate of calls; the call had no effect."""
--- /dev/null
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/store/pacing.py
@@ -0,0 +1,75 @@
+"""Calls that wait while the key-value service limits their rate."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import TypeVar
+
+from baobabhinge_coordination.store.errors import StoreThrottledError
+from baobabhinge_coordination.store.protocol import (
+    KeyValueStore,
+    StoredValue,
+)
+
+MAX_REPEATS = 30
+PAUSE = timedelta(seconds=1)
+
+AnswerT = TypeVar('AnswerT')
+Pause = Callable[[timedelta], Awaitable[None]]
+
+
+class PacedStore:
+    """Make limited calls again after a pause.
+
+    A limited call had no effect, so making it again is harmless.
+
+    Parameters
+    ----------
+    store : KeyValueStore
+        The key-value service.
+    pause : callable
+        Waits for a duration.
+    """
+
+    __slots__ = ('_pause', '_store')
+
+    def __init__(self, store: KeyValueStore, pause: Pause) -> None:
+        """Keep the parts; no call is made."""
+        self._store = store
+        self._pause = pause
+
+    async def read(self, key: str) -> StoredValue:
+        """Return the value of ``key``, with revision 0 if it is absent."""
+        return await self._repeat(lambda: self._store.read(key))
+
+    async def watch(
+        self,
+        key: str,
+        after: int,
+        patience: timedelta,
+    ) -> StoredValue:
+        """Return the value once its revision passes ``after``."""
+        return await self._repeat(
+            lambda: self._store.watch(key, after, patience),
+        )
+
+    async def swap(self, key: str, body: bytes, expected: int) -> bool:
+        """Write ``body`` if the revision still is ``expected``."""
+        return await self._repeat(
+            lambda: self._store.swap(key, body, expected),
+        )
+
+    async def delete(self, key: str, expected: int) -> bool:
+        """Remove ``key`` if the revision still is ``expected``."""
+        return await self._repeat(lambda: self._store.delete(key, expected))
+
+    async def list_keys(self, prefix: str) -> list[str]:
+        """Return the keys that start with ``prefix``."""
+        return await self._repeat(lambda: self._store.list_keys(prefix))
+
+    async def _repeat(self, call: Callable[[], Awaitable[AnswerT]]) -> AnswerT:
+        for _ in range(MAX_REPEATS):
+            try:
+                return await call()
+            except StoreThrottledError:
+                await self._pause(PAUSE)
+        return await call()
--- a/packages/baobabhinge-platform/src/baobabhinge_platform/store/transport.py
+++ b/packages/baobabhinge-platform/src/baobabhinge_platform/store/transport.py
@@ -16,6 +16,7 @@
 
 from baobabhinge_coordination.store import (
     StoreAnswerLostError,
+    StoreThrottledError,
     StoreUnavailableError,
 )
 
@@ -123,6 +124,6 @@
 
 def _refuse_failure(status: int) -> None:
     if status == HTTPStatus.TOO_MANY_REQUESTS:
-        raise StoreUnavailableError('the key-value service limits our rate')
+        raise StoreThrottledError('the key-value service limits our rate')
     if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
         raise StoreAnswerLostError(f'the key-value service answered {status}')
