--- a/packages/baobabhinge-standins/src/baobabhinge_standins/hop/__main__.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/hop/__main__.py
@@ -10,6 +10,7 @@
 from baobabhinge_standins.hop.bench import Bench
 from baobabhinge_standins.hop.meter import MILLISECONDS_PER_SECOND
 from baobabhinge_standins.hop.publishing import measure_publishing
+from baobabhinge_standins.hop.resting import measure_reports
 from baobabhinge_standins.hop.starting import start_bench
 
 REST = timedelta(seconds=10)
@@ -43,6 +44,19 @@
     sys.stdout.write(f'{files} files: {spent:.1f} ms of processor a change\n')
 
 
+def measure_rest(*, backends: int = 10) -> None:
+    """Measure a gateway at rest that polls the load of backend servers.
+
+    Parameters
+    ----------
+    backends
+        Backend servers in the region of the only gateway.
+    """
+    rest = asyncio.run(measure_reports(backends))
+    figures = f'{rest.processor:.2f}% of a core, {rest.memory:.0f} KiB'
+    sys.stdout.write(f'{backends} backend servers: {figures}\n')
+
+
 async def _measure_all(calls: int) -> list[str]:
     async with start_bench() as bench:
         lines = await _measure_rest(bench)
@@ -81,4 +95,10 @@
 
 
 if __name__ == '__main__':
-    defopt.run({'calls': measure_calls, 'changes': measure_changes})
+    defopt.run(
+        {
+            'calls': measure_calls,
+            'changes': measure_changes,
+            'rest': measure_rest,
+        },
+    )
