Leave the region 2 s to hear of a crash

Cause: test_the_culprit_is_found...[streamed-12] lost a third engine in one of 6 runs (bin/test whole, load average 16 on 12 cores): that peers have heard is waited for, not confirmed.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/suspects/isolation.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/suspects/isolation.py
@@ -19,7 +19,7 @@
 from baobabhinge_settings.model import ServiceKind
 
 # Time for the gateways of a region to tell each other of a crash.
-SETTLING = timedelta(seconds=1)
+SETTLING = timedelta(seconds=2)
 
 
 class Isolation:
