--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/leases/keeper.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/leases/keeper.py
@@ -131,3 +131,12 @@
         stored = await self._store.read(key)
         if stored.session == self._session:
             self._fencing = stored.revision
+
+
+def is_held(keeper: LeaseKeeper) -> bool:
+    """Tell whether ``keeper`` holds its lease."""
+    try:
+        keeper.require()
+    except LeaseLapsedError:
+        return False
+    return True
