Leave the region by the limit that also sheds

Cause: calls were shed at half the goal, while leaving began at the goal, so no call of a burst left (away 0.0% with 30.2% refused) though the neighbours stood at half load.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/estimated.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/estimated.py
@@ -9,7 +9,7 @@
 from baobabhinge_gateway.routing.decisions import Candidate, Decision
 from baobabhinge_gateway.routing.estimates import Estimate
 from baobabhinge_gateway.routing.hysteresis import AwaySwitch
-from baobabhinge_gateway.routing.objective import score_run
+from baobabhinge_gateway.routing.objective import compute_limit, score_run
 from baobabhinge_gateway.routing.registry import PolicyParts, register_policy
 from baobabhinge_gateway.routing.targets import Target
 from baobabhinge_settings.model import Objective
@@ -79,11 +79,11 @@
         away: Sequence[Candidate],
     ) -> bool:
         first = min((candidate.first for candidate in home), default=NEVER)
-        goal = self._find_objective(call).first_token
-        is_late = self._switches[call.service.name].update(first, goal)
+        limit = compute_limit(self._find_objective(call))
+        is_late = self._switches[call.service.name].update(first, limit)
         if not (home and away):
             return bool(away)
-        return is_late and _is_better(away[0], home[0], goal)
+        return is_late and _is_better(away[0], home[0], limit)
 
     def _find_objective(self, call: Call) -> Objective:
         return self._parts.objectives.find_objective(call.service.name)
@@ -119,6 +119,6 @@
     return (candidate.first, candidate.target.in_flight)
 
 
-def _is_better(away: Candidate, home: Candidate, goal: timedelta) -> bool:
-    is_only_one_in_time = home.first > goal and away.first <= goal
+def _is_better(away: Candidate, home: Candidate, limit: timedelta) -> bool:
+    is_only_one_in_time = home.first > limit and away.first <= limit
     return is_only_one_in_time or away.score < home.score
