--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/plans.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/plans.py
@@ -1,4 +1,4 @@
-"""Sizes of the deployments that the brief describes."""
+"""Sizes of the example deployments."""
 
 from datetime import timedelta
 
