--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_leaving_backend.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_leaving_backend.py
@@ -20,6 +20,11 @@
 scenarios('leaving_backend.feature')
 
 SETTINGS = """
+[objective all]
+cost = 34 percent
+tail-latency = 33 percent
+sent-away = 33 percent
+first-token = 60 s
 [region west]
 failure-domains = west-a
 [region east]
