--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/cli.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/cli.py
@@ -19,7 +19,8 @@
 def serve(*, settings: Path) -> None:
     """Run one gateway until SIGTERM.
 
-    Exit codes: 0 after a graceful stop, 2 for unusable process settings.
+    Exit codes: 0 after a graceful stop, 1 if a part failed, such as an
+    address that is in use, 2 for unusable process settings.
 
     Parameters
     ----------
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
@@ -76,6 +76,9 @@
 from baobabhinge_gateway.errors.serving import (
     OutcomeUnknownError as OutcomeUnknownError,
 )
+from baobabhinge_gateway.errors.starting import (
+    AddressTakenError as AddressTakenError,
+)
 from baobabhinge_gateway.errors.transport import (
     BodyTooLargeError as BodyTooLargeError,
 )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/listening.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/listening.py
@@ -2,10 +2,14 @@
 
 from datetime import timedelta
 
+import structlog
 from aiohttp import web
 from mode import Service
 
 from baobabhinge_gateway.callers.connections import GuardedRunner
+from baobabhinge_gateway.errors import AddressTakenError
+
+log = structlog.get_logger(__name__)
 
 STOP_PATIENCE = timedelta(seconds=60)
 
@@ -31,10 +35,20 @@
         )
 
     async def on_start(self) -> None:
-        """Bind the socket."""
+        """Bind the socket.
+
+        Raises
+        ------
+        AddressTakenError
+            If the address is in use, or is not one of this vm.
+        """
         await self._runner.setup()
         host, _, port = self._address.rpartition(':')
-        await web.TCPSite(self._runner, host, int(port)).start()
+        try:
+            await web.TCPSite(self._runner, host, int(port)).start()
+        except OSError as failure:
+            log.error('address-taken', address=self._address)
+            raise AddressTakenError(self._address) from failure
 
     async def on_stop(self) -> None:
         """Close the socket, then wait for the calls in flight."""
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
@@ -5,12 +5,12 @@
 
 import aiohttp
 
+from baobabhinge_standins.fleet.awaiting import GatewayWait
 from baobabhinge_standins.fleet.backends import Backends
 from baobabhinge_standins.fleet.members import Role, Roster
 from baobabhinge_standins.fleet.plans import BackendPlan, DeploymentPlan
 from baobabhinge_standins.fleet.platform import Platform
 from baobabhinge_standins.fleet.processes import ProcessGroup
-from baobabhinge_standins.fleet.readiness import wait_url
 from baobabhinge_standins.fleet.views import Views
 from baobabhinge_standins.fleet.vmlists import VmLists
 from baobabhinge_standins.links import Links
@@ -148,13 +148,16 @@
             f'--key-value={store}',
         )
         if await command.process.wait():
-            log = self._folder / 'operator.log'
-            raise PublishFailedError(log.read_text().splitlines()[-1:])
+            last = self.processes.read_last_line('operator')
+            raise PublishFailedError(last)
 
     async def wait_ready(self) -> None:
-        """Wait until every gateway serves with a configuration."""
-        urls = [
-            f'http://{member.caller_address}/readyz'
-            for member in self.roster.list_by(Role.gateway)
-        ]
-        await asyncio.gather(*(wait_url(self._http, url) for url in urls))
+        """Wait until every gateway serves with a configuration.
+
+        Raises
+        ------
+        NotReadyError
+            If one of them ends, or does not serve in time.
+        """
+        waiting = GatewayWait(self._http, self.processes)
+        await waiting.wait_all(self.roster.list_by(Role.gateway))
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/processes.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/processes.py
@@ -47,6 +47,11 @@
         """Return the child called ``name``."""
         return self._children[name]
 
+    def read_last_line(self, name: str) -> str:
+        """Return the last line that the child called ``name`` wrote."""
+        lines = (self._folder / f'{name}.log').read_text().splitlines()
+        return lines[-1] if lines else ''
+
     async def restart(self, name: str) -> Child:
         """Start the ended child called ``name`` again, the same way."""
         line = self.get(name).line
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/readiness.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/readiness.py
@@ -38,13 +38,13 @@
     await wait_until(is_open)
 
 
-async def wait_url(http: aiohttp.ClientSession, url: str) -> None:
-    """Wait until a GET of ``url`` is answered with status 200."""
-
-    async def is_ok() -> bool:
-        return await _is_ok(http, url)
-
-    await wait_until(is_ok)
+async def is_ok(http: aiohttp.ClientSession, url: str) -> bool:
+    """Tell whether a GET of ``url`` is answered with status 200."""
+    try:
+        async with http.get(url) as answer:
+            return answer.status == HTTPStatus.OK
+    except aiohttp.ClientError:
+        return False
 
 
 async def _is_open(port: int) -> bool:
@@ -54,11 +54,3 @@
         return False
     writer.close()
     return True
-
-
-async def _is_ok(http: aiohttp.ClientSession, url: str) -> bool:
-    try:
-        async with http.get(url) as answer:
-            return answer.status == HTTPStatus.OK
-    except aiohttp.ClientError:
-        return False
