Show routing decisions and limits in force in /v1/status

The log of decisions was kept and shown nowhere; limits told nothing of their use. The status now has decisions by kind (home, away, or the code of the refusal, which was counted as a win before), candidates kept out by limit and service, the last 16 decisions with at most 8 candidates each, each operators' limit with what is allowed, in use and refused, and the calls in flight by service and workspace with the share. A decision holds no text of a call; one about bound work is kept only where the call may be; a workspace that the settings don't name is shown as a question mark, since its name is whatever a caller wrote.

Not shown: calls that may not be repeated are sent by the owner of their key and don't pass the router; they count in the limits.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/admission/quotas.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/admission/quotas.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from baobabhinge_coordination.clock import Clock
+from baobabhinge_gateway.admission.reports import LimitUse
 from baobabhinge_gateway.errors import LimitReachedError
 from baobabhinge_settings.model import Limit
 
@@ -28,12 +29,13 @@
         Clock of the rates.
     """
 
-    __slots__ = ('_buckets', '_clock', '_in_flight')
+    __slots__ = ('_buckets', '_clock', '_in_flight', '_refused')
 
     def __init__(self, clock: Clock) -> None:
         """Start with no call counted."""
         self._clock = clock
         self._in_flight: Counter[str] = Counter()
+        self._refused: Counter[str] = Counter()
         self._buckets: dict[str, _Bucket] = {}
 
     @contextmanager
@@ -54,9 +56,23 @@
         finally:
             self._in_flight.subtract(map(_get_name, counted))
 
+    def measure(self, limit: Limit) -> LimitUse:
+        """Return how much of ``limit`` is in use."""
+        return LimitUse(
+            self._in_flight[limit.name],
+            self._measure_rate(limit),
+            self._refused[limit.name],
+        )
+
+    def _measure_rate(self, limit: Limit) -> float:
+        if limit.rate is None:
+            return 0
+        return limit.rate - self._refill(limit.name, limit.rate).level
+
     def _check(self, limit: Limit) -> None:
         count = self._in_flight[limit.name]
         if limit.in_flight is not None and count >= limit.in_flight:
+            self._refused[limit.name] += 1
             raise LimitReachedError(
                 f'limit {limit.name}: too many calls in flight',
             )
@@ -64,6 +80,7 @@
             return
         missing = 1 - self._refill(limit.name, limit.rate).level
         if missing > 0:
+            self._refused[limit.name] += 1
             raise LimitReachedError(
                 f'limit {limit.name}: too many calls a second',
                 SECOND * (missing / limit.rate),
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/admission/workspaces.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/admission/workspaces.py
@@ -6,8 +6,11 @@
 
 import msgspec
 
+from baobabhinge_gateway.admission.reports import ShareReport
 from baobabhinge_gateway.calls import Call
 
+SHOWN_WORKSPACES = 32
+
 
 class _Account(msgspec.Struct, frozen=True):
     service: str
@@ -39,16 +42,35 @@
         The share is the same for each workspace with calls in flight, and a
         workspace alone is never above it.
         """
-        counts = [
-            count
-            for account, count in self._counts.items()
-            if account.service == call.service.name
-        ]
+        counts = self._list_counts(call.service.name)
         if len(counts) <= 1:
             return False
         own = self._counts[_name_account(call)]
         return own > sum(counts) / len(counts)
 
+    def list_shares(self) -> list[ShareReport]:
+        """Return the workspaces with calls in flight, the busiest first."""
+        return [
+            ShareReport(
+                account.service,
+                account.workspace,
+                count,
+                self._compute_share(account.service),
+            )
+            for account, count in self._counts.most_common(SHOWN_WORKSPACES)
+        ]
+
+    def _compute_share(self, service: str) -> float:
+        counts = self._list_counts(service)
+        return sum(counts) / len(counts)
+
+    def _list_counts(self, service: str) -> list[int]:
+        return [
+            count
+            for account, count in self._counts.items()
+            if account.service == service
+        ]
+
     def _forget(self, account: _Account) -> None:
         self._counts[account] -= 1
         if not self._counts[account]:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/assembly.py
@@ -4,12 +4,12 @@
 
 from baobabhinge_coordination.budgets import RetryBudget
 from baobabhinge_coordination.clock import SystemClock
-from baobabhinge_gateway.admission import Quotas
 from baobabhinge_gateway.callers.checks import build_checks
 from baobabhinge_gateway.callers.parts import CallParts
 from baobabhinge_gateway.callers.service import CallServer
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.execution import (
+    Accounts,
     ExecutorLimits,
     Executors,
     RepeatableExecutor,
@@ -32,40 +32,37 @@
     """Return the server of calls of one gateway."""
     clock = SystemClock()
     rules = RoutingRules(active, fleet.home.region)
+    accounts = Accounts(clock, fleet.home.region)
     repeatable = _build_repeatable(
-        rules,
-        fleet,
+        RoutingBuilder(clock, SystemRandom(), fleet, rules, accounts),
         platform,
         parts,
     )
-    limits = ExecutorLimits(Quotas(clock), rules)
-    executors = Executors(
-        model=limits.wrap(repeatable),
-        plain=limits.wrap(repeatable),
-        run_once=limits.wrap(parts.run_once),
-    )
+    limits = ExecutorLimits(accounts.quotas, rules)
     return CallServer(
         fleet.home,
         clock,
         active,
-        executors,
+        Executors(
+            model=limits.wrap(repeatable),
+            plain=limits.wrap(repeatable),
+            run_once=limits.wrap(parts.run_once),
+            accounts=accounts,
+        ),
         build_checks(fleet, active, parts.lifecycle),
     )
 
 
 def _build_repeatable(
-    rules: RoutingRules,
-    fleet: FleetView,
+    builder: RoutingBuilder,
     platform: Platform,
     parts: CallParts,
 ) -> RepeatableExecutor:
-    clock = SystemClock()
-    builder = RoutingBuilder(clock, SystemRandom(), fleet, rules)
     routing = builder.build(platform.http)
     return RepeatableExecutor(
         routing.router,
         routing.dispatcher,
         RetryBudget(share=RETRY_SHARE, burst=RETRY_BURST),
-        clock,
+        SystemClock(),
         parts.isolation,
     )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
@@ -52,6 +52,7 @@
         '_clock',
         '_executors',
         '_hop',
+        'accounts',
         'measures',
     )
 
@@ -69,6 +70,7 @@
         self._active = active
         self._executors = executors
         self._checks = checks
+        self.accounts = executors.accounts
         self.measures = Measures()
 
     async def serve_model(self, request: web.Request) -> web.StreamResponse:
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/usage.py
@@ -0,0 +1,41 @@
+"""Limits in force, as far as this gateway knows them."""
+
+import msgspec
+
+from baobabhinge_gateway.admission import (
+    LimitReport,
+    Quotas,
+    ShareReport,
+    WorkspaceShares,
+    report_limit,
+)
+from baobabhinge_settings.model import Settings
+
+UNKNOWN_WORKSPACE = '?'
+
+
+def list_limits(quotas: Quotas, settings: Settings | None) -> list[LimitReport]:
+    """Return the operators' limits and how much of each is in use."""
+    limits = () if settings is None else settings.limits
+    return [report_limit(limit, quotas.measure(limit)) for limit in limits]
+
+
+def list_shares(
+    shares: WorkspaceShares,
+    settings: Settings | None,
+) -> list[ShareReport]:
+    """Return the calls in flight by service and workspace.
+
+    A workspace that the settings don't name is shown as ``?``: its name is
+    whatever a caller wrote.
+    """
+    known = {''}
+    if settings is not None:
+        known.update(settings.workspaces)
+    return [_hide_unknown(share, known) for share in shares.list_shares()]
+
+
+def _hide_unknown(share: ShareReport, known: set[str]) -> ShareReport:
+    if share.workspace in known:
+        return share
+    return msgspec.structs.replace(share, workspace=UNKNOWN_WORKSPACE)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -113,7 +113,7 @@
             StatusReport(
                 fleet,
                 self._active,
-                calls.measures,
+                calls,
                 platform.transport.calls,
                 duties.keeper,
             ),
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/__init__.py
@@ -1,5 +1,6 @@
 """Running calls: one executor for each kind of call."""
 
+from baobabhinge_gateway.execution.accounts import Accounts as Accounts
 from baobabhinge_gateway.execution.assembly import (
     RoutingBuilder as RoutingBuilder,
 )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/assembly.py
@@ -5,7 +5,8 @@
 import aiohttp
 
 from baobabhinge_coordination.clock import Clock
-from baobabhinge_gateway.admission import Shedder, WorkspaceShares
+from baobabhinge_gateway.admission import Shedder
+from baobabhinge_gateway.execution.accounts import Accounts
 from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.routing import (
     ConfiguredPolicy,
@@ -51,9 +52,11 @@
         Known vms.
     rules : RoutingRules
         What the configuration in force says.
+    accounts : Accounts
+        Counts of this gateway.
     """
 
-    __slots__ = ('_clock', '_fleet', '_random', '_rules')
+    __slots__ = ('_accounts', '_clock', '_fleet', '_random', '_rules')
 
     def __init__(
         self,
@@ -61,8 +64,10 @@
         random: Random,
         fleet: FleetView,
         rules: RoutingRules,
+        accounts: Accounts,
     ) -> None:
         """Keep the parts."""
+        self._accounts = accounts
         self._clock = clock
         self._random = random
         self._fleet = fleet
@@ -70,7 +75,7 @@
 
     def build(self, http: aiohttp.ClientSession) -> RoutingParts:
         """Return router and dispatcher over one client session."""
-        shares = WorkspaceShares()
+        shares = self._accounts.shares
         tracker = TargetTracker(self._clock, self._rules, shares)
         return RoutingParts(
             Router(
@@ -78,6 +83,7 @@
                 ConfiguredPolicy(self._rules, self._build_parts(tracker)),
                 tracker.in_flight,
                 Shedder(self._clock, self._random, shares, self._rules),
+                self._accounts.decisions,
             ),
             Dispatcher(http, self._clock, tracker),
         )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/router.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/router.py
@@ -1,10 +1,15 @@
 """Finding the targets of a call."""
 
 from baobabhinge_gateway.calls import Call
-from baobabhinge_gateway.errors import NoBackendServerError, RegionBoundError
+from baobabhinge_gateway.errors import (
+    CallError,
+    NoBackendServerError,
+    RegionBoundError,
+)
 from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.routing.counters import InFlight
-from baobabhinge_gateway.routing.decisions import Decision, DecisionLog
+from baobabhinge_gateway.routing.decisionlog import DecisionLog
+from baobabhinge_gateway.routing.decisions import Decision
 from baobabhinge_gateway.routing.gates import Gate
 from baobabhinge_gateway.routing.registry import RoutingPolicy
 from baobabhinge_gateway.routing.targets import Target
@@ -24,6 +29,8 @@
         Calls open by vm.
     gate : Gate
         Refuses what would be answered late.
+    decisions : DecisionLog
+        Where decisions are recorded.
     """
 
     __slots__ = (
@@ -41,6 +48,7 @@
         policy: RoutingPolicy,
         in_flight: InFlight,
         gate: Gate,
+        decisions: DecisionLog,
     ) -> None:
         """Keep the parts."""
         self._gate = gate
@@ -48,7 +56,7 @@
         self._fleet = fleet
         self._policy = policy
         self._in_flight = in_flight
-        self.decisions = DecisionLog()
+        self.decisions = decisions
 
     def decide(self, call: Call) -> Decision:
         """Return the ranked candidates of ``call``.
@@ -65,13 +73,21 @@
             If its workspace has more than its share of a full service.
         """
         decision = self._policy.rank(call, self._list_targets(call))
-        self.decisions.add(call.request_id, call.service.name, decision)
+        try:
+            self._check(call, decision)
+        except CallError as refused:
+            self.decisions.add(call, decision, refused.code)
+            raise
+        self.decisions.add(call, decision)
+        return decision
+
+    def _check(self, call: Call, decision: Decision) -> None:
         if decision.candidates:
             self._gate.check(call, decision)
-            return decision
-        if call.terms.regions is not None:
+        elif call.terms.regions is None:
+            raise NoBackendServerError('no backend server may take the call')
+        else:
             raise RegionBoundError('the bound region has no backend server')
-        raise NoBackendServerError('no backend server may take the call now')
 
     def _list_targets(self, call: Call) -> list[Target]:
         local = []
--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/status.feature
@@ -0,0 +1,21 @@
+Feature: A gateway shows its decisions and the limits in force
+
+  Scenario: A call that may go anywhere
+    Given two regions whose dealers may have 2 calls in flight
+    When a dealer of west asks the model, bound to nothing
+    Then the status of west shows the decision with its candidates and winner
+    And no status shows any text of the call
+
+  Scenario: A call that is bound to its region
+    Given two regions whose dealers may have 2 calls in flight
+    When a dealer of west asks the model, bound to west
+    Then the status of west shows the decision with its candidates and winner
+    And the status of east does not name the call
+    And no status shows any text of the call
+
+  Scenario: A limit is reached
+    Given two regions whose dealers may have 2 calls in flight
+    When dealers of west hold 2 streams open and ask once more
+    Then the third is refused by the limit
+    And the status of west shows the limit with 2 of 2 in use and a refusal
+    And the status of west shows 0 of 2 in use once the streams have ended
