Spread callers over the gateways of their region

GET /v1/entries ranked by name: every caller of a region that followed it, as the caller library does, used the same gateway, and the others took nothing. The order now comes from rendezvous hashing of the caller's address, or of the name that it gives, over the gateways: callers spread, each keeps its gateway, and only those of a gateway that leaves move. Weighed: a shuffle at each answer, which moves a caller every 5 s and so makes every key taken ahead one more hop; ranking by load, which moves all callers at once. The operators' status is sorted by region and name.

Green: tests of callers, caller library, operator, test_caller_library.py (3, it now asks which gateway the program uses and kills that one, as the scenario says) and test_graceful_shutdown.py (2).

--- a/packages/baobabhinge-caller/src/baobabhinge_caller/__init__.py
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/__init__.py
@@ -11,7 +11,6 @@
 """
 
 from baobabhinge_caller.client import Client as Client
-from baobabhinge_caller.client import open_client as open_client
 from baobabhinge_caller.errors import CallFailedError as CallFailedError
 from baobabhinge_caller.errors import NotRunError as NotRunError
 from baobabhinge_caller.errors import (
@@ -19,6 +18,7 @@
 )
 from baobabhinge_caller.errors import RefusedError as RefusedError
 from baobabhinge_caller.exchange import Answer as Answer
+from baobabhinge_caller.opening import open_client as open_client
 from baobabhinge_caller.requests import Completion as Completion
 from baobabhinge_caller.requests import ServiceCall as ServiceCall
 from baobabhinge_caller.requests import Terms as Terms
--- a/packages/baobabhinge-caller/src/baobabhinge_caller/client.py
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/client.py
@@ -1,7 +1,6 @@
 """The client that programs use."""
 
-from collections.abc import AsyncIterator, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator
 
 import aiohttp
 
@@ -22,7 +21,6 @@
 )
 from baobabhinge_caller.requests import Completion, ServiceCall
 from baobabhinge_caller.streaming import read_texts
-from baobabhinge_coordination.clock import SystemClock
 
 
 class Client:
@@ -154,12 +152,3 @@
     async with open_exchange(http, address, outgoing) as answer:
         async for text in read_texts(answer):
             yield text
-
-
-@asynccontextmanager
-async def open_client(seeds: Sequence[str]) -> AsyncIterator[Client]:
-    """Yield a client that knows some gateways by ``host:port``."""
-    clock = SystemClock()
-    connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(connector=connector) as http:
-        yield Client(http, EntryBook(http, seeds, clock), KeyPurse(clock))
--- a/packages/baobabhinge-caller/src/baobabhinge_caller/entries.py
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/entries.py
@@ -23,17 +23,29 @@
         ``host:port`` of some gateways, for the first question.
     clock : Clock
         Clock of the time to live.
+    caller : str, optional
+        Name by which the gateways spread callers.
     """
 
-    __slots__ = ('_avoided', '_clock', '_expires', '_http', '_listed', '_seeds')
+    __slots__ = (
+        '_avoided',
+        '_caller',
+        '_clock',
+        '_expires',
+        '_http',
+        '_listed',
+        '_seeds',
+    )
 
     def __init__(
         self,
         http: aiohttp.ClientSession,
         seeds: Sequence[str],
         clock: Clock,
+        caller: str = '',
     ) -> None:
         """Know the seeds alone."""
+        self._caller = caller
         self._http = http
         self._clock = clock
         self._seeds = list(seeds)
@@ -67,8 +79,13 @@
 
     async def _ask(self, address: str) -> EntryList | None:
         url = f'http://{address}/v1/entries'
+        query = {'caller': self._caller}
         try:
-            async with self._http.get(url, timeout=ASK_TIMEOUT) as answer:
+            async with self._http.get(
+                url,
+                params=query,
+                timeout=ASK_TIMEOUT,
+            ) as answer:
                 return msgspec.json.decode(await answer.read(), type=EntryList)
         except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
             return None
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/entries.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/entries.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 import msgspec
+import xxhash
 from aiohttp import web
 
 from baobabhinge_gateway.fleet import FleetView
@@ -10,6 +11,7 @@
 from baobabhinge_platform.machines import Vm
 
 TIME_TO_LIVE = timedelta(seconds=5)
+MAX_CALLER_CHARS = 64
 
 
 class Entry(msgspec.Struct, frozen=True):
@@ -58,10 +60,11 @@
         app.router.add_get('/v1/entries', self.report)
 
     async def report(self, request: web.Request) -> web.Response:
-        """Answer with the ranked list."""
+        """Answer with the list as ranked for the caller that asks."""
+        named = request.query.get('caller') or request.remote or ''
+        ranked = self._rank_gateways(named[:MAX_CALLER_CHARS])
         entries = [
-            Entry(vm.name, vm.region, vm.caller_address)
-            for vm in self._rank_gateways()
+            Entry(vm.name, vm.region, vm.caller_address) for vm in ranked
         ]
         listed = EntryList(int(TIME_TO_LIVE.total_seconds()), entries)
         return web.Response(
@@ -69,7 +72,12 @@
             content_type='application/json',
         )
 
-    def _rank_gateways(self) -> list[Vm]:
+    def _rank_gateways(self, caller: str) -> list[Vm]:
+        """Return the home region first, in an order of the caller's own.
+
+        Rendezvous hashing: callers are spread over the gateways, and only
+        those of a gateway that leaves move.
+        """
         home = self._fleet.home
         left_out = {home.gateway} if self._lifecycle.is_draining else set()
         listed = [
@@ -77,5 +85,9 @@
         ]
         return sorted(
             listed,
-            key=lambda vm: (vm.region != home.region, vm.name),
+            key=lambda vm: (vm.region != home.region, _hash(caller, vm)),
         )
+
+
+def _hash(caller: str, vm: Vm) -> int:
+    return xxhash.xxh3_64_intdigest(f'{vm.name} {caller}'.encode())
--- a/packages/baobabhinge-operator/src/baobabhinge_operator/queries/gateways.py
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/queries/gateways.py
@@ -56,12 +56,16 @@
     listed = await _read_entries(gateway)
     entered = await asyncio.gather(*map(_read_status, listed.entries))
     asked = [*entered, *await _ask_others(gateway, listed)]
-    statuses = [*asked, *_list_others(asked)]
+    statuses = sorted([*asked, *_list_others(asked)], key=_get_place)
     if json:
         return render_json(statuses)
     return '\n'.join(map(render_status, statuses))
 
 
+def _get_place(gateway: GatewayStatus) -> tuple[str, str]:
+    return (gateway.region, gateway.vm)
+
+
 async def _read_entries(gateway: str | None) -> EntryList:
     addresses = read_addresses().list_gateways(gateway)
     body = await fetch_first(addresses, '/v1/entries')
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_caller_library.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_caller_library.py
@@ -1,6 +1,7 @@
 import asyncio
 from http import HTTPMethod
 
+import aiohttp
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
@@ -12,6 +13,8 @@
     Terms,
     open_client,
 )
+from baobabhinge_caller.entries import EntryBook
+from baobabhinge_coordination.clock import SystemClock
 from baobabhinge_standins.fleet import DeploymentPlan, Role
 from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
 from baobabhinge_standins.tests.conftest import run_configured
@@ -52,6 +55,7 @@
 )
 TOKENS = 60
 ANYWHERE = Terms()
+PROGRAM = 'program'
 
 
 @pytest.fixture(scope='module')
@@ -83,9 +87,21 @@
     return [gateway.caller_address for gateway in gateways]
 
 
+async def list_used(run):
+    """Return the gateways of west, the one that the program uses first."""
+    async with aiohttp.ClientSession() as http:
+        book = EntryBook(http, list_seeds(run, 'west'), SystemClock(), PROGRAM)
+        addresses = await book.list_addresses()
+    names = {
+        gateway.caller_address: gateway.name
+        for gateway in run.roster.list_by(Role.gateway, 'west')
+    }
+    return [names[address] for address in addresses if address in names]
+
+
 async def stream(run, region, prompt, terms=ANYWHERE, on_token=None):
     texts = []
-    async with open_client(list_seeds(run, region)) as client:
+    async with open_client(list_seeds(run, region), PROGRAM) as client:
         asked = Completion('llm', prompt, TOKENS, terms)
         async for text in client.stream(asked):
             texts.append(text)
@@ -99,7 +115,8 @@
     target_fixture='streamed',
 )
 def stream_and_kill(run, loop):
-    kill = run.processes.get('west-gateway-1').kill
+    used = loop.run(list_used(run))[0]
+    kill = run.processes.get(used).kill
     return loop.run(stream(run, 'west', 'killed', on_token=kill))
 
 
@@ -131,11 +148,12 @@
 async def confirm_all(run, count):
     """Return the trades by what the program was told of them."""
     told = {'confirmed': [], 'unknown': {}, 'not run': []}
-    async with open_client(list_seeds(run, 'west')) as client:
+    unused = (await list_used(run))[1]
+    async with open_client(list_seeds(run, 'west'), PROGRAM) as client:
         trades = [confirm_one(client, number, told) for number in range(count)]
         half = count // 2
         await asyncio.gather(*trades[:half])
-        await run.processes.get('west-gateway-2').kill()
+        await run.processes.get(unused).kill()
         await asyncio.gather(*trades[half:])
     return told
 
@@ -180,7 +198,7 @@
 
 
 async def ask_again(run, unknown):
-    async with open_client(list_seeds(run, 'west')) as client:
+    async with open_client(list_seeds(run, 'west'), PROGRAM) as client:
         for number, key in unknown.items():
             with pytest.raises(CallFailedError) as failure:
                 await client.run_once(build_trade(number), key)
