Read chats and whole completions with the caller library

The library knew prompts and streams alone, gave no identifier of a request and didn't look whose answer it handed out. Now Completion takes messages, complete returns a whole answer, stream_tokens and answers carry the identifier, and an event or answer that names another request raises WrongAnswerError and is never tried again by itself, so that a fault of the system is seen.

Seen red: test_completions.py with the check of the identifier taken out, 4 failed. Green: tests of the package and test_caller_library.py, 23 passed.

--- /dev/null
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/completions.py
@@ -0,0 +1,56 @@
+"""HTTP requests that carry completions."""
+
+from http import HTTPMethod
+
+import msgspec
+
+from baobabhinge_caller.headers import list_headers
+from baobabhinge_caller.outgoing import Outgoing
+from baobabhinge_caller.requests import Completion, Message
+
+PROMPT_PATH = '/v1/completions'
+CHAT_PATH = '/v1/chat/completions'
+
+
+class _CompletionBody(msgspec.Struct, omit_defaults=True):
+    model: str
+    max_tokens: int
+    prompt: str = ''
+    messages: tuple[Message, ...] = ()
+    stream: bool = False
+    resume_from: int = 0
+
+
+def build_stream(asked: Completion, received: int) -> Outgoing:
+    """Return the streamed request for the tokens after ``received``."""
+    body = _build_body(asked)
+    body.stream = True
+    body.resume_from = received
+    return _build_completion(asked, body)
+
+
+def build_whole(asked: Completion) -> Outgoing:
+    """Return the request for an answer in one piece."""
+    return _build_completion(asked, _build_body(asked))
+
+
+def _build_body(asked: Completion) -> _CompletionBody:
+    return _CompletionBody(
+        asked.model,
+        asked.max_tokens,
+        asked.prompt,
+        asked.messages,
+    )
+
+
+def _build_completion(asked: Completion, body: _CompletionBody) -> Outgoing:
+    headers = list_headers(asked.terms)
+    headers['Baobabhinge-Service'] = asked.model
+    headers['Content-Type'] = 'application/json'
+    return Outgoing(
+        HTTPMethod.POST,
+        CHAT_PATH if asked.messages else PROMPT_PATH,
+        headers,
+        msgspec.json.encode(body),
+        is_repeatable=True,
+    )
--- a/packages/baobabhinge-caller/src/baobabhinge_caller/errors.py
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/errors.py
@@ -41,3 +41,7 @@
         """Keep problem and key."""
         super().__init__(problem)
         self.key = key
+
+
+class WrongAnswerError(CallFailedError):
+    """The answer names another request; it is kept from the program."""
--- a/packages/baobabhinge-caller/src/baobabhinge_caller/exchange.py
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/exchange.py
@@ -11,13 +11,25 @@
 
 PROBLEM_TYPE = 'application/problem+json'
 EXPECT = 'Expect'
+REQUEST_ID = 'X-Request-Id'
 
 
 class Answer(msgspec.Struct, frozen=True):
-    """Whole answer of a plain service."""
+    """A whole answer.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    body : bytes
+        Whole body.
+    request_id : str
+        Identifier to name when you ask the operators.
+    """
 
     status: int
     body: bytes
+    request_id: str = ''
 
 
 class ExchangeFailedError(Exception):
@@ -75,6 +87,11 @@
         raise ExchangeFailedError(read_problem(await answer.read()))
 
 
+def get_request_id(answer: aiohttp.ClientResponse) -> str:
+    """Return the identifier that the gateway gave the request."""
+    return answer.headers.get(REQUEST_ID, '')
+
+
 def read_problem(body: bytes) -> Problem:
     """Return the problem in ``body``; the outcome of a bad one is unknown."""
     try:
--- a/packages/baobabhinge-caller/src/baobabhinge_caller/opening.py
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/opening.py
@@ -9,6 +9,7 @@
 from baobabhinge_caller.client import Client
 from baobabhinge_caller.entries import EntryBook
 from baobabhinge_caller.keys import KeyPurse
+from baobabhinge_caller.sending import Sender
 from baobabhinge_coordination.clock import SystemClock
 
 
@@ -31,4 +32,4 @@
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as http:
         entries = EntryBook(http, seeds, clock, caller or uuid.uuid4().hex)
-        yield Client(http, entries, KeyPurse(clock))
+        yield Client(Sender(http, entries), KeyPurse(clock))
--- a/packages/baobabhinge-caller/src/baobabhinge_caller/outgoing.py
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/outgoing.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from baobabhinge_caller.headers import list_headers
-from baobabhinge_caller.requests import Completion, ServiceCall
+from baobabhinge_caller.requests import ServiceCall
 
 BATCH_SIZE = 32
 
@@ -32,39 +32,10 @@
     is_repeatable: bool
 
 
-class _CompletionBody(msgspec.Struct, frozen=True, omit_defaults=True):
-    model: str
-    prompt: str
-    max_tokens: int
-    stream: bool = False
-    resume_from: int = 0
-
-
 class _KeyOrder(msgspec.Struct, frozen=True):
     count: int
 
 
-def build_completion(asked: Completion, received: int) -> Outgoing:
-    """Return the streamed request for the tokens after ``received``."""
-    fields = _CompletionBody(
-        asked.model,
-        asked.prompt,
-        asked.max_tokens,
-        stream=True,
-        resume_from=received,
-    )
-    headers = list_headers(asked.terms)
-    headers['Baobabhinge-Service'] = asked.model
-    headers['Content-Type'] = 'application/json'
-    return Outgoing(
-        HTTPMethod.POST,
-        '/v1/completions',
-        headers,
-        msgspec.json.encode(fields),
-        is_repeatable=True,
-    )
-
-
 def build_service_call(call: ServiceCall, key: str | None) -> Outgoing:
     """Return the request of a service call; a key makes it repeatable.
 
--- a/packages/baobabhinge-caller/src/baobabhinge_caller/requests.py
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/requests.py
@@ -24,6 +24,13 @@
     workspace: str = ''
 
 
+class Message(msgspec.Struct, frozen=True):
+    """One message of a chat."""
+
+    role: str
+    text: str = msgspec.field(name='content')
+
+
 class Completion(msgspec.Struct, frozen=True):
     """A completion, which may be repeated.
 
@@ -32,17 +39,20 @@
     model : str
         ``service[:adapter][@version]``.
     prompt : str
-        The prompt.
+        The prompt; empty for a chat.
     max_tokens : int
         Longest answer, in tokens.
     terms : Terms
         Deadline, regions and workspace.
+    messages : tuple of Message
+        Messages of a chat; empty for a prompt.
     """
 
     model: str
-    prompt: str
+    prompt: str = ''
     max_tokens: int = 256
     terms: Terms = Terms()
+    messages: tuple[Message, ...] = ()
 
 
 class ServiceCall(msgspec.Struct, frozen=True):
--- a/packages/baobabhinge-caller/src/baobabhinge_caller/streaming.py
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/streaming.py
@@ -3,9 +3,13 @@
 from collections.abc import AsyncIterator
 
 import aiohttp
-import msgspec
 
-from baobabhinge_caller.exchange import ExchangeFailedError, read_problem
+from baobabhinge_caller.chunks import Token, read_token
+from baobabhinge_caller.exchange import (
+    ExchangeFailedError,
+    get_request_id,
+    read_problem,
+)
 from baobabhinge_caller.messages import UNKNOWN, Problem
 
 FRAME_END = b'\n'
@@ -14,26 +18,23 @@
 DONE_FRAME = b'data: [DONE]\n\n'
 
 
-class _Choice(msgspec.Struct):
-    text: str = ''
-
-
-class _Chunk(msgspec.Struct):
-    choices: list[_Choice]
-
-
-async def read_texts(answer: aiohttp.ClientResponse) -> AsyncIterator[str]:
-    """Yield the text of each token.
+async def read_tokens(
+    answer: aiohttp.ClientResponse,
+) -> AsyncIterator[Token]:
+    """Yield each token.
 
     Raises
     ------
     ExchangeFailedError
         If the stream reports an error or ends without its terminal event.
+    CallFailedError
+        If an event is malformed or names another request.
     """
+    request_id = get_request_id(answer)
     async for frame in _split_frames(answer):
         if frame == DONE_FRAME:
             return
-        yield _read_text(frame)
+        yield _read_frame(frame, request_id)
     raise ExchangeFailedError(
         Problem('answer-broken', UNKNOWN, 'the stream ended unfinished'),
     )
@@ -48,9 +49,8 @@
             lines.clear()
 
 
-def _read_text(frame: bytes) -> str:
+def _read_frame(frame: bytes, request_id: str) -> Token:
     if frame.startswith(ERROR_PREFIX):
         problem = read_problem(frame.removeprefix(ERROR_PREFIX))
         raise ExchangeFailedError(problem)
-    chunk = msgspec.json.decode(frame.removeprefix(EVENT_PREFIX), type=_Chunk)
-    return ''.join(choice.text for choice in chunk.choices)
+    return read_token(frame.removeprefix(EVENT_PREFIX), request_id)
--- /dev/null
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/tests/test_completions.py
@@ -0,0 +1,109 @@
+import msgspec
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+
+from baobabhinge_caller import (
+    Completion,
+    Message,
+    OutcomeUnknownError,
+    WrongAnswerError,
+    open_client,
+)
+
+CHAT = Completion('llm', max_tokens=2, messages=(Message('user', 'hello'),))
+PROMPT = Completion('llm', 'hello', 2)
+DONE = b'data: [DONE]\n\n'
+PATHS = {'/v1/completions': 'text', '/v1/chat/completions': 'message'}
+
+
+class Gateway:
+    """A gateway that answers with two tokens, each naming a request."""
+
+    def __init__(self):
+        self.asked = []
+        self.named = 'r-1'
+        self.address = ''
+
+    def add_to(self, app):
+        app.router.add_get('/v1/entries', self.list_entries)
+        for path in PATHS:
+            app.router.add_post(path, self.answer)
+
+    async def list_entries(self, request):
+        entry = {'vm': 'g', 'region': 'west', 'address': self.address}
+        return web.json_response({'ttl_seconds': 5, 'entries': [entry]})
+
+    async def answer(self, request):
+        order = await request.json()
+        self.asked.append((request.path, order))
+        body = self.render(order)
+        return web.Response(body=body, headers={'X-Request-Id': 'r-1'})
+
+    def render(self, order):
+        if not order.get('stream'):
+            return msgspec.json.encode(self.render_chunk(order, 'a b '))
+        chunks = [self.render_chunk(order, text) for text in ('a ', 'b ')]
+        frames = map(msgspec.json.encode, chunks)
+        return b''.join(b'data: %b\n\n' % frame for frame in frames) + DONE
+
+    def render_chunk(self, order, text):
+        kind = 'delta' if order.get('stream') else 'message'
+        part = {kind: {'content': text}}
+        if 'messages' not in order:
+            part = {'text': text}
+        return {'id': self.named, 'choices': [part]}
+
+
+@pytest.fixture
+async def gateway():
+    gateway = Gateway()
+    app = web.Application()
+    gateway.add_to(app)
+    async with TestServer(app) as server:
+        gateway.address = f'{server.host}:{server.port}'
+        yield gateway
+
+
+async def read_stream(client, asked):
+    tokens = [token async for token in client.stream_tokens(asked)]
+    return [token.text for token in tokens], {
+        token.request_id for token in tokens
+    }
+
+
+async def read_whole(client, asked):
+    token = await client.complete(asked)
+    return [token.text], {token.request_id}
+
+
+@pytest.mark.parametrize('asked', [CHAT, PROMPT])
+@pytest.mark.parametrize(
+    ('read', 'texts'),
+    [(read_stream, ['a ', 'b ']), (read_whole, ['a b '])],
+)
+async def test_texts_and_their_request(gateway, asked, read, texts):
+    async with open_client([gateway.address]) as client:
+        assert await read(client, asked) == (texts, {'r-1'})
+    assert len(gateway.asked) == 1
+    path, order = gateway.asked[0]
+    assert path.startswith('/v1/chat') is bool(asked.messages)
+    assert order['max_tokens'] == 2
+    assert ('messages' in order) is bool(asked.messages)
+
+
+@pytest.mark.parametrize('asked', [CHAT, PROMPT])
+@pytest.mark.parametrize('read', [read_stream, read_whole])
+async def test_answer_to_another_request_is_kept_back(gateway, asked, read):
+    gateway.named = 'r-2'
+    async with open_client([gateway.address]) as client:
+        with pytest.raises(WrongAnswerError):
+            await read(client, asked)
+    assert len(gateway.asked) == 1
+
+
+async def test_answer_that_cannot_be_read(gateway):
+    gateway.named = 7
+    async with open_client([gateway.address]) as client:
+        with pytest.raises(OutcomeUnknownError):
+            await client.complete(PROMPT)
