Send nothing of a call to parties outside the region of its key

The search for bound text outside its region looked for the text and one plain digest. It now looks for what gateways derive from it as well: fingerprints of crashes, request digests of run-once calls, names of bindings, and ten plain digests, in logs, journals, memory and the store; and the store's list of bindings is compared with the one that a free call makes.

Found by it: a bound call under a key of its own region, in which the owner is a gateway elsewhere, was forwarded whole (the text was in the memory of east-gateway-1), and with an owner that is gone and a witness elsewhere its request digest was sent (in the memory of south-gateway-1). Cause: the region written in the key was compared with the call's, the regions of its parties were not.

Ruled out: fingerprints of crashes stay home (mutation stays_home off: found in east and south); bindings hold nothing of bound calls (mutation of the check: answered in place of 428, and found in the store).

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/binding.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/binding.py
@@ -80,7 +80,11 @@
         """
         if self._is_bound(call):
             raise KeyedRefusalError(KeyRequiredError(BOUND))
-        path = _get_path(call, idempotency_key)
+        path = name_binding(
+            call.service.name,
+            call.terms.workspace,
+            idempotency_key,
+        )
         try:
             return await self._claim(path, self._mint())
         except StoreError as down:
@@ -117,9 +121,10 @@
         return not all(call.terms.allows(region) for region in regions)
 
 
-def _get_path(call: Call, idempotency_key: str) -> str:
+def name_binding(service: str, workspace: str, idempotency_key: str) -> str:
+    """Return the name of a binding in the key-value service."""
     digest = hashlib.blake2b(key=DIGEST_KEY, digest_size=DIGEST_BYTES)
-    for part in (call.service.name, call.terms.workspace, idempotency_key):
+    for part in (service, workspace, idempotency_key):
         digest.update(hashlib.sha256(part.encode()).digest())
     return f'{BINDING_PREFIX}{digest.hexdigest()}'
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/environment.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/environment.py
@@ -5,8 +5,10 @@
 import aiohttp
 
 from baobabhinge_coordination.clock import Clock
+from baobabhinge_coordination.runonce import Party, RunOnceKey
 from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.runonce.peerclient import PeerClient
+from baobabhinge_platform.machines import Vm
 
 
 class Environment:
@@ -46,3 +48,22 @@
         self.clock = clock
         self.random = random
         self.peers = PeerClient(http)
+
+    def find_party(self, key: RunOnceKey, party: Party | None) -> Vm | None:
+        """Return the gateway of ``party``, the owner or witness of ``key``.
+
+        Callers can write any key, so a gateway outside the region of the key
+        is none of its parties: nothing of the call, and no digest of it, goes
+        there.
+
+        Returns
+        -------
+        Vm or None
+            ``None`` if there is no such gateway in the region of the key.
+        """
+        if party is None:
+            return None
+        vm = self.fleet.find_gateway(party.vm)
+        if vm is None or vm.region != key.region:
+            return None
+        return vm
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/forwarding.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/forwarding.py
@@ -48,7 +48,8 @@
         CallError
             If the owner tells that there is no answer.
         """
-        owner = self._environment.fleet.find_gateway(attempt.key.owner.vm)
+        key = attempt.key
+        owner = self._environment.find_party(key, key.owner)
         if owner is None:
             return None
         try:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/inquiry.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/inquiry.py
@@ -28,12 +28,12 @@
         Surroundings.
     """
 
-    __slots__ = ('_fleet', '_memory', '_peers')
+    __slots__ = ('_environment', '_memory', '_peers')
 
     def __init__(self, memory: RunOnceMemory, environment: Environment) -> None:
         """Keep the parts."""
         self._memory = memory
-        self._fleet = environment.fleet
+        self._environment = environment
         self._peers = environment.peers
 
     def ask_here(self, question: Question, order: AskOutcome) -> Outcome:
@@ -81,19 +81,19 @@
         """Return what ``party`` says; ``None`` if it is silent or has ended."""
         if party is None:
             return None
-        told = await self._pass_on(question, party.vm, order)
+        told = await self._pass_on(question, party, order)
         is_lost = told is not None and told.reason is Reason.owner_lost
         return None if is_lost else told
 
     async def _pass_on(
         self,
         question: Question,
-        name: str,
+        party: Party,
         order: AskOutcome,
     ) -> Outcome | None:
-        if name == self._memory.party.vm:
+        if party.vm == self._memory.party.vm:
             return self.ask_here(question, order)
-        vm = self._fleet.find_gateway(name)
+        vm = self._environment.find_party(order.key, party)
         if vm is None:
             return None
         try:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/recorder.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/recorder.py
@@ -12,7 +12,6 @@
 from baobabhinge_gateway.runonce.environment import Environment
 from baobabhinge_gateway.runonce.keeping import WitnessKeeper
 from baobabhinge_gateway.runonce.peerclient import PeerSilentError
-from baobabhinge_platform.machines import Vm
 
 LOST_WITNESS = frozenset((None, IntentVerdict.refused))
 
@@ -28,7 +27,7 @@
         Told when a witness is lost.
     """
 
-    __slots__ = ('_copies', '_fleet', '_keeper', '_peers')
+    __slots__ = ('_copies', '_environment', '_keeper', '_peers')
 
     def __init__(
         self,
@@ -37,7 +36,7 @@
     ) -> None:
         """Keep the parts."""
         self._copies: set[asyncio.Task[None]] = set()
-        self._fleet = environment.fleet
+        self._environment = environment
         self._peers = environment.peers
         self._keeper = keeper
 
@@ -63,7 +62,7 @@
         await asyncio.gather(*self._copies)
 
     async def _copy(self, key: RunOnceKey, outcome: Outcome) -> None:
-        vm = self._find_witness(key)
+        vm = self._environment.find_party(key, key.witness)
         if vm is None:
             return
         try:
@@ -76,7 +75,7 @@
         key: RunOnceKey,
         digest: str,
     ) -> IntentVerdict | None:
-        vm = self._find_witness(key)
+        vm = self._environment.find_party(key, key.witness)
         if vm is None:
             return None
         try:
@@ -86,8 +85,3 @@
         except PeerSilentError:
             return None
         return reply.verdict
-
-    def _find_witness(self, key: RunOnceKey) -> Vm | None:
-        if key.witness is None:
-            return None
-        return self._fleet.find_gateway(key.witness.vm)
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/region_bound.feature
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/region_bound.feature
@@ -1,5 +1,23 @@
 Feature: Work that is bound to a region stays there
 
+  Scenario: A bound prompt that crashes engines
+    Given three regions with a data rule for the dealers of west
+    When a bound prompt crashes the engines of west
+    Then the engines of west serve again
+
+  Scenario Outline: A bound trade that may run once
+    Given three regions with a data rule for the dealers of west
+    When a bound trade comes to west-gateway-1 with <key>
+    Then it ends as <outcome>
+
+    Examples:
+      | key                                | outcome                 |
+      | a key of west                      | answered                |
+      | an Idempotency-Key                 | key-required unknown    |
+      | a key whose owner is in east       | outcome-unknown unknown |
+      | a key whose witness is in south    | outcome-unknown unknown |
+      | a key whose parties are in east    | outcome-unknown unknown |
+
   Scenario Outline: Bound work is answered at home or refused
     Given three regions with a data rule for the dealers of west
     When a <kind> call bound by <binding> comes to <entry> while <failure>
@@ -25,5 +43,7 @@
 
   Scenario: No process outside the region has seen the bound text
     Given three regions with a data rule for the dealers of west
-    When every log, journal and memory outside west is searched
-    Then no bound text is found there, but it is found in west
+    When a trade that is free to leave is sent with an Idempotency-Key
+    And every log, journal and memory outside west is searched
+    Then no bound text and no digest of it is found there, but both in west
+    And the key-value service has the binding of the free trade alone
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_region_bound.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_region_bound.py
@@ -1,5 +1,5 @@
 import asyncio
-import hashlib
+import json
 from pathlib import Path
 
 import aiohttp
@@ -7,11 +7,21 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from baobabhinge_gateway.runonce.binding import BINDING_PREFIX, name_binding
 from baobabhinge_standins.engine.faults import EngineFaults
+from baobabhinge_standins.engine.running import CRASH_MARK
 from baobabhinge_standins.fleet import DeploymentPlan, Role
 from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_until
 from baobabhinge_standins.tests.conftest import run_configured
+from baobabhinge_standins.tests.steps.bound import (
+    MARK,
+    SERVICE,
+    Trade,
+    fingerprint_prompt,
+    list_digests,
+    take_key,
+)
 from baobabhinge_standins.tests.steps.completions import ask, send
 
 scenarios('region_bound.feature')
@@ -39,6 +49,9 @@
 [service ledger]
 kind = plain
 deadline = 10 s
+[run-once ledger confirm]
+method = POST
+path = /trades/*
 [placement ledger west]
 replicas = 1 vms
 [placement ledger south]
@@ -63,7 +76,10 @@
     'header': {'Baobabhinge-Region-Bound': 'west'},
     'rule': {'Baobabhinge-Workspace': 'dealers'},
 }
-MARK = 'bound-text-of-west'
+WEST = 'west-gateway-1'
+CRASHING = f'{MARK} {CRASH_MARK}'
+FREE_KEY = 'free-trade'
+BOUND_KEY = f'{MARK} key'
 ENDINGS = {
     'answered': {('answered', None)},
     'answered or not run': {('answered', None), ('refused', 'not-run')},
@@ -82,6 +98,12 @@
     loop.run(context.__aexit__(None, None, None))
 
 
+@pytest.fixture(scope='module')
+def digests():
+    """Yield digests of bound text that gateways of west have."""
+    return [fingerprint_prompt(CRASHING, 'west')]
+
+
 @given(
     'three regions with a data rule for the dealers of west',
     target_fixture='run',
@@ -222,29 +244,105 @@
         assert addresses == [west.caller_address]
 
 
+@when('a bound prompt crashes the engines of west')
+def crash(run, loop):
+    ending, problem = loop.run(
+        send_bound_text(run, 'whole', CRASHING, BINDINGS['header']),
+    )
+    assert (ending, problem['code']) == ('refused', 'crashing-request')
+
+
+async def send_bound_text(run, kind, text, headers):
+    address = run.roster.get(WEST).caller_address
+    async with aiohttp.ClientSession() as http:
+        return await send_kind(http, address, kind, text, headers)
+
+
+@then('the engines of west serve again')
+def serve_again(run, loop):
+    async def is_answered():
+        bound = BINDINGS['header']
+        told = await send_bound_text(run, 'whole', 'probe', bound)
+        return told[0] == 'answered'
+
+    async def restart():
+        for engine in run.roster.list_by(Role.engine, 'west'):
+            child = run.processes.get(engine.name)
+            assert child.process.returncode is not None
+            await run.processes.restart(engine.name)
+        await wait_until(is_answered)
+
+    loop.run(restart())
+
+
+@when(
+    parsers.parse('a bound trade comes to west-gateway-1 with {key}'),
+    target_fixture='told',
+)
+def send_trade(run, loop, digests, key):
+    trade = Trade(f'/trades/{len(digests)}', f'{MARK} {key}')
+    return loop.run(send_bound_trade(run, trade, key, digests))
+
+
+async def send_bound_trade(run, trade, key, digests):
+    address = run.roster.get(WEST).caller_address
+    headers = dict(BINDINGS['rule'])
+    if key == 'an Idempotency-Key':
+        headers['Idempotency-Key'] = BOUND_KEY
+    else:
+        headers['Baobabhinge-Key'] = await take_key(address, key)
+        digests.append(trade.compute_digest(headers['Baobabhinge-Key']))
+    return await trade.send(address, headers)
+
+
+@then(parsers.parse('it ends as {outcome}'))
+def check_told(told, outcome):
+    assert told == outcome
+
+
+@when('a trade that is free to leave is sent with an Idempotency-Key')
+def send_free(run, loop):
+    address = run.roster.get('south-gateway-1').caller_address
+    headers = {'Idempotency-Key': FREE_KEY}
+    sending = Trade('/trades/free', 'free').send(address, headers)
+    assert loop.run(sending) == 'answered'
+
+
 @when(
     'every log, journal and memory outside west is searched',
     target_fixture='found',
 )
-def search(deployed):
+def search(deployed, digests):
     run, folder = deployed
-    texts = [MARK.encode(), hashlib.sha256(MARK.encode()).hexdigest().encode()]
-    found = {}
-    for member in run.roster.list_all():
-        process = run.processes.get(member.name).process
-        paths = folder.glob(f'{member.name}.*')
-        places = [path.read_bytes() for path in paths]
-        places += read_memory(process.pid)
-        found[member.name] = any(
-            text in place for place in places for text in texts
-        )
-    store = run.processes.get('keyvalue').process
-    found['store'] = any(
-        MARK.encode() in part for part in read_memory(store.pid)
-    )
+    texts = [
+        MARK,
+        *digests,
+        *list_digests(MARK),
+        *list_digests(CRASHING),
+        *list_digests(json.dumps(CRASHING)),
+        *(fingerprint_prompt(CRASHING, region) for region in ('east', 'south')),
+        name_binding(SERVICE, 'dealers', BOUND_KEY),
+    ]
+    found = {
+        member.name: find_texts(run, folder, member.name, texts)
+        for member in run.roster.list_all()
+    }
+    found['keyvalue'] = find_texts(run, folder, 'keyvalue', texts)
     return found
 
 
+def find_texts(run, folder, name, texts):
+    """Return which texts a process holds in its files and memory."""
+    process = run.processes.get(name).process
+    places = [path.read_bytes() for path in folder.glob(f'{name}.*')]
+    places += read_memory(process.pid)
+    return {
+        text
+        for text in texts
+        if any(text.encode() in place for place in places)
+    }
+
+
 def read_memory(pid):
     """Return the writable memory of a process that still runs."""
     if not Path(f'/proc/{pid}').exists():
@@ -260,13 +358,23 @@
     return memory.read(last - first)
 
 
-@then('no bound text is found there, but it is found in west')
-def check_found(run, found):
+@then('no bound text and no digest of it is found there, but both in west')
+def check_found(run, found, digests):
     outside = {
-        name
-        for name, is_found in found.items()
-        if is_found and not name.startswith('west')
+        name: texts
+        for name, texts in found.items()
+        if texts and not name.startswith('west')
     }
-    assert outside == set()
-    assert found['west-gateway-1']
-    assert any(found[engine.name] for engine in run.roster.list_by(Role.engine))
+    assert not outside
+    # The last digests are those of keys that no gateway takes.
+    assert {MARK, *digests[:2]} <= found[WEST]
+    engines = run.roster.list_by(Role.engine, 'west')
+    assert any(MARK in found[engine.name] for engine in engines)
+
+
+@then('the key-value service has the binding of the free trade alone')
+def check_bindings(run, loop):
+    path = f'v1/kv/{BINDING_PREFIX}?keys'
+    listed = loop.run(run.platform.store.send('GET', path, None))
+    free = name_binding(SERVICE, '', FREE_KEY)
+    assert msgspec.json.decode(listed) == [free]
