Give each trial of the experiment prompts of its own

Cause: trials of one run share engines, and the same seed draws the same prompts, so a policy measured later found the prompts of the earlier ones in the caches.

Ruled out: noise; the cost is counted from journals and fell at each trial.

The test compares first blocks of the same seed under two labels.

--- a/packages/baobabhinge-standins/src/baobabhinge_standins/experiment/__main__.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/experiment/__main__.py
@@ -51,7 +51,10 @@
         workload or WORKLOADS,
         policy or POLICIES,
     )
-    trials = [Trial(*combination) for combination in combinations]
+    trials = [
+        Trial(*combination, number)
+        for number, combination in enumerate(combinations, start=1)
+    ]
     summaries = asyncio.run(_run_all(site, trials))
     sys.stdout.write(f'{render_table(summaries)}\n')
     if plot is not None:
@@ -61,7 +64,7 @@
 async def _run_all(site: str, trials: list[Trial]) -> list[Summary]:
     summaries = []
     async with start_runner(site) as runner:
-        await runner.run(msgspec.structs.replace(trials[0], seed=0))
+        await runner.run(_make_warm_up(trials[0]))
         for trial in trials:
             summary = await runner.run(trial)
             sys.stderr.write(f'{summary}\n')
@@ -69,5 +72,9 @@
     return summaries
 
 
+def _make_warm_up(trial: Trial) -> Trial:
+    return msgspec.structs.replace(trial, seed=0, number=0)
+
+
 if __name__ == '__main__':
     defopt.run(main)
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/experiment/arrivals.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/experiment/arrivals.py
@@ -1,15 +1,14 @@
 """Open-loop arrivals drawn from a seed."""
 
+from collections.abc import Iterator
 from datetime import timedelta
 from random import Random
 
 import msgspec
 
-from baobabhinge_standins.experiment.workloads import TOKENS, Stream, Workload
+from baobabhinge_standins.experiment.prompts import draw_body
+from baobabhinge_standins.experiment.workloads import Stream, Workload
 
-SYSTEM_PROMPTS = 6
-SYSTEM_SHARE = 0.8
-ALPHABET = 'abcdefghijklmnopqrstuvwxyz '
 SECOND = timedelta(seconds=1)
 
 
@@ -34,7 +33,11 @@
     body: bytes
 
 
-def draw_arrivals(workload: Workload, seed: int) -> list[Arrival]:
+def draw_arrivals(
+    workload: Workload,
+    seed: int,
+    label: str = '',
+) -> list[Arrival]:
     """Return the arrivals of a workload, in the order of their time.
 
     Parameters
@@ -43,17 +46,25 @@
         What comes when.
     seed : int
         The same seed draws the same arrivals.
+    label : str
+        Begins each prompt, so that no cache holds prompts of another label.
     """
     random = Random(seed)
-    arrivals = []
-    for stream in workload.streams:
-        instant = stream.start + _draw_gap(random, stream)
-        while instant < stream.end:
-            arrivals.append(_draw_arrival(random, stream, instant))
-            instant += _draw_gap(random, stream)
+    arrivals = [
+        _draw_arrival(random, stream, instant, label)
+        for stream in workload.streams
+        for instant in _draw_instants(random, stream)
+    ]
     return sorted(arrivals, key=_get_instant)
 
 
+def _draw_instants(random: Random, stream: Stream) -> Iterator[timedelta]:
+    instant = stream.start + _draw_gap(random, stream)
+    while instant < stream.end:
+        yield instant
+        instant += _draw_gap(random, stream)
+
+
 def _draw_gap(random: Random, stream: Stream) -> timedelta:
     return SECOND * random.expovariate(stream.rate)
 
@@ -62,27 +73,11 @@
     random: Random,
     stream: Stream,
     instant: timedelta,
+    label: str,
 ) -> Arrival:
-    system_chars = int(stream.prompt_chars * SYSTEM_SHARE)
-    number = random.randrange(SYSTEM_PROMPTS)
-    system = f'{number} {stream.workspace} '.ljust(system_chars, '.')
-    rest = random.choices(ALPHABET, k=stream.prompt_chars - system_chars)
-    body = _render_body(system, ''.join(rest))
+    body = draw_body(random, stream, label)
     return Arrival(instant, stream, random.randrange(1 << 16), body)
 
 
-def _render_body(system: str, user: str) -> bytes:
-    order = {
-        'model': 'llm',
-        'stream': True,
-        'max_tokens': TOKENS,
-        'messages': [
-            {'role': 'system', 'content': system},
-            {'role': 'user', 'content': user},
-        ],
-    }
-    return msgspec.json.encode(order)
-
-
 def _get_instant(arrival: Arrival) -> timedelta:
     return arrival.instant
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/experiment/runner.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/experiment/runner.py
@@ -23,11 +23,23 @@
 
 
 class Trial(msgspec.Struct, frozen=True):
-    """One run to be made."""
+    """One run to be made.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the arrivals.
+    workload, policy : str
+        What is run.
+    number : int
+        Another one for each run, so that none finds the prompts of another in
+        the caches of the engines.
+    """
 
     seed: int
     workload: str
     policy: str
+    number: int = 0
 
 
 class Runner:
@@ -75,7 +87,7 @@
         faults = asyncio.create_task(self._play_events(workload.events))
         async with open_callers(self._running) as callers:
             outcomes = await callers.send_all(
-                draw_arrivals(workload, trial.seed),
+                draw_arrivals(workload, trial.seed, f'{trial.number}'),
             )
         await faults
         return outcomes
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/experiment/tests/test_experiment.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/experiment/tests/test_experiment.py
@@ -1,8 +1,10 @@
 from datetime import timedelta
 
+import msgspec
 import pytest
 
 from baobabhinge_settings import SourceFile, merge_files
+from baobabhinge_standins.engine.cache import PREFIX_BLOCK_CHARS
 from baobabhinge_standins.engine.journal import EngineRun
 from baobabhinge_standins.experiment import WORKLOADS
 from baobabhinge_standins.experiment.actions import ACTIONS
@@ -28,6 +30,17 @@
     assert all(event.action in ACTIONS for event in events)
 
 
+def list_first_blocks(label):
+    drawn = draw_arrivals(WORKLOADS['calm'](SITES['tsukushi']), 7, label)
+    orders = [msgspec.json.decode(arrival.body) for arrival in drawn]
+    texts = [order['messages'][0]['content'] for order in orders]
+    return {text[:PREFIX_BLOCK_CHARS] for text in texts}
+
+
+def test_trials_share_no_cached_block():
+    assert not list_first_blocks('0') & list_first_blocks('1')
+
+
 @pytest.mark.parametrize('site', SITES.values(), ids=SITES)
 def test_sites_render_settings_that_merge(site):
     text = site.render_settings('home-only')
