Keep prompts together only where nothing waits for it

A server that had become slow also kept its beginnings, since only queueing was looked at, not the expected first piece.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/affinity.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/affinity.py
@@ -1,6 +1,7 @@
 """Keeping prompts with the same beginning at the same backend server."""
 
 from collections.abc import Sequence
+from datetime import timedelta
 
 import msgspec
 import xxhash
@@ -10,7 +11,6 @@
 from baobabhinge_settings.model import ServiceKind
 
 PREFIX_CHARS = 256
-EXTRA_LOAD = 1.25
 
 
 class _Message(msgspec.Struct):
@@ -43,6 +43,7 @@
 def prefer_cached(
     prefix: str,
     candidates: Sequence[Candidate],
+    slack: timedelta,
 ) -> list[Candidate]:
     """Put the backend server that ``prefix`` belongs to first.
 
@@ -52,23 +53,21 @@
         Beginning of a prompt.
     candidates : sequence of Candidate
         Backend servers of one region, the best one first.
+    slack : timedelta
+        How much later than the best one a server may be expected to answer.
 
     Notes
     -----
-    Rendezvous hashing with bounded loads: servers without queueing whose
-    load is at most a quarter above the mean take part; among them the highest
-    hash wins. With none of them the order stays.
+    Rendezvous hashing with bounded loads: servers without queueing that are
+    expected within ``slack`` and run as few calls of this gateway as any of
+    these take part; among them the highest hash wins. With none of them the
+    order stays.
 
     References
     ----------
     Mirrokni, Thorup, Zadimoghaddam: Consistent Hashing with Bounded Loads.
     """
-    bound = _compute_bound(candidates)
-    fitting = [
-        candidate
-        for candidate in candidates
-        if not candidate.wait and candidate.target.in_flight <= bound
-    ]
+    fitting = _list_least_used(_list_near(candidates, slack))
     if not fitting:
         return list(candidates)
     winner = max(fitting, key=lambda candidate: _hash(prefix, candidate))
@@ -76,9 +75,24 @@
     return [winner, *rest]
 
 
-def _compute_bound(candidates: Sequence[Candidate]) -> float:
-    total = sum(candidate.target.in_flight for candidate in candidates)
-    return EXTRA_LOAD * (total + 1) / max(1, len(candidates))
+def _list_near(
+    candidates: Sequence[Candidate],
+    slack: timedelta,
+) -> list[Candidate]:
+    return [
+        candidate
+        for candidate in candidates
+        if not candidate.wait and candidate.first <= candidates[0].first + slack
+    ]
+
+
+def _list_least_used(candidates: Sequence[Candidate]) -> list[Candidate]:
+    counts = [candidate.target.in_flight for candidate in candidates]
+    return [
+        candidate
+        for candidate in candidates
+        if candidate.target.in_flight == min(counts)
+    ]
 
 
 def _hash(prefix: str, candidate: Candidate) -> int:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/estimated.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/estimated.py
@@ -15,6 +15,7 @@
 from baobabhinge_settings.model import Objective
 
 NEVER = timedelta(days=1)
+CACHED_SHARE = 0.1
 
 
 @register_policy('estimated-latency')
@@ -70,7 +71,8 @@
         prefix = compute_prefix(call)
         if prefix is None:
             return home
-        return prefer_cached(prefix, home)
+        slack = self._find_objective(call).first_token * CACHED_SHARE
+        return prefer_cached(prefix, home, slack)
 
     def _may_leave(
         self,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/tests/test_policies.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/tests/test_policies.py
@@ -104,6 +104,21 @@
     assert world.rank(make_call('prefix'), busy)[0] not in winners
 
 
+def test_prompts_leave_a_server_that_has_become_slow():
+    world = World()
+    late = timedelta(milliseconds=600)
+    world.tracker.observations.add(Sample('w1', late, late))
+    ranked = [world.rank(make_call(f'{n}'), HOME) for n in range(16)]
+    assert {names[0] for names in ranked} == {'w2'}
+
+
+def test_prompts_go_to_a_server_with_the_fewest_calls():
+    world = World()
+    homes = [make_target('w1', 2), make_target('w2', 2), make_target('w3', 1)]
+    ranked = [world.rank(make_call(f'{n}'), homes) for n in range(16)]
+    assert {names[0] for names in ranked} == {'w3'}
+
+
 @pytest.mark.parametrize(
     ('policy', 'targets', 'winners'),
     [
