Have the region confirm suspects before one runs again, one run at a time

Cause: that the gateways of a region had heard of a crash was waited for (2 s), not confirmed: the news went out once, with 500 ms for its answer and no second try. Two copies of one request that had crashed one engine together also ran again at the same moment on two more: nothing kept copies at two gateways apart. Seen in the log of a failed run: two engines dead at once, the third 3.7 s later by the copy at another gateway.

Now a suspect runs only after each gateway of the region has taken in the crashes and answered with its own, and while no other gateway runs it or a suspect on the same engine (RunClaims, after Ricart and Agrawala).

--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/__init__.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/__init__.py
@@ -1,5 +1,6 @@
 """Finding the request that crashes the servers which run it."""
 
+from baobabhinge_coordination.suspects.claims import RunClaims as RunClaims
 from baobabhinge_coordination.suspects.ledger import (
     SuspectLedger as SuspectLedger,
 )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/parts.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/parts.py
@@ -3,7 +3,7 @@
 from baobabhinge_gateway.execution import Executor
 from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.lifecycle import Lifecycle
-from baobabhinge_gateway.peers.parts import HeartbeatParts
+from baobabhinge_gateway.peers import PeerNode
 from baobabhinge_gateway.suspects import Isolation, build_isolation
 
 
@@ -38,7 +38,7 @@
     lifecycle: Lifecycle,
     run_once: Executor,
     fleet: FleetView,
-    heartbeats: HeartbeatParts,
+    node: PeerNode,
 ) -> CallParts:
-    """Return the parts; the region hears of crashes by heartbeat."""
-    return CallParts(lifecycle, run_once, build_isolation(fleet, heartbeats))
+    """Return the parts; the region hears of crashes through ``node``."""
+    return CallParts(lifecycle, run_once, build_isolation(fleet, node))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -18,12 +18,12 @@
 )
 from baobabhinge_gateway.fleet import FleetService, FleetView
 from baobabhinge_gateway.lifecycle import Drainer, create_lifecycle
-from baobabhinge_gateway.listening import Listener
 from baobabhinge_gateway.orders import DutyStack
+from baobabhinge_gateway.paths import Routes
 from baobabhinge_gateway.peers import PeerStack
 from baobabhinge_gateway.platform import Platform, build_http_session
 from baobabhinge_gateway.process import ProcessSettings
-from baobabhinge_gateway.routes import Routes, build_app
+from baobabhinge_gateway.routes import build_listener
 from baobabhinge_gateway.runonce import (
     KeyRoutes,
     PeerRoutes,
@@ -94,7 +94,7 @@
                 self._lifecycle,
                 RunOnceExecutor(run_once),
                 fleet,
-                peers.node.parts,
+                peers.node,
             ),
         )
         identity = self._settings.identity
@@ -121,5 +121,6 @@
         await self.add_runtime_dependency(Drainer(self._lifecycle))
 
     async def _listen(self, address: str, *parts: Routes) -> None:
-        app = build_app([ConnectionEnd(self._lifecycle), *parts])
-        await self.add_runtime_dependency(Listener(app, address))
+        end = ConnectionEnd(self._lifecycle)
+        listener = build_listener(address, end, *parts)
+        await self.add_runtime_dependency(listener)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/client.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/client.py
@@ -1,5 +1,6 @@
 """Documents that other gateways hand out."""
 
+from contextlib import AbstractAsyncContextManager
 from datetime import timedelta
 from typing import TypeVar
 
@@ -68,6 +69,35 @@
         """
         return await self._fetch(contact, VMS_PATH, tuple[Vm, ...])
 
+    async def post(
+        self,
+        contact: Contact,
+        path: str,
+        body: bytes,
+        patience: timedelta,
+    ) -> bytes:
+        """Send ``body`` to a gateway and return its answer.
+
+        Raises
+        ------
+        MemberUnreachableError
+            If it does not answer in time, or refuses.
+        """
+        address = self._addresses.find(contact)
+        if address is None:
+            raise MemberUnreachableError(f'no address of {contact.name}')
+        limit = aiohttp.ClientTimeout(total=patience.total_seconds())
+        sending = self._http.post(
+            f'http://{address}{path}',
+            data=body,
+            timeout=limit,
+            raise_for_status=True,
+        )
+        try:
+            return await _read(sending)
+        except (aiohttp.ClientError, TimeoutError) as bad:
+            raise MemberUnreachableError(address) from bad
+
     async def _fetch(
         self,
         contact: Contact,
@@ -88,9 +118,13 @@
 
     async def _get(self, url: str) -> bytes:
         limit = aiohttp.ClientTimeout(total=FETCH_TIMEOUT.total_seconds())
-        async with self._http.get(
-            url,
-            timeout=limit,
-            raise_for_status=True,
-        ) as answer:
-            return await answer.read()
+        return await _read(
+            self._http.get(url, timeout=limit, raise_for_status=True),
+        )
+
+
+async def _read(
+    sending: AbstractAsyncContextManager[aiohttp.ClientResponse],
+) -> bytes:
+    async with sending as answer:
+        return await answer.read()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/node.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/node.py
@@ -12,6 +12,7 @@
 )
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.fleet import FleetService
+from baobabhinge_gateway.paths import Routes
 from baobabhinge_gateway.peers.addresses import PeerAddresses
 from baobabhinge_gateway.peers.client import PeerClient
 from baobabhinge_gateway.peers.parts import HeartbeatParts
@@ -91,7 +92,11 @@
             members, self.parts, clock, random, TIMING
         )
         self.prober = Prober(protocol, transport, clock, random, TIMING)
-        self.routes = (
+        self.routes: tuple[Routes, ...] = (
             PeerRoutes(protocol, self.prober, transport.traffic),
             DocumentRoutes(active, fleet.watcher),
         )
+
+    def add_routes(self, routes: Routes) -> None:
+        """Serve more paths to the other gateways; before any is served."""
+        self.routes = (*self.routes, routes)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routes.py
@@ -2,19 +2,13 @@
 
 from collections.abc import Iterable
 from random import SystemRandom
-from typing import Protocol
 
 from aiohttp import web
 
 from baobabhinge_gateway.callers.checks import MAX_BODY_BYTES
 from baobabhinge_gateway.callers.problems import ProblemRenderer
-
-
-class Routes(Protocol):
-    """A part that serves some paths."""
-
-    def add_to(self, app: web.Application) -> None:
-        """Add the paths to ``app``."""
+from baobabhinge_gateway.listening import Listener
+from baobabhinge_gateway.paths import Routes
 
 
 def build_app(parts: Iterable[Routes]) -> web.Application:
@@ -27,3 +21,8 @@
     for part in parts:
         part.add_to(app)
     return app
+
+
+def build_listener(address: str, *parts: Routes) -> Listener:
+    """Return what serves the paths of all ``parts`` at ``address``."""
+    return Listener(build_app(parts), address)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/suspects/isolation.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/suspects/isolation.py
@@ -1,6 +1,5 @@
 """Keeping suspects apart, and refusing culprits."""
 
-import asyncio
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from datetime import timedelta
@@ -13,14 +12,12 @@
     Outcome,
 )
 from baobabhinge_gateway.routing import Candidate
+from baobabhinge_gateway.suspects.claiming import RegionClaims
 from baobabhinge_gateway.suspects.fingerprints import fingerprint_call
 from baobabhinge_gateway.suspects.turns import SuspectTurns
 from baobabhinge_gateway.suspects.watch import CrashWatch
 from baobabhinge_settings.model import ServiceKind
 
-# Time for the gateways of a region to tell each other of a crash.
-SETTLING = timedelta(seconds=2)
-
 
 class Isolation:
     """What happens around each attempt of a completion.
@@ -35,9 +32,11 @@
         Calls in flight by engine.
     turns : SuspectTurns
         Turns of the suspects.
+    claims : RegionClaims
+        Claims of the suspects in the region.
     """
 
-    __slots__ = ('_ledger', '_region', '_turns', '_watch')
+    __slots__ = ('_claims', '_ledger', '_region', '_turns', '_watch')
 
     def __init__(
         self,
@@ -45,8 +44,10 @@
         ledger: SuspectLedger,
         watch: CrashWatch,
         turns: SuspectTurns,
+        claims: RegionClaims,
     ) -> None:
         """Keep the parts."""
+        self._claims = claims
         self._region = region
         self._ledger = ledger
         self._watch = watch
@@ -93,12 +94,10 @@
         CrashingRequestError
             If the call turned out to crash engines while it waited.
         """
-        engine = candidate.target.vm.name
         if candidate.target.is_remote or not _is_model(call):
             yield
         elif self._judge(call) is Verdict.suspect:
-            async with self._turns.take(engine, patience):
-                self._judge(call)
+            async with self._take_turn(call, candidate, patience):
                 async with self._examine(call, candidate):
                     yield
             self._ledger.clear(fingerprint_call(call, self._region))
@@ -114,6 +113,22 @@
             raise CrashingRequestError(Outcome.not_run)
         return verdict
 
+    @asynccontextmanager
+    async def _take_turn(
+        self,
+        call: Call,
+        candidate: Candidate,
+        patience: timedelta,
+    ) -> AsyncIterator[None]:
+        fingerprint = fingerprint_call(call, self._region)
+        engine = candidate.target.vm.name
+        async with self._claims.take(fingerprint, patience):
+            self._judge(call)
+            turn = self._turns.take(engine, patience)
+            async with turn, self._claims.take_engine(engine, patience):
+                self._judge(call)
+                yield
+
     @asynccontextmanager
     async def _examine(
         self,
@@ -122,12 +137,13 @@
     ) -> AsyncIterator[None]:
         vm = candidate.target.vm
         fingerprint = fingerprint_call(call, self._region)
+        running = self._claims.run(fingerprint)
         try:
-            with self._watch.track(vm, fingerprint):
+            with running, self._watch.track(vm, fingerprint):
                 async with self._watch.explain(vm):
                     yield
         except EngineCrashedError:
-            await asyncio.sleep(SETTLING.total_seconds())
+            await self._claims.tell()
             raise
 
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/crashing_request.feature
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/crashing_request.feature
@@ -9,7 +9,9 @@
     And every other request was answered whole
 
     Examples:
-      | kind     | innocents | how                           |
-      | streamed | 12        | through each gateway in turn  |
-      | whole    | 12        | through each gateway in turn  |
-      | streamed | 6         | through two gateways at once  |
+      | kind     | innocents | how                                      |
+      | streamed | 12        | through each gateway in turn             |
+      | whole    | 12        | through each gateway in turn             |
+      | streamed | 6         | through two gateways at once             |
+      | streamed | 9         | through gateways of which one hears late |
+      | streamed | 3         | after it came through two at once        |
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_crashing_request.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_crashing_request.py
@@ -4,10 +4,12 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from baobabhinge_standins.engine.faults import EngineFaults
 from baobabhinge_standins.engine.running import CRASH_MARK
 from baobabhinge_standins.fleet import DeploymentPlan, Role
 from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_port, wait_until
+from baobabhinge_standins.links import Impairment, LinkFault
 from baobabhinge_standins.tests.conftest import run_configured
 from baobabhinge_standins.tests.steps.completions import (
     ask,
@@ -37,7 +39,11 @@
     backends=(BackendPlan('llm', Role.engine, 'west', 5),),
     wan_latency=WAN_LATENCY,
     link_bits_per_second=1_000_000_000,
+    faulty_peers=True,
 )
+# Longer than the wait for the answer to a heartbeat, both ways together.
+LATE = Impairment(delay_ms=300)
+SLOW = EngineFaults(late_seconds=0.5)
 
 
 @pytest.fixture(scope='module')
@@ -54,7 +60,8 @@
 )
 def start(one_region, loop):
     loop.run(restart_dead(one_region))
-    return one_region
+    yield one_region
+    loop.run(heal(one_region))
 
 
 def list_dead(run):
@@ -71,12 +78,36 @@
         await wait_port(engine.port)
 
 
+async def heal(run):
+    await run.links.heal()
+    await restart_dead(run)
+    for engine in run.roster.list_by(Role.engine):
+        await run.backends.set_faults(engine, EngineFaults())
+
+
 def list_addresses(run):
     gateways = run.roster.list_by(Role.gateway)
     return [gateway.caller_address for gateway in gateways]
 
 
-async def crash_among(run, kind, innocents):
+async def delay_last_gateway(run):
+    """Let heartbeats with the last gateway fail, and slow calls arrive."""
+    *others, last = run.roster.list_by(Role.gateway)
+    names = [
+        name
+        for other in others
+        for name in (f'{other.name}>{last.name}', f'{last.name}>{other.name}')
+    ]
+    await run.links.set_fault(LinkFault(LATE, LATE), *names)
+
+
+async def delay_runs(run):
+    """Let what comes from now on wait in the engines before it runs."""
+    for engine in run.roster.list_by(Role.engine):
+        await run.backends.set_faults(engine, SLOW)
+
+
+async def crash_among(run, kind, innocents, how):
     """Send a crashing request once the others run; return all answers."""
     addresses = list_addresses(run)
     others = [
@@ -103,9 +134,17 @@
         ]
         for _ in others:
             await started.acquire()
-        first = await send(http, addresses[0], culprit)
+        first = addresses[:1]
+        if how.endswith('late'):
+            await delay_last_gateway(run)
+        elif how.startswith('after'):
+            await delay_runs(run)
+            first = addresses[:2]
+        refusals = await asyncio.gather(
+            *(send(http, address, culprit) for address in first),
+        )
         answers = await asyncio.gather(*running)
-    return culprit, [first], list(zip(others, answers, strict=True))
+    return culprit, refusals, list(zip(others, answers, strict=True))
 
 
 @when(
@@ -124,20 +163,19 @@
 )
 def send_again(run, loop, crash, how):
     kind, innocents = crash
-    at_once = how.endswith('at once')
-    return loop.run(repeat(run, kind, innocents, at_once=at_once))
+    return loop.run(repeat(run, kind, innocents, how))
 
 
-async def repeat(run, kind, innocents, *, at_once):
+async def repeat(run, kind, innocents, how):
     addresses = list_addresses(run)
-    if at_once:
+    if how.endswith('gateways at once'):
         twin = send_twin(run, addresses[1], kind, innocents)
         ended, second = await asyncio.gather(
-            crash_among(run, kind, innocents),
+            crash_among(run, kind, innocents, how),
             twin,
         )
     else:
-        ended = await crash_among(run, kind, innocents)
+        ended = await crash_among(run, kind, innocents, how)
         second = None
     culprit, refusals, others = ended
     if second is not None:
