Call through the caller library in bin/demo

The demo had HTTP code of its own: fixed gateways in turn, no entries, no repeats, keys in its own pool. Six programs a region now use the caller library: entries followed, keys taken ahead, Retry-After honoured. A stream whose text or identifier is wrong is still cut, one that fails after a token broken; doubled and sent away are read from the journals as before. The list of vms told gateways' direct addresses, past the link that stands for the way to callers; it now tells the address at which callers reach them. The soak keeps its raw sender, since it checks each attempt.

--- a/packages/baobabhinge-standins/src/baobabhinge_standins/demo/player.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/demo/player.py
@@ -4,13 +4,10 @@
 from datetime import timedelta
 
 from baobabhinge_coordination.clock import Clock
-from baobabhinge_standins.fleet import Deployment
+from baobabhinge_standins.demo.desks import Desks
 from baobabhinge_standins.output import show_line
-from baobabhinge_standins.traffic import Records, Script, Verdict, judge
-from baobabhinge_standins.traffic.exchange import Sender, Timed
-from baobabhinge_standins.traffic.keys import NO_KEY, KeyRing
-from baobabhinge_standins.traffic.records import Sample
-from baobabhinge_standins.traffic.requests import Request
+from baobabhinge_standins.traffic import Records, Request, Script, Verdict
+from baobabhinge_standins.traffic.calling import send
 
 PROGRESS_INTERVAL = timedelta(seconds=2)
 
@@ -20,12 +17,8 @@
 
     Parameters
     ----------
-    deployment : Deployment
-        Where the requests go.
-    sender : Sender
-        What sends them.
-    keys : KeyRing
-        Keys of calls that may not be repeated.
+    desks : Desks
+        Callers of each region.
     clock : Clock
         Clock of the rate.
 
@@ -35,19 +28,11 @@
         What became of the requests.
     """
 
-    __slots__ = ('_clock', '_deployment', '_keys', '_sender', 'records')
+    __slots__ = ('_clock', '_desks', 'records')
 
-    def __init__(
-        self,
-        deployment: Deployment,
-        sender: Sender,
-        keys: KeyRing,
-        clock: Clock,
-    ) -> None:
+    def __init__(self, desks: Desks, clock: Clock) -> None:
         """Send nothing yet."""
-        self._deployment = deployment
-        self._sender = sender
-        self._keys = keys
+        self._desks = desks
         self._clock = clock
         self.records = Records()
 
@@ -75,12 +60,8 @@
             show_line(_describe(self.records))
 
     async def _send(self, request: Request, number: int) -> None:
-        address = self._deployment.choose_entry(request.region, number)
-        key = NO_KEY
-        if request.is_run_once:
-            key = await self._keys.take(request.region, address)
-        timed = await self._sender.send(request, address, key)
-        self.records.add(_build_sample(request, timed))
+        client = self._desks.choose(request.region, number)
+        self.records.add(await send(client, request, self._clock))
 
 
 def _describe(records: Records) -> str:
@@ -88,16 +69,3 @@
     ended = len(records.samples)
     answered = records.outcomes[Verdict.answered]
     return f'{sent} sent, {ended} ended, {answered} answered whole'
-
-
-def _build_sample(request: Request, timed: Timed) -> Sample:
-    verdict = judge(request, timed.reply)
-    if timed.is_refused:
-        verdict = Verdict.not_run
-    return Sample(
-        request,
-        verdict,
-        timed.reply.request_id,
-        timed.first,
-        timed.whole,
-    )
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/demo/running.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/demo/running.py
@@ -4,9 +4,8 @@
 from datetime import timedelta
 from pathlib import Path
 
-import aiohttp
-
 from baobabhinge_coordination.clock import SystemClock
+from baobabhinge_standins.demo.desks import open_desks
 from baobabhinge_standins.demo.player import Player
 from baobabhinge_standins.demo.table import DemoEnd, Summary
 from baobabhinge_standins.fleet import (
@@ -15,12 +14,7 @@
     run_deployment,
 )
 from baobabhinge_standins.output import show_line
-from baobabhinge_standins.traffic import (
-    HttpSender,
-    KeyRing,
-    Records,
-    read_script,
-)
+from baobabhinge_standins.traffic import Records, read_script
 from baobabhinge_standins.traffic.audit import (
     count_doubled,
     measure_sent_away,
@@ -29,7 +23,6 @@
 from baobabhinge_standins.traffic.costs import measure_cost
 
 EXAMPLES = Path('examples')
-KEYS_AT_ONCE = 50
 ONE_SECOND = timedelta(seconds=1)
 
 
@@ -68,8 +61,8 @@
     interval: timedelta,
 ) -> Records:
     script = read_script(EXAMPLES / plan.name)
-    async with aiohttp.ClientSession() as http:
-        player = _build_player(running, http)
+    async with open_desks(running, plan.gateways) as desks:
+        player = Player(desks, SystemClock())
         progress = asyncio.create_task(player.show_progress())
         try:
             await player.play(script, interval, span)
@@ -78,16 +71,6 @@
         return player.records
 
 
-def _build_player(running: Deployment, http: aiohttp.ClientSession) -> Player:
-    clock = SystemClock()
-    return Player(
-        running,
-        HttpSender(http, clock),
-        KeyRing(http, KEYS_AT_ONCE),
-        clock,
-    )
-
-
 async def _summarize(running: Deployment, records: Records) -> Summary:
     journals = await read_journals(running)
     return Summary(
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/members.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/members.py
@@ -74,13 +74,19 @@
             return options
         return (*options, f'--name={self.name}')
 
-    def render_target(self, address: str) -> dict[str, object]:
+    def render_target(
+        self,
+        address: str,
+        caller_address: str,
+    ) -> dict[str, object]:
         """Return the target group of this vm for the list of vms.
 
         Parameters
         ----------
         address : str
             ``host:port`` at which the reader of the list reaches this vm.
+        caller_address : str
+            ``host:port`` at which callers reach it, if it is a gateway.
         """
         labels = {
             'vm': self.name,
@@ -92,7 +98,7 @@
             'fencing': self.fencing,
         }
         if self.caller_port:
-            labels['caller_address'] = self.caller_address
+            labels['caller_address'] = caller_address
         return {'targets': [address], 'labels': labels}
 
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/vmlists.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/vmlists.py
@@ -53,7 +53,10 @@
         members = self._roster.list_all()
         await self._views.open_links(viewer, members)
         listed = [
-            member.render_target(self._views.get_address(viewer, member))
+            member.render_target(
+                self._views.get_address(viewer, member),
+                self._views.get_caller_address(member),
+            )
             for member in members
         ]
         await self._lists.send('PUT', f'vms/{viewer.name}', listed)
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/traffic/exchange.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/traffic/exchange.py
@@ -1,7 +1,6 @@
 """Sending one request to one gateway."""
 
 from datetime import timedelta
-from typing import Protocol
 
 import aiohttp
 import msgspec
@@ -32,13 +31,6 @@
     is_refused: bool = False
 
 
-class Sender(Protocol):
-    """Send requests."""
-
-    async def send(self, request: Request, address: str, key: str) -> Timed:
-        """Send one request to the gateway at ``address``."""
-
-
 class HttpSender:
     """Send requests over HTTP.
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/traffic/judging.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/traffic/judging.py
@@ -39,7 +39,15 @@
 def _is_whole(request: Request, reply: Reply) -> bool:
     if request.is_model:
         return _is_whole_completion(request, reply)
-    echo = msgspec.json.decode(reply.body, type=Echo)
+    return is_whole_echo(request, reply.body)
+
+
+def is_whole_echo(request: Request, body: bytes) -> bool:
+    """Tell whether a plain service answered ``request`` with ``body``."""
+    try:
+        echo = msgspec.json.decode(body, type=Echo)
+    except msgspec.MsgspecError:
+        return False
     expected = (request.service_path, request.body.decode())
     return (echo.path, echo.echo) == expected
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/traffic/requests.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/traffic/requests.py
@@ -42,12 +42,21 @@
     is_bound: bool = False
     workspace: str = ''
 
+    @property
+    def service(self) -> str:
+        """Return the name of the plain service."""
+        return self.path.split('/', SERVICE_PARTS)[-2]
+
+    @property
+    def target(self) -> str:
+        """Return path and query at the plain service."""
+        rest = self.path.split('/', SERVICE_PARTS)[-1]
+        return f'/{rest}'
+
     @property
     def service_path(self) -> str:
         """Return the path that a plain service sees."""
-        path = self.path.partition('?')[0]
-        service = path.split('/', SERVICE_PARTS)[-1]
-        return f'/{service}'
+        return self.target.partition('?')[0]
 
     def list_headers(self, key: str = '') -> dict[str, str]:
         """Return the headers to send.
