Let gateways with different configurations forward to each other

Scenarios: one gateway is kept from a newer generation (what it asks of the store and its peers is cut, what they ask of it is not), the older and the newer generation place completions in each other's region, and no gateway there lists engines. A call comes to the older gateway (decided while cut off, forwarded on healing) and to the newer one. Each region refuses it once, told as no-backend-server, not-run; with a third region that has an engine it is answered once. Places are counted in the gateways' logs, runs in the engines'.

No fault found.

--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/no_place_twice.feature
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/no_place_twice.feature
@@ -29,3 +29,21 @@
     Given three regions whose gateways can disagree
     When the connections of east-gateway-1 break in the middle of a stream
     Then the stream is whole, and each region that ran it ran it once
+
+  Scenario Outline: Gateways with different configurations
+    Given three regions whose gateways can disagree
+    And completions are placed in <older>
+    And no gateway lists the engines of <hidden>
+    When <kept> is kept from the news that they are placed in <newer>
+    And a caller of <entry> asks while they disagree
+    Then it is <outcome>
+    And the regions that refused it did so once: <refusing>
+
+    Examples:
+      | kept            | older          | newer | hidden     | entry           | outcome                    | refusing       |
+      | east-gateway-1  | south          | east  | its region | east-gateway-1  | refused: no-backend-server | east and south |
+      | east-gateway-1  | south          | east  | its region | south-gateway-1 | refused: no-backend-server | east and south |
+      | south-gateway-1 | west           | south | its region | south-gateway-1 | refused: no-backend-server | south and west |
+      | south-gateway-1 | west           | south | its region | west-gateway-1  | refused: no-backend-server | south and west |
+      | east-gateway-1  | west           | east  | south      | east-gateway-1  | answered once              | none           |
+      | east-gateway-1  | west and south | west  | west       | east-gateway-1  | answered once              | west or none   |
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_no_place_twice.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_no_place_twice.py
@@ -1,3 +1,6 @@
+import asyncio
+import json
+
 import aiohttp
 import msgspec
 import pytest
@@ -6,13 +9,17 @@
 from baobabhinge_standins.fleet import DeploymentPlan, Role
 from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_until
-from baobabhinge_standins.links import Impairment, LinkFault
+from baobabhinge_standins.links import CUT, Impairment, LinkFault
 from baobabhinge_standins.tests.conftest import run_configured
 from baobabhinge_standins.tests.steps.completions import (
     ask,
     list_expected,
     send,
 )
+from baobabhinge_standins.tests.steps.operators import (
+    Generations,
+    Operators,
+)
 
 scenarios('no_place_twice.feature')
 
@@ -26,16 +33,18 @@
 [service llm]
 kind = model
 deadline = 20 s
-[placement llm west]
-replicas = 1 vms
-[placement llm south]
-replicas = 1 vms
 [service ledger]
 kind = plain
 deadline = 5 s
+[placement ledger west]
+replicas = 1 vms
 [placement ledger east]
 replicas = 1 vms
+[placement ledger south]
+replicas = 1 vms
 """
+PLACEMENT = '[placement llm {region}]\nreplicas = 1 vms\n'
+ENGINE_REGIONS = ('west', 'south')
 PLAN = DeploymentPlan(
     name='three-regions',
     gateways={'west': 2, 'east': 1, 'south': 1},
@@ -45,21 +54,74 @@
     ),
     wan_latency=WAN_LATENCY,
     link_bits_per_second=1_000_000_000,
+    faulty_peers=True,
 )
 numbers = iter(range(1000))
 
 
+def place(regions):
+    """Return settings that place completions in ``regions``."""
+    placements = [PLACEMENT.format(region=region) for region in regions]
+    return ''.join((SETTINGS, *placements))
+
+
+@pytest.fixture(scope='module')
+def folder(tmp_path_factory):
+    return tmp_path_factory.mktemp('three-regions')
+
+
 @pytest.fixture(scope='module')
-def three_regions(loop, tmp_path_factory):
-    folder = tmp_path_factory.mktemp('three-regions')
-    context = run_configured(PLAN, SETTINGS, folder)
+def three_regions(loop, folder):
+    context = run_configured(PLAN, place(ENGINE_REGIONS), folder)
     yield loop.run(context.__aenter__())
     loop.run(context.__aexit__(None, None, None))
 
 
+@pytest.fixture(scope='module')
+def http(loop):
+    async def open_session():
+        return aiohttp.ClientSession()
+
+    session = loop.run(open_session())
+    yield session
+    loop.run(session.close())
+
+
+class Placements:
+    """Where completions are placed, as operators publish it."""
+
+    def __init__(self, running, http, folder):
+        self._operators = Operators(running, folder)
+        self.generations = Generations(running, http)
+        self._newest = 1
+        self._regions = ENGINE_REGIONS
+
+    async def publish(self, regions, gateways=()):
+        """Publish placements and wait until some gateways, or all, have them.
+
+        Returns the generation in which they stand.
+        """
+        if regions != self._regions:
+            base = f'--base={self._newest}'
+            files = {'10.ini': place(regions)}
+            ended = await self._operators.publish(files, base)
+            assert not ended.exit_code, ended.text
+            self._newest += 1
+            self._regions = regions
+        await self.generations.wait_for(self._newest, gateways)
+        return self._newest
+
+
+@pytest.fixture(scope='module')
+def placements(three_regions, http, tmp_path_factory):
+    folder = tmp_path_factory.mktemp('placements')
+    return Placements(three_regions, http, folder)
+
+
 @given('three regions whose gateways can disagree', target_fixture='run')
-def start(three_regions, loop):
+def start(three_regions, loop, placements):
     loop.run(three_regions.links.heal())
+    loop.run(placements.publish(ENGINE_REGIONS))
     loop.run(three_regions.vm_lists.publish())
     loop.run(wait_until(lambda: lists_engines(three_regions)))
     return three_regions
@@ -68,11 +130,13 @@
 @given(parsers.parse('no gateway lists the engines of {hidden}'))
 def hide(run, loop, hidden):
     if hidden == 'its region':
-        loop.run(hide_engines(run))
+        loop.run(hide_engines(run, ENGINE_REGIONS))
+    elif hidden in ENGINE_REGIONS:
+        loop.run(hide_engines(run, (hidden,)))
 
 
-async def hide_engines(run):
-    """Let each gateway list the engines of other regions alone."""
+async def hide_engines(run, regions):
+    """Let the gateways of ``regions`` list engines of others alone."""
     lists = run.platform.lists
     for gateway in run.roster.list_by(Role.gateway):
         path = f'vms/{gateway.name}'
@@ -82,14 +146,17 @@
             for group in listed
             if group['labels']['role'] == 'gateway'
             or group['labels']['region'] != gateway.region
+            or gateway.region not in regions
         ]
         await lists.send('PUT', path, kept)
-    await wait_until(lambda: hides_engines(run))
+    await wait_until(lambda: hides_engines(run, regions))
 
 
-async def hides_engines(run):
-    """Tell whether every gateway refuses what only its region could run."""
-    return not any(await ask_bound(run))
+async def hides_engines(run, regions):
+    """Tell whether those gateways refuse what only their region could run."""
+    gateways = run.roster.list_by(Role.gateway)
+    told = zip(gateways, await ask_bound(run), strict=True)
+    return not any(done for gateway, done in told if gateway.region in regions)
 
 
 async def lists_engines(run):
@@ -225,3 +292,95 @@
     assert received.texts == list_expected(asked)
     assert received.is_done
     assert sorted(regions) == ['south', 'west']
+
+
+@given(parsers.parse('completions are placed in {regions}'))
+def place_completions(loop, placements, regions):
+    loop.run(placements.publish(tuple(regions.split(' and '))))
+
+
+@when(
+    parsers.parse(
+        '{kept} is kept from the news that they are placed in {region}',
+    ),
+    target_fixture='apart',
+)
+def keep(run, loop, placements, kept, region):
+    return loop.run(keep_from_news(run, placements, kept, region))
+
+
+async def keep_from_news(run, placements, kept, region):
+    """Cut what the gateway asks; the others go on asking it."""
+    await run.links.set_fault(CUT, *run.links.book.find_leaving(kept))
+    others = [
+        gateway.name
+        for gateway in run.roster.list_by(Role.gateway)
+        if gateway.name != kept
+    ]
+    return kept, await placements.publish((region,), others)
+
+
+@when(
+    parsers.parse('a caller of {entry} asks while they disagree'),
+    target_fixture='ended',
+)
+def ask_apart(run, loop, placements, apart, entry):
+    return loop.run(send_apart(run, placements, apart, entry))
+
+
+async def send_apart(run, placements, apart, entry):
+    """Send a call that its entry decides about while they disagree."""
+    kept, newest = apart
+    asked = ask(f'apart {next(numbers)}', 2, stream=False)
+    reader, writer = await open_call(run, entry, msgspec.json.encode(asked))
+    # The entry reads the call before it answers a question that came later.
+    await placements.generations.read(entry)
+    status = await placements.generations.read(kept)
+    assert status['generation'] < newest
+    if entry == kept:
+        await run.links.heal()
+    async with asyncio.timeout(30):
+        answer = await reader.read()
+    writer.close()
+    head, _, body = answer.partition(b'\r\n\r\n')
+    told = msgspec.json.decode(body)
+    told['head'] = head.decode()
+    return told, await list_regions(run, asked.prompt)
+
+
+async def open_call(run, entry, body):
+    host, _, port = run.roster.get(entry).caller_address.partition(':')
+    lines = [
+        'POST /v1/completions HTTP/1.1',
+        'Host: gateway',
+        'Connection: close',
+        f'Content-Length: {len(body)}',
+        '\r\n',
+    ]
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write('\r\n'.join(lines).encode() + body)
+    await writer.drain()
+    return reader, writer
+
+
+@then(parsers.parse('the regions that refused it did so once: {regions}'))
+def check_refusing(run, ended, folder, regions):
+    told, _ = ended
+    refusing = [
+        gateway.region
+        for gateway in run.roster.list_by(Role.gateway)
+        for line in (folder / f'{gateway.name}.log').read_text().splitlines()
+        if is_refusal(json.loads(line), told)
+    ]
+    expected = [
+        sorted(set(listed.split(' and ')) - {'none'})
+        for listed in regions.split(' or ')
+    ]
+    assert sorted(refusing) in expected
+
+
+def is_refusal(line, told):
+    if line['event'] != 'call-refused':
+        return False
+    request_id = line['request_id'].lower()
+    return f'x-request-id: {request_id}\r\n' in told['head'].lower()
