Pause witness and entry at each step of a call that may run once

Seven scenarios with real processes: the witness is stopped before it reads the intent, after it recorded it (the verdict held back), and while the call runs, whose owner is then killed; the entry is stopped before it reads the call, after its bytes have reached a stopped owner, and while the call runs. The caller goes through another gateway meanwhile, everything is thawed, the first caller is heard out, and it is sent through every gateway once more. Runs are read from the application workers' journals: 'not-run' never with a run, 'answered' never without.

No fault found. The retention can't be shortened by settings, so a thaw past it stays with the exploration.

--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/not_run_true.feature
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/not_run_true.feature
@@ -77,3 +77,22 @@
     When it is sent through the entry
     Then the caller is told not-run
     And it has run never
+
+  Scenario Outline: A gateway is paused at a step, and the caller goes to another
+    Given a confirmation with a key
+    When it is sent, and <paused> is paused <step>
+    And meanwhile it is <done> through the <other>
+    Then that caller is told <told>
+    When everything is healed
+    And it is sent once more through every gateway
+    Then it has run <runs>, and whoever was told so was told the truth
+
+    Examples:
+      | paused  | step                                     | done   | other   | told     | runs  |
+      | witness | before it reads the intent               | sent   | away    | not-run  | never |
+      | witness | after it recorded the intent             | sent   | owner   | not-run  | never |
+      | witness | while the owner runs it, which is killed | sent   | entry   | unknown  | once  |
+      | entry   | before it reads the call                 | closed | witness | not-run  | never |
+      | entry   | before it reads the call                 | sent   | witness | answered | once  |
+      | entry   | after it passed it on to a paused owner  | sent   | witness | not-run  | never |
+      | entry   | while the owner runs it                  | sent   | witness | answered | once  |
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/confirmations.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/confirmations.py
@@ -77,10 +77,15 @@
         self.stopping = set()
         self.names = {'owner': OWNER, 'entry': 'west-gateway-2'}
 
+    @property
+    def key(self):
+        """Return the run-once key as callers send it."""
+        return self._headers['Baobabhinge-Key']
+
     async def take_key(self):
         """Take a key from the owner that names a witness."""
         await wait_until(self._take_witnessed_key)
-        witness = decode_key(self._headers['Baobabhinge-Key']).witness.vm
+        witness = decode_key(self.key).witness.vm
         names = {member.name for member in self.list_gateways('west')}
         self.names = {
             'owner': OWNER,
@@ -133,8 +138,8 @@
 
     async def ask(self, gateway, method):
         """Ask what became of the key, by GET, or close it, by DELETE."""
-        key = self._headers['Baobabhinge-Key']
-        answer = await self._exchange(method, gateway, f'/v1/keys/{key}', b'')
+        path = f'/v1/keys/{self.key}'
+        answer = await self._exchange(method, gateway, path, b'')
         if answer is None or answer[0] != 200:
             return None
         return msgspec.json.decode(answer[2])['kind']
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_not_run_true.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_not_run_true.py
@@ -7,6 +7,7 @@
 
 from baobabhinge_standins.fleet import wait_until
 from baobabhinge_standins.tests.steps.confirmations import Confirmation
+from baobabhinge_standins.tests.steps.pausing import BODY, Pausing
 
 scenarios('not_run_true.feature')
 
@@ -140,3 +141,57 @@
     for told in loop.run(confirmation.send_everywhere()):
         assert told.outcome == 'answered', told
     assert loop.run(confirmation.list_runs()) == ['a']
+
+
+@when(
+    parsers.parse('it is sent, and {paused} is paused {step}'),
+    target_fixture='pausing',
+)
+def pause(confirmation, loop, paused, step):
+    pausing = Pausing(confirmation)
+    loop.run(pausing.pause(paused, step))
+    return pausing
+
+
+@when(
+    parsers.parse('meanwhile it is {done} through the {gateway}'),
+    target_fixture='later',
+)
+def go_elsewhere(confirmation, loop, done, gateway):
+    name = confirmation.names[gateway]
+    if done == 'closed':
+        return loop.run(confirmation.ask(name, 'DELETE'))
+    return loop.run(confirmation.send(name, BODY)).outcome
+
+
+@then(parsers.parse('that caller is told {outcome}'))
+def check_later(confirmation, later, outcome):
+    assert later == outcome, confirmation.told
+
+
+@when('it is sent once more through every gateway')
+def send_once_more(confirmation, loop, pausing):
+    async def send_all():
+        await pausing.conclude()
+        await asyncio.gather(
+            *(
+                confirmation.send(member.name, BODY)
+                for member in confirmation.list_gateways()
+            ),
+        )
+
+    loop.run(send_all())
+
+
+@then(
+    parsers.parse(
+        'it has run {runs}, and whoever was told so was told the truth'
+    ),
+)
+def check_truth(confirmation, loop, runs):
+    ran = loop.run(confirmation.list_runs())
+    expected = [BODY for _ in RUNS[runs]]
+    assert ran == expected, confirmation.told
+    told = {one.outcome for one in confirmation.told}
+    assert not (ran and 'not-run' in told), confirmation.told
+    assert ran or 'answered' not in told, confirmation.told
