Watch an engine that broke its answers to its end

Cause: a gateway looked once, for 1 s, whether the port of a broken engine refused. An engine that still accepted connections was taken for a live one: the call was no suspect and went on to the next region. In the logs of that case no engine-crashed stands, but answer-broken in all three regions.

The stand-in can now end a while after it has broken its answers, silent or answering.

An answer that was cut is now told apart from one that was late or wrong; after a cut the engine is probed every 100 ms, 500 ms while it answers, 3 s while it is silent. Ruled out: running on at once and watching beside it, as the request is then on the next engine already.

Not changed: a death noticed again more than 3 s later through something that accepts for the dead engine counts twice (limit in the note).

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/events.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/events.py
@@ -11,7 +11,7 @@
 
 from baobabhinge_gateway.backends.chunks import decode_chunk
 from baobabhinge_gateway.backends.splitting import split_events
-from baobabhinge_gateway.errors import AnswerBrokenError
+from baobabhinge_gateway.errors import AnswerBrokenError, AnswerSeveredError
 from baobabhinge_gateway.errors.relayed import read_problem
 
 DATA_PREFIX = b'data: '
@@ -54,7 +54,7 @@
         yield event
         if event.is_terminal:
             return
-    raise AnswerBrokenError('the answer ended without its terminal event')
+    raise AnswerSeveredError('the answer ended without its terminal event')
 
 
 def read_event(frame: bytes, request_id: str) -> Event:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/exchange.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/exchange.py
@@ -15,7 +15,11 @@
     keep_end_to_end,
 )
 from baobabhinge_gateway.calls.model import Headers
-from baobabhinge_gateway.errors import AnswerBrokenError, NotReachedError
+from baobabhinge_gateway.errors import (
+    AnswerBrokenError,
+    AnswerSeveredError,
+    NotReachedError,
+)
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
 
@@ -83,8 +87,10 @@
         aiohttp.ConnectionTimeoutError,
     ) as refused:
         raise NotReachedError(outbound.url) from refused
-    except (aiohttp.ClientError, TimeoutError) as broken:
-        raise AnswerBrokenError('the exchange broke off') from broken
+    except TimeoutError as late:
+        raise AnswerBrokenError('the exchange took too long') from late
+    except aiohttp.ClientError as broken:
+        raise AnswerSeveredError('the exchange broke off') from broken
 
 
 def _build_answer(response: aiohttp.ClientResponse) -> Answer:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
@@ -63,6 +63,9 @@
 from baobabhinge_gateway.errors.serving import (
     AnswerBrokenError as AnswerBrokenError,
 )
+from baobabhinge_gateway.errors.serving import (
+    AnswerSeveredError as AnswerSeveredError,
+)
 from baobabhinge_gateway.errors.serving import (
     DeadlinePassedError as DeadlinePassedError,
 )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/serving.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/serving.py
@@ -45,3 +45,7 @@
     """The backend server's answer broke off or was not for this request."""
 
     code = 'answer-broken'
+
+
+class AnswerSeveredError(AnswerBrokenError):
+    """The connection ended before the answer did, so its server may have."""
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/suspects/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/suspects/assembly.py
@@ -24,7 +24,7 @@
     return Isolation(
         fleet.home.region,
         ledger,
-        CrashWatch(ledger, node.parts.urgent),
+        CrashWatch(ledger, node.parts.urgent, clock),
         SuspectTurns(fleet),
         RegionClaims(claims, notices),
     )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/suspects/watch.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/suspects/watch.py
@@ -4,17 +4,23 @@
 from collections import defaultdict
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
-from datetime import timedelta
 
 import structlog
 
+from baobabhinge_coordination.clock import Clock
 from baobabhinge_coordination.suspects import SuspectLedger
-from baobabhinge_gateway.errors import AnswerBrokenError, EngineCrashedError
+from baobabhinge_gateway.errors import (
+    AnswerBrokenError,
+    AnswerSeveredError,
+    EngineCrashedError,
+)
+from baobabhinge_gateway.suspects.probing import (
+    EngineState,
+    probe,
+    watch_end,
+)
 from baobabhinge_platform.machines import Vm
 
-PROBE_TIMEOUT = timedelta(seconds=1)
-PROBE = b'GET /load HTTP/1.1\r\nHost: %b\r\nConnection: close\r\n\r\n'
-
 log = structlog.get_logger(__name__)
 
 
@@ -27,12 +33,20 @@
         Where crashes are recorded.
     urgent : asyncio.Event
         Set when the other gateways should hear of a crash at once.
+    clock : Clock
+        Clock of the time that the end of an engine may take.
     """
 
-    __slots__ = ('_in_flight', '_ledger', '_urgent')
+    __slots__ = ('_clock', '_in_flight', '_ledger', '_urgent')
 
-    def __init__(self, ledger: SuspectLedger, urgent: asyncio.Event) -> None:
+    def __init__(
+        self,
+        ledger: SuspectLedger,
+        urgent: asyncio.Event,
+        clock: Clock,
+    ) -> None:
         """Start with nothing in flight."""
+        self._clock = clock
         self._ledger = ledger
         self._urgent = urgent
         self._in_flight: defaultdict[str, list[str]] = defaultdict(list)
@@ -49,7 +63,9 @@
 
     @asynccontextmanager
     async def explain(self, vm: Vm) -> AsyncIterator[None]:
-        """Look whether ``vm`` has died when an exchange with it breaks.
+        """Look whether ``vm`` dies when an exchange with it breaks.
+
+        One that severed the connection may take a while to end.
 
         The call that failed is still counted, like every other one that
         broke with it.
@@ -57,12 +73,12 @@
         Raises
         ------
         EngineCrashedError
-            If it has died; its calls are recorded.
+            If it dies; its calls are recorded.
         """
         try:
             yield
         except AnswerBrokenError as failure:
-            if not await _is_dead(vm):
+            if not await self._has_ended(vm, failure):
                 raise
             self._record(vm)
             raise EngineCrashedError('the engine died') from failure
@@ -76,28 +92,7 @@
             suspects=len(self._in_flight[vm.name]),
         )
 
-
-async def _is_dead(vm: Vm) -> bool:
-    """Tell whether a vm that is up has no engine any more.
-
-    Connections are then refused, or end without an answer where something
-    in between accepts them. An engine that is silent is not dead.
-    """
-    try:
-        async with asyncio.timeout(PROBE_TIMEOUT.total_seconds()):
-            return not await _probe(vm.address)
-    except ConnectionError:
-        return True
-    except (OSError, TimeoutError):
-        return False
-
-
-async def _probe(address: str) -> bytes:
-    """Return the first byte of the answer to a request for the load."""
-    host, _, port = address.rpartition(':')
-    reader, writer = await asyncio.open_connection(host, int(port))
-    writer.write(PROBE % address.encode())
-    try:
-        return await reader.read(1)
-    finally:
-        writer.close()
+    async def _has_ended(self, vm: Vm, failure: AnswerBrokenError) -> bool:
+        if isinstance(failure, AnswerSeveredError):
+            return await watch_end(vm.address, self._clock)
+        return await probe(vm.address) is EngineState.dead
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/engine/app.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/app.py
@@ -6,6 +6,7 @@
 import msgspec
 from aiohttp import web
 
+from baobabhinge_standins.engine.ending import reset_connection
 from baobabhinge_standins.engine.faults import EngineFaults, FaultDesk
 from baobabhinge_standins.engine.journal import EngineRun
 from baobabhinge_standins.engine.messages import EngineRequest
@@ -60,7 +61,8 @@
                 {'error': {'code': 'model-not-loaded'}},
                 status=HTTPStatus.NOT_FOUND,
             )
-        return await self._run(request, order, self._faults.draw())
+        with self._runner.ending.hold(request):
+            return await self._run(request, order, self._faults.draw())
 
     async def _run(
         self,
@@ -128,9 +130,4 @@
 
     def _reset_if_due(self) -> None:
         if self._run.tokens == self._faults.reset_after_tokens:
-            _reset_connection(self._request)
-
-
-def _reset_connection(request: web.Request) -> None:
-    if request.transport is not None:
-        request.transport.abort()
+            reset_connection(self._request)
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/engine/faults.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/faults.py
@@ -19,6 +19,12 @@
         The connection is reset after these tokens.
     wrong_request_id : bool
         The answer names another request.
+    ending_seconds : float
+        Time from the break of every answer to the end of the process, when a
+        request crashes the engine, in seconds.
+    ends_in_silence : bool
+        Whether it answers nothing in that time, though it accepts
+        connections.
     draining : bool
         The load report says that the engine is leaving.
     reported_running, reported_waiting : int, optional
@@ -33,6 +39,8 @@
     stall_after_tokens: int | None = None
     reset_after_tokens: int | None = None
     wrong_request_id: bool = False
+    ending_seconds: float = 0
+    ends_in_silence: bool = False
     draining: bool = False
     reported_running: int | None = None
     reported_waiting: int | None = None
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/engine/running.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/running.py
@@ -1,8 +1,6 @@
 """Running one request through the batch."""
 
 import asyncio
-import os
-import signal
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -12,6 +10,7 @@
     PrefixCache,
     list_prefixes,
 )
+from baobabhinge_standins.engine.ending import Ending
 from baobabhinge_standins.engine.faults import EngineFaults
 from baobabhinge_standins.engine.journal import (
     CANCELLED,
@@ -36,9 +35,14 @@
         Cached prefixes.
     journal : Journal
         Runs of this engine.
+
+    Attributes
+    ----------
+    ending : Ending
+        What a crashing request does.
     """
 
-    __slots__ = ('_batch', '_cache', 'journal')
+    __slots__ = ('_batch', '_cache', 'ending', 'journal')
 
     def __init__(
         self,
@@ -47,6 +51,7 @@
         journal: Journal[EngineRun],
     ) -> None:
         """Keep the parts."""
+        self.ending = Ending()
         self._batch = batch
         self._cache = cache
         self.journal = journal
@@ -67,7 +72,7 @@
         async with self._batch.hold_slot(order.priority):
             run = self._write(order, request_id)
             if CRASH_MARK in run.prompt:
-                os.kill(os.getpid(), signal.SIGKILL)
+                await self.ending.crash(faults)
             try:
                 yield await self._prefill(run, faults)
             finally:
