Check the settings of a process like the operators' folder

The settings of a gateway were read by configparser: a missing section was answered with "bad.ini: 'process'", unknown keys and sections passed, an address could be any text, the first fault was the only one. The same held for baobabhinge.ini. Both are now read with the folder's own reader and typed keys: all faults at once, each with file, line, code and what is allowed; new code bad-address.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
@@ -91,14 +91,16 @@
         request: web.Request,
         build: CallBuilder,
     ) -> web.StreamResponse:
-        now = self._clock.read_monotonic()
-        arrival = register(request, self._hop, now)
+        started = self._clock.read_monotonic()
+        arrival = register(request, self._hop, started)
         self._checks.check(request)
         built = await build(request, self._active.require_settings(), arrival)
         call = self._checks.guard.restrict(built)
         response = await self._execute(request, call)
-        waited = self._clock.read_monotonic() - arrival.instant
-        self.measures.record_latency('answer', waited)
+        self.measures.record_latency(
+            'answer',
+            self._clock.read_monotonic() - started,
+        )
         return response
 
     async def _execute(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/process/settings.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/process/settings.py
@@ -1,14 +1,22 @@
 """Addresses, region and failure domain of one gateway process."""
 
-import configparser
 from pathlib import Path
-from typing import TypeVar
 
 import msgspec
 
 from baobabhinge_gateway.errors import GatewayError
-
-SectionT = TypeVar('SectionT', bound=msgspec.Struct)
+from baobabhinge_settings import (
+    Key,
+    SectionForm,
+    SettingsError,
+    read_single,
+)
+from baobabhinge_settings.schema.addresses import (
+    parse_address,
+    parse_addresses,
+    parse_url,
+)
+from baobabhinge_settings.schema.names import parse_name
 
 
 class ProcessSettingsError(GatewayError):
@@ -58,37 +66,40 @@
     platform: PlatformAddresses
 
 
+PROCESS = SectionForm(
+    'process',
+    (
+        Key('name', parse_name),
+        Key('region', parse_name),
+        Key('failure-domain', parse_name),
+        Key('caller-address', parse_address),
+        Key('peer-address', parse_address),
+        Key('seeds', parse_addresses, is_required=False),
+    ),
+)
+PLATFORM = SectionForm(
+    'platform',
+    (
+        Key('key-value', parse_url),
+        Key('vm-list', parse_url),
+        Key('client-directory', parse_url),
+    ),
+)
+
+
 def read_process_settings(path: Path) -> ProcessSettings:
     """Read the INI file at ``path``.
 
     Raises
     ------
     ProcessSettingsError
-        If the file can't be read or a key is missing.
+        It names every fault of the file, one a line.
     """
     try:
-        return _parse(path.read_text(encoding='utf-8'))
-    except (OSError, ValueError) as bad:
-        raise ProcessSettingsError(f'{path.name}: {bad}') from bad
-    except (KeyError, configparser.Error) as incomplete:
-        raise ProcessSettingsError(f'{path.name}: {incomplete}') from incomplete
-
-
-def _parse(text: str) -> ProcessSettings:
-    parser = configparser.ConfigParser(interpolation=None)
-    parser.read_string(text)
+        typed = read_single(path, (PROCESS, PLATFORM))
+    except SettingsError as bad:
+        raise ProcessSettingsError(str(bad)) from bad
     return ProcessSettings(
-        _convert(parser, 'process', Identity),
-        _convert(parser, 'platform', PlatformAddresses),
+        Identity(**typed[PROCESS.name]),
+        PlatformAddresses(**typed[PLATFORM.name]),
     )
-
-
-def _convert(
-    parser: configparser.ConfigParser,
-    section: str,
-    kind: type[SectionT],
-) -> SectionT:
-    rows = {
-        key.replace('-', '_'): text for key, text in parser[section].items()
-    }
-    return msgspec.convert(rows, type=kind)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/process/tests/test_settings.py
@@ -0,0 +1,124 @@
+"""Every bad input of the process settings, with its code and line."""
+
+import subprocess
+import sys
+
+import pytest
+
+from baobabhinge_gateway.process import (
+    ProcessSettingsError,
+    read_process_settings,
+)
+
+GOOD = """[process]
+name = west-gateway-1
+region = west
+failure-domain = west-a
+caller-address = 10.0.0.5:7080
+peer-address = 10.0.0.5:7000
+[platform]
+key-value = http://10.0.0.9:8500
+vm-list = http://10.0.0.9:8600/vms
+client-directory = http://10.0.0.9:8600/directory
+"""
+BAD = (
+    ('unknown-section', 11, ('$', '[platforms]\n')),
+    ('unknown-section', 11, ('$', '[platform west]\n')),
+    ('unknown-key', 3, ('region =', 'regoin =')),
+    ('missing-key', 1, ('region = west\n', '')),
+    ('missing-key', 0, ('[platform]\n', '')),
+    ('duplicate-key', 4, ('region = west', 'region = west\nregion = west')),
+    ('duplicate-section', 11, ('$', '[process]\n')),
+    ('malformed-line', 3, ('region = west', 'region: west')),
+    ('malformed-line', 3, ('region = west', ' region = west')),
+    ('bad-identifier', 3, ('region = west', 'region = West')),
+    ('bad-identifier', 2, ('west-gateway-1', '')),
+    ('not-ascii', 3, ('region = west', 'region = we\u0455t')),
+    ('bad-address', 5, ('10.0.0.5:7080', '10.0.0.5')),
+    ('bad-address', 5, ('10.0.0.5:7080', '10.0.0.5:0')),
+    ('bad-address', 5, ('10.0.0.5:7080', '10.0.0.5:70800')),
+    ('bad-address', 5, ('10.0.0.5:7080', 'http://10.0.0.5:7080')),
+    ('bad-address', 5, ('10.0.0.5:7080', '10.0.0.5:\u0661')),
+    ('bad-address', 7, ('[platform]', 'seeds = 10.0.0.6\n[platform]')),
+    ('bad-address', 8, ('http://10.0.0.9:8500', '10.0.0.9:8500')),
+    ('bad-address', 8, ('http://10.0.0.9:8500', 'http://')),
+)
+
+
+def write(folder, text):
+    path = folder / 'gateway.ini'
+    path.write_text(text, encoding='utf-8')
+    return path
+
+
+def change(old, new):
+    return GOOD + new if old == '$' else GOOD.replace(old, new, 1)
+
+
+def test_good_settings(tmp_path):
+    text = GOOD.replace(
+        '[platform]',
+        'seeds = 10.0.0.6:7000, 10.0.0.7:7000\n[platform]',
+    )
+    settings = read_process_settings(write(tmp_path, text))
+    assert settings.identity.failure_domain == 'west-a'
+    assert settings.identity.caller_address == '10.0.0.5:7080'
+    assert settings.identity.list_seeds() == ['10.0.0.6:7000', '10.0.0.7:7000']
+    assert settings.platform.vm_list == 'http://10.0.0.9:8600/vms'
+
+
+def test_seeds_may_be_left_out(tmp_path):
+    settings = read_process_settings(write(tmp_path, GOOD))
+    assert not settings.identity.list_seeds()
+
+
+@pytest.mark.parametrize(('code', 'line', 'changed'), BAD)
+def test_bad_text_is_named_with_its_place(code, line, changed, tmp_path):
+    path = write(tmp_path, change(*changed))
+    with pytest.raises(
+        ProcessSettingsError, match=f'gateway.ini:{line}: {code}: '
+    ):
+        read_process_settings(path)
+
+
+def test_all_faults_come_at_once(tmp_path):
+    text = GOOD.replace('region = west', 'region = West', 1)
+    path = write(tmp_path, text.replace('10.0.0.5:7000', 'nowhere'))
+    with pytest.raises(ProcessSettingsError) as refused:
+        read_process_settings(path)
+    assert [
+        line.split(': ')[:2] for line in str(refused.value).split('\n')
+    ] == [
+        ['gateway.ini:3', 'bad-identifier'],
+        ['gateway.ini:6', 'bad-address'],
+    ]
+
+
+@pytest.mark.parametrize(
+    ('body', 'code'),
+    [
+        (None, 'file-unreadable'),
+        (b'; \xe4', 'not-utf8'),
+        (b';' * (1 << 20), 'file-too-large'),
+        (b'', 'missing-key'),
+    ],
+)
+def test_daemon_ends_with_its_exit_code(body, code, tmp_path):
+    path = tmp_path / 'gateway.ini'
+    if body is not None:
+        path.write_bytes(body)
+    ended = subprocess.run(
+        [
+            sys.executable,
+            '-m',
+            'baobabhinge_gateway',
+            f'--settings={path}',
+        ],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert ended.returncode == 2
+    assert 'gateway.ini:' in ended.stderr
+    assert f': {code}: ' in ended.stderr
+    assert 'Traceback' not in ended.stderr
--- a/packages/baobabhinge-operator/src/baobabhinge_operator/addresses.py
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/addresses.py
@@ -1,6 +1,5 @@
 """The operator's settings file: addresses, and who the author is."""
 
-import configparser
 import getpass
 import os
 from pathlib import Path
@@ -8,14 +7,27 @@
 import msgspec
 
 from baobabhinge_operator.errors import OperatorSettingsError
+from baobabhinge_settings import (
+    Key,
+    SectionForm,
+    SettingsError,
+    read_single,
+)
+from baobabhinge_settings.schema.addresses import parse_addresses, parse_url
 
 PATH_VARIABLE = 'BAOBABHINGE_SETTINGS'
 DEFAULT_PATH = 'baobabhinge.ini'
-SECTION = 'operator'
-UNUSABLE = (OSError, ValueError, KeyError, configparser.Error)
+OPERATOR = SectionForm(
+    'operator',
+    (
+        Key('author', str, is_required=False),
+        Key('key-value', parse_url, is_required=False),
+        Key('gateways', parse_addresses, is_required=False),
+    ),
+)
 
 
-class Addresses(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Addresses(msgspec.Struct, frozen=True):
     """The ``[operator]`` section.
 
     Parameters
@@ -76,22 +88,13 @@
     Raises
     ------
     OperatorSettingsError
-        If it can't be read or has unknown keys.
+        It names every fault of the file, one a line.
     """
     path = Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
     if not path.exists():
         return Addresses()
     try:
-        return _parse(path.read_text(encoding='utf-8'))
-    except UNUSABLE as bad:
-        raise OperatorSettingsError(f'{path}: {bad}') from bad
-
-
-def _parse(text: str) -> Addresses:
-    parser = configparser.ConfigParser(interpolation=None)
-    parser.read_string(text)
-    keys = {
-        key.replace('-', '_'): written
-        for key, written in parser[SECTION].items()
-    }
-    return msgspec.convert(keys, type=Addresses)
+        typed = read_single(path, (OPERATOR,))
+    except SettingsError as bad:
+        raise OperatorSettingsError(str(bad)) from bad
+    return Addresses(**typed[OPERATOR.name])
--- /dev/null
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/tests/test_addresses.py
@@ -0,0 +1,56 @@
+import pytest
+
+from baobabhinge_operator.addresses import read_addresses
+from baobabhinge_operator.errors import OperatorSettingsError
+
+GOOD = """[operator]
+author = mika
+key-value = http://10.0.0.9:8500
+gateways = 10.0.1.4:8080, 10.0.2.4:8080
+"""
+
+
+@pytest.fixture
+def path(tmp_path, monkeypatch):
+    path = tmp_path / 'mine.ini'
+    monkeypatch.setenv('BAOBABHINGE_SETTINGS', str(path))
+    return path
+
+
+def test_written_addresses(path):
+    path.write_text(GOOD)
+    addresses = read_addresses()
+    assert addresses.publisher == 'mika'
+    assert addresses.choose_store(None) == 'http://10.0.0.9:8500'
+    assert addresses.list_gateways(None) == ['10.0.1.4:8080', '10.0.2.4:8080']
+
+
+@pytest.mark.parametrize('text', ['', '[operator]\n', None])
+def test_nothing_is_needed(path, text):
+    if text is not None:
+        path.write_text(text)
+    assert not read_addresses().author
+
+
+@pytest.mark.parametrize(
+    ('code', 'line', 'old', 'new'),
+    [
+        ('unknown-section', 1, '[operator]', '[operators]'),
+        ('unknown-key', 2, 'author', 'name'),
+        ('duplicate-key', 3, 'key-value', 'author'),
+        ('malformed-line', 2, 'author =', 'author:'),
+        ('bad-address', 3, 'http://', ''),
+        ('bad-address', 4, '10.0.2.4:8080', '10.0.2.4'),
+    ],
+)
+def test_bad_text_is_named_with_its_place(path, code, line, old, new):
+    path.write_text(GOOD.replace(old, new, 1))
+    with pytest.raises(OperatorSettingsError, match=f'ini:{line}: {code}: '):
+        read_addresses()
+
+
+def test_all_faults_come_at_once(path):
+    path.write_text(GOOD.replace('author', 'name').replace('http://', ''))
+    with pytest.raises(OperatorSettingsError) as refused:
+        read_addresses()
+    assert len(str(refused.value).split('\n')) == 2
--- a/packages/baobabhinge-settings/src/baobabhinge_settings/__init__.py
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/__init__.py
@@ -12,3 +12,6 @@
 from baobabhinge_settings.model import Settings as Settings
 from baobabhinge_settings.reading import SourceFile as SourceFile
 from baobabhinge_settings.reading import read_folder as read_folder
+from baobabhinge_settings.schema import Key as Key
+from baobabhinge_settings.single import SectionForm as SectionForm
+from baobabhinge_settings.single import read_single as read_single
--- a/packages/baobabhinge-settings/src/baobabhinge_settings/codes.py
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/codes.py
@@ -6,6 +6,7 @@
 class FaultCode(enum.StrEnum):
     """What is wrong; each code is explained in ``docs/errors-settings.md``."""
 
+    bad_address = 'bad-address'
     bad_choice = 'bad-choice'
     bad_flag = 'bad-flag'
     bad_identifier = 'bad-identifier'
--- a/packages/baobabhinge-settings/src/baobabhinge_settings/reading/folder.py
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/reading/folder.py
@@ -47,7 +47,7 @@
     """
     faults: list[Fault] = []
     files = tuple(
-        SourceFile(path.name, _read_text(path, faults))
+        SourceFile(path.name, read_text(path, faults))
         for path in sorted(folder.glob(FILE_PATTERN), key=_order_by_bytes)
     )
     if not files:
@@ -83,7 +83,8 @@
     ]
 
 
-def _read_text(path: Path, faults: list[Fault]) -> str:
+def read_text(path: Path, faults: list[Fault]) -> str:
+    """Return the text of a file; what is wrong with it goes to ``faults``."""
     try:
         return _decode(path.name, path.read_bytes())
     except SettingsError as bad:
--- /dev/null
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/schema/addresses.py
@@ -0,0 +1,57 @@
+"""Addresses of processes and services."""
+
+import re
+
+from baobabhinge_settings.codes import FaultCode
+from baobabhinge_settings.errors import FieldError
+
+HOST_AND_PORT = re.compile(r'([A-Za-z0-9.-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})')
+URL = re.compile('https?://[A-Za-z0-9[][!-~]*')
+HIGHEST_PORT = 65535
+
+
+def parse_address(text: str) -> str:
+    """Return ``text`` if it is ``host:port``.
+
+    Raises
+    ------
+    FieldError
+        If it is not.
+    """
+    match = HOST_AND_PORT.fullmatch(text)
+    if match and 1 <= int(match[2]) <= HIGHEST_PORT:
+        return text
+    raise FieldError(
+        FaultCode.bad_address,
+        f'{text!a} is not an address; allowed: a host, ":" and a port'
+        f' from 1 to {HIGHEST_PORT}, such as 10.0.0.5:7080',
+    )
+
+
+def parse_addresses(text: str) -> str:
+    """Return ``text`` if it is a list such as ``10.0.0.5:1, 10.0.0.6:1``.
+
+    Raises
+    ------
+    FieldError
+        If a part is not ``host:port``.
+    """
+    parts = [parse_address(part.strip()) for part in text.split(',')]
+    return ', '.join(parts)
+
+
+def parse_url(text: str) -> str:
+    """Return ``text`` if it is the address of an HTTP service.
+
+    Raises
+    ------
+    FieldError
+        If it is not.
+    """
+    if URL.fullmatch(text):
+        return text
+    raise FieldError(
+        FaultCode.bad_address,
+        f'{text!a} is not an address; allowed: http:// or https://, then'
+        ' the host, such as http://10.0.0.9:8500',
+    )
--- /dev/null
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/single.py
@@ -0,0 +1,136 @@
+"""Settings of one process: one file, with one section of each kind."""
+
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from baobabhinge_settings.codes import FaultCode
+from baobabhinge_settings.errors import Fault, FieldError, SettingsError
+from baobabhinge_settings.reading.folder import SourceFile, read_text
+from baobabhinge_settings.reading.lines import RawKey, RawSection, read_lines
+from baobabhinge_settings.schema import Key
+
+
+class SectionForm(msgspec.Struct, frozen=True):
+    """One section that the file may have.
+
+    Parameters
+    ----------
+    name : str
+        Word between the brackets.
+    keys : tuple of Key
+        Allowed keys; with a required one the file needs the section.
+    """
+
+    name: str
+    keys: tuple[Key, ...]
+
+    def list_required(self) -> list[str]:
+        """Return the names of the keys that the section needs."""
+        return [key.name for key in self.keys if key.is_required]
+
+
+def read_single(
+    path: Path,
+    forms: Sequence[SectionForm],
+) -> dict[str, dict[str, Any]]:
+    """Read the file at ``path``.
+
+    Returns
+    -------
+    dict
+        Typed values by name of the section and attribute.
+
+    Raises
+    ------
+    SettingsError
+        It carries every fault of the file.
+    """
+    faults: list[Fault] = []
+    text = read_text(path, faults)
+    if faults:
+        raise SettingsError(faults)
+    reader = _Reader(SourceFile(path.name, text), forms)
+    typed = reader.read()
+    if reader.faults:
+        raise SettingsError(reader.faults)
+    return typed
+
+
+class _Reader:
+    __slots__ = ('_forms', '_raw', 'faults')
+
+    def __init__(
+        self,
+        source: SourceFile,
+        forms: Sequence[SectionForm],
+    ) -> None:
+        self._forms = {form.name: form for form in forms}
+        self._raw = read_lines(source)
+        self.faults = list(self._raw.faults)
+
+    def read(self) -> dict[str, dict[str, Any]]:
+        for raw in self._raw.sections.values():
+            if raw.names or raw.kind not in self._forms:
+                allowed = ', '.join(f'[{name}]' for name in self._forms)
+                written = ' '.join((raw.kind, *raw.names))
+                self._report(
+                    raw.line,
+                    FaultCode.unknown_section,
+                    f'there is no section [{written}]; allowed: {allowed}',
+                )
+        return {
+            name: self._read_section(form, self._raw.sections.get((name,)))
+            for name, form in self._forms.items()
+        }
+
+    def _read_section(
+        self,
+        form: SectionForm,
+        raw: RawSection | None,
+    ) -> dict[str, Any]:
+        written = raw.keys if raw else {}
+        line = raw.line if raw else 0
+        for name in form.list_required():
+            if name not in written:
+                self._report(
+                    line,
+                    FaultCode.missing_key,
+                    f'[{form.name}] needs the key {name}',
+                )
+        return self._read_keys(form, written)
+
+    def _read_keys(
+        self,
+        form: SectionForm,
+        written: Mapping[str, RawKey],
+    ) -> dict[str, Any]:
+        known = {key.name: key for key in form.keys}
+        typed = {}
+        for name, raw in written.items():
+            key = known.get(name)
+            if key is None:
+                self._report_key(form, raw)
+            else:
+                typed[key.attribute] = self._parse(key, raw)
+        return typed
+
+    def _report_key(self, form: SectionForm, raw: RawKey) -> None:
+        allowed = ', '.join(sorted(key.name for key in form.keys))
+        self._report(
+            raw.line,
+            FaultCode.unknown_key,
+            f'[{form.name}] has no key "{raw.name}"; allowed: {allowed}',
+        )
+
+    def _parse(self, key: Key, raw: RawKey) -> Any:
+        try:
+            return key.parse(raw.text)
+        except FieldError as bad:
+            self._report(raw.line, bad.code, f'{raw.name}: {bad.message}')
+        return None
+
+    def _report(self, line: int, code: FaultCode, message: str) -> None:
+        self.faults.append(Fault(self._raw.name, line, code, message))
--- a/packages/baobabhinge-settings/src/baobabhinge_settings/tests/test_faults.py
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/tests/test_faults.py
@@ -137,4 +137,6 @@
     brought = {code for code, _, _ in BAD_TEXTS}
     brought |= {'not-utf8', 'file-too-large', 'empty-folder'}
     brought |= {'file-unreadable'}
+    # In files of one process: test_addresses.py.
+    brought |= {'bad-address'}
     assert brought == set(FaultCode)
