Show each gateway once in the operators' status

A gateway named in baobabhinge.ini by another address than the one of its entry stood twice, the second time as no entry for callers: entries were compared by address. They are now compared by name and region.

Seen red: test_status.py of the operator, 2 of 3 failed. Green: all tests of the operator.

--- a/packages/baobabhinge-operator/src/baobabhinge_operator/queries/gateways.py
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/queries/gateways.py
@@ -95,8 +95,11 @@
         for body in bodies
         if body is not None
     ]
+    names = {(entry.vm, entry.region) for entry in listed.entries}
     return [
-        msgspec.structs.replace(status, is_entry=False) for status in statuses
+        msgspec.structs.replace(status, is_entry=False)
+        for status in statuses
+        if (status.vm, status.region) not in names
     ]
 
 
