Say in simple words that the key-value service does not answer

Operators saw what aiohttp says, 'Cannot connect to host 127.0.0.1:1 ssl:default [Connect call failed ...]', or nothing at all after a timeout ('does not answer ()'). The transport now says 'no connection to ADDRESS' or 'no whole answer from ADDRESS'.

Seen red: test_transport.py, 3 of 3 failed. Green: tests of platform, operator and generations.

--- a/packages/baobabhinge-platform/src/baobabhinge_platform/store/transport.py
+++ b/packages/baobabhinge-platform/src/baobabhinge_platform/store/transport.py
@@ -112,9 +112,13 @@
                 _refuse_failure(answer.status)
                 yield answer
         except aiohttp.ClientConnectorError as refused:
-            raise StoreUnavailableError(str(refused)) from refused
+            raise StoreUnavailableError(
+                f'no connection to {self._address}',
+            ) from refused
         except (aiohttp.ClientError, TimeoutError) as lost:
-            raise StoreAnswerLostError(str(lost)) from lost
+            raise StoreAnswerLostError(
+                f'no whole answer from {self._address}',
+            ) from lost
 
     async def put_flag(self, call: StoreCall) -> bool:
         """Send a write and return whether it was accepted."""
