Send calls only to engines that hold the version

Cause: the gateway knew nothing of what an engine has loaded. A call that named no version went to any engine and ran on whatever version that one held; one that named a version was sent to engines without it, whose refusal passed for a broken answer with unknown outcome; a stream whose engine died after a change of version was continued by the new version.

Now a call is given the version in force where it comes in, the body names it, engines report the names of what they have loaded with their load, gateways tell each other digests of these, and routing offers an engine that has reported the version and adapter. The typed refusal of an engine that has unloaded it since counts as not run and costs no retry; another place is taken, never the same twice. If none has it, the call is refused as model-not-loaded with Retry-After. Several versions without default-version are a fault of the settings. The demo waits until the engines have loaded their models.

Whether another region has loaded a version is only learnt by asking it.

--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/tests/test_refusals.py
@@ -0,0 +1,22 @@
+import pytest
+
+from baobabhinge_gateway.backends.refusals import read_refusal
+
+
+@pytest.mark.parametrize(
+    ('body', 'code', 'outcome'),
+    [
+        (
+            b'{"error":{"code":"model-not-loaded"}}',
+            'model-not-loaded',
+            'not-run',
+        ),
+        (b'{"error":{"code":"no-such-path"}}', 'backend-failed', 'unknown'),
+        (b'{"error":"model-not-loaded"}', 'backend-failed', 'unknown'),
+        (b'not found', 'backend-failed', 'unknown'),
+    ],
+)
+def test_only_the_typed_refusal_says_not_run(body, code, outcome):
+    refusal = read_refusal(body)
+    assert refusal.code == code
+    assert refusal.outcome == outcome
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/building.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/building.py
@@ -16,6 +16,7 @@
 from baobabhinge_gateway.calls.models import parse_model_name
 from baobabhinge_gateway.calls.parsing import (
     find_service,
+    name_model,
     parse_model_request,
     parse_terms,
 )
@@ -55,19 +56,20 @@
     """Return the call of a completion request."""
     body = await read_body(request)
     asked = parse_model_request(body)
-    name = parse_model_name(asked.model)
-    service = find_service(settings, name.service, ServiceKind.model)
-    name.check(service)
+    named = parse_model_name(asked.model)
+    service = find_service(settings, named.service, ServiceKind.model)
+    model = named.resolve(service)
     return Call(
         request_id=arrival.request_id,
         service=service,
         method=request.method,
         path=strip_forward(request.path),
         headers=ask_plain_text(request.headers.items()),
-        body=body,
+        body=name_model(body, asked, model),
         terms=parse_terms(request, arrival.instant, service),
         hops=arrival.hops,
         streamed=asked.stream,
+        model=model,
     )
 
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/model.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/model.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from baobabhinge_gateway.calls.hops import Hop, HopList
+from baobabhinge_gateway.calls.models import ModelName
 from baobabhinge_gateway.calls.paths import decode_path
 from baobabhinge_settings.model import Service
 
@@ -54,6 +55,8 @@
         Gateways passed, this one included.
     streamed : bool
         Whether the answer is a stream of events.
+    model : ModelName
+        Adapter and version that have to answer; empty for a plain service.
     """
 
     request_id: str
@@ -65,6 +68,7 @@
     terms: Terms
     hops: HopList
     streamed: bool = False
+    model: ModelName = ModelName()
 
     @property
     def is_run_once(self) -> bool:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/models.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/models.py
@@ -20,10 +20,29 @@
         What of the service is asked for; empty for its own choice.
     """
 
-    service: str
+    service: str = ''
     adapter: str = ''
     version: str = ''
 
+    def render(self) -> str:
+        """Return the name as text."""
+        adapter = f'{ADAPTER_SEPARATOR}{self.adapter}' if self.adapter else ''
+        version = f'{VERSION_SEPARATOR}{self.version}' if self.version else ''
+        return f'{self.service}{adapter}{version}'
+
+    def resolve(self, service: Service) -> 'ModelName':
+        """Return the name with the version in force if it has none.
+
+        Raises
+        ------
+        UnknownModelError
+            If ``service`` has no such adapter or version.
+        """
+        version = self.version or service.version_in_force
+        resolved = msgspec.structs.replace(self, version=version)
+        resolved.check(service)
+        return resolved
+
     def check(self, service: Service) -> None:
         """Refuse an adapter or a version that ``service`` does not have.
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/parsing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/parsing.py
@@ -7,13 +7,17 @@
 
 from baobabhinge_gateway.calls import headers
 from baobabhinge_gateway.calls.bindings import parse_regions
+from baobabhinge_gateway.calls.fields import replace_field
 from baobabhinge_gateway.calls.model import Terms
+from baobabhinge_gateway.calls.models import ModelName
 from baobabhinge_gateway.errors import (
     MalformedCallError,
     UnknownServiceError,
 )
 from baobabhinge_settings.model import Service, ServiceKind, Settings
 
+MODEL_FIELD = 'model'
+
 
 class ModelRequest(msgspec.Struct):
     """The part of a completion request that the gateway reads."""
@@ -68,6 +72,24 @@
         raise MalformedCallError(f'the body is malformed: {bad}') from bad
 
 
+def name_model(body: bytes, asked: ModelRequest, model: ModelName) -> bytes:
+    """Return ``body`` with its model named in full.
+
+    Parameters
+    ----------
+    body : bytes
+        Body of a completion request.
+    asked : ModelRequest
+        What was read from it.
+    model : ModelName
+        The model with the version that has to answer.
+    """
+    name = model.render()
+    if name == asked.model:
+        return body
+    return replace_field(body, MODEL_FIELD, msgspec.json.encode(name))
+
+
 def find_service(
     settings: Settings,
     name: str,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/tests/test_models.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/tests/test_models.py
@@ -1,8 +1,10 @@
 from datetime import timedelta
 
+import msgspec
 import pytest
 
 from baobabhinge_gateway.calls.models import ModelName, parse_model_name
+from baobabhinge_gateway.calls.parsing import name_model, parse_model_request
 from baobabhinge_gateway.errors import UnknownModelError
 from baobabhinge_settings.model import Service, ServiceKind
 from baobabhinge_settings.model.service import Adapter, ModelVersion
@@ -34,3 +36,37 @@
 def test_unknown_models(text):
     with pytest.raises(UnknownModelError):
         parse_model_name(text).check(SERVICE)
+
+
+@pytest.mark.parametrize(
+    ('versions', 'default', 'text', 'resolved'),
+    [
+        (('v1', 'v2'), 'v2', 'llm', 'llm@v2'),
+        (('v1', 'v2'), 'v2', 'llm:any', 'llm:any@v2'),
+        (('v1', 'v2'), 'v2', 'llm@v1', 'llm@v1'),
+        (('v1',), None, 'llm', 'llm@v1'),
+        ((), None, 'llm', 'llm'),
+    ],
+)
+def test_a_call_without_version_gets_the_one_in_force(
+    versions, default, text, resolved
+):
+    service = msgspec.structs.replace(
+        SERVICE,
+        versions=tuple(ModelVersion(one, one) for one in versions),
+        default_version=default,
+    )
+    body = msgspec.json.encode({'model': text, 'prompt': 'p', 'n': 1})
+    model = parse_model_name(text).resolve(service)
+    named = name_model(body, parse_model_request(body), model)
+    assert msgspec.json.decode(named) == {
+        'model': resolved,
+        'prompt': 'p',
+        'n': 1,
+    }
+
+
+def test_an_adapter_has_to_fit_the_version_in_force():
+    service = msgspec.structs.replace(SERVICE, default_version='v2')
+    with pytest.raises(UnknownModelError):
+        parse_model_name('llm:old').resolve(service)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
@@ -67,6 +67,9 @@
     DeadlinePassedError as DeadlinePassedError,
 )
 from baobabhinge_gateway.errors.serving import DrainingError as DrainingError
+from baobabhinge_gateway.errors.serving import (
+    ModelNotLoadedError as ModelNotLoadedError,
+)
 from baobabhinge_gateway.errors.serving import (
     NoBackendServerError as NoBackendServerError,
 )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/relayed.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/relayed.py
@@ -11,7 +11,10 @@
     Outcome,
 )
 from baobabhinge_gateway.errors.problem import Problem
-from baobabhinge_gateway.errors.serving import AnswerBrokenError
+from baobabhinge_gateway.errors.serving import (
+    AnswerBrokenError,
+    ModelNotLoadedError,
+)
 
 
 class RelayedProblemError(CallError):
@@ -57,6 +60,9 @@
     A description that can't be read leaves the outcome unknown.
     """
     try:
-        return RelayedProblemError(msgspec.json.decode(body, type=Problem))
+        told = RelayedProblemError(msgspec.json.decode(body, type=Problem))
     except (msgspec.MsgspecError, ValueError):
         return AnswerBrokenError('another gateway answered a malformed error')
+    if told.code == ModelNotLoadedError.code:
+        return ModelNotLoadedError(told.detail, told.retry_after)
+    return told
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/serving.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/serving.py
@@ -19,6 +19,13 @@
     status = HTTPStatus.SERVICE_UNAVAILABLE
 
 
+class ModelNotLoadedError(CallError):
+    """The model, in the version asked for, is loaded nowhere or not here."""
+
+    code = 'model-not-loaded'
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
 class DeadlinePassedError(CallError):
     """The deadline passed before the request was run."""
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/attempts.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/attempts.py
@@ -8,6 +8,7 @@
     CallError,
     CrashingRequestError,
     EngineCrashedError,
+    ModelNotLoadedError,
     NoBackendServerError,
 )
 from baobabhinge_gateway.execution.failures import Failures
@@ -90,6 +91,9 @@
         """Note that ``target`` gave no whole answer."""
         if isinstance(failure, NoBackendServerError):
             return
+        if isinstance(failure, ModelNotLoadedError) and not target.is_remote:
+            self._failures.note(failure)
+            return
         self._failures.add(failure)
         self._ranked = ()
         if target.is_remote:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/failures.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/failures.py
@@ -40,6 +40,10 @@
         self.told = self.combine(failure)
         self.is_final = failure.code in FINAL_CODES or _is_told(failure)
 
+    def note(self, refusal: CallError) -> None:
+        """Note a refusal that costs nothing; it does not count as failure."""
+        self.told = self.combine(refusal)
+
     def combine(self, failure: CallError) -> CallError:
         """Return what is to be told after ``failure`` and those before it.
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/opening.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/opening.py
@@ -10,6 +10,7 @@
     limit_silence,
     wait_within,
 )
+from baobabhinge_gateway.backends.refusals import read_refusal
 from baobabhinge_gateway.calls import Call
 from baobabhinge_gateway.errors import BackendFailedError
 from baobabhinge_gateway.errors.relayed import read_problem
@@ -86,5 +87,7 @@
         answer.check_request_id(call.request_id)
         raise read_problem(await answer.read_whole())
     is_model = call.service.kind is ServiceKind.model
+    if is_model and answer.status == HTTPStatus.NOT_FOUND:
+        raise read_refusal(await answer.read_whole())
     if is_model and answer.status in ENGINE_FAILURES:
         raise BackendFailedError('the backend server failed')
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/resuming.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/resuming.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from baobabhinge_gateway.calls import Call
+from baobabhinge_gateway.calls.fields import replace_field
 
 RESUME_FIELD = 'resume_from'
 
@@ -23,15 +24,10 @@
     """
     if not tokens:
         return call
-    body = _set_start(call.body, _read_start(call.body) + tokens)
+    start = _read_start(call.body) + tokens
+    body = replace_field(call.body, RESUME_FIELD, b'%d' % start)
     return msgspec.structs.replace(call, body=body)
 
 
 def _read_start(body: bytes) -> int:
     return msgspec.json.decode(body, type=_Resumable).resume_from
-
-
-def _set_start(body: bytes, start: int) -> bytes:
-    fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-    fields[RESUME_FIELD] = msgspec.Raw(b'%d' % start)
-    return msgspec.json.encode(fields)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/tests/test_attempts.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/tests/test_attempts.py
@@ -16,6 +16,7 @@
 )
 from baobabhinge_gateway.errors.problem import describe_problem
 from baobabhinge_gateway.errors.relayed import RelayedProblemError
+from baobabhinge_gateway.errors.serving import ModelNotLoadedError
 from baobabhinge_gateway.execution.attempts import Attempts
 from baobabhinge_gateway.routing import Candidate, Target
 from baobabhinge_gateway.routing.decisions import Decision
@@ -24,6 +25,7 @@
 BROKEN = AnswerBrokenError('broken')
 CRASHED = EngineCrashedError('died')
 DRAINING = DrainingError('leaving')
+UNLOADED = ModelNotLoadedError('unloaded')
 LATE = DeadlinePassedError('late')
 ELSEWHERE = RelayedProblemError(describe_problem(CRASHED))
 CULPRIT = CrashingRequestError(Outcome.not_run)
@@ -115,6 +117,19 @@
     assert attempts.call.hops.render() == 'g1@east,w1@west'
 
 
+def test_an_engine_without_the_model_costs_no_retry():
+    refusals = [UNLOADED, UNLOADED, UNLOADED]
+    tried, told = run(start(RetryBudget(share=0, burst=0)), refusals)
+    # Gateways of other regions are far: after one of them, a retry costs.
+    assert tried == ['e1', 'e2', 'g1']
+    assert (told.code, told.outcome) == ('model-not-loaded', 'not-run')
+
+
+def test_a_call_that_may_have_run_stays_unknown_after_a_refusal():
+    _, told = run(start(), [BROKEN, UNLOADED, UNLOADED, UNLOADED])
+    assert (told.code, told.outcome) == ('answer-broken', 'unknown')
+
+
 def test_repeated_work_is_bounded_by_the_budget():
     budget = RetryBudget(share=0, burst=1)
     first, _ = run(start(budget), [BROKEN, BROKEN, BROKEN])
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/polling.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/polling.py
@@ -1,7 +1,6 @@
 """Polling the load of this gateway's share of the backend servers."""
 
 import asyncio
-from collections.abc import Sequence
 from datetime import timedelta
 from http import HTTPStatus
 
@@ -10,8 +9,9 @@
 import structlog
 from mode import Service
 
+from baobabhinge_gateway.fleet.answers import decode_load
+from baobabhinge_gateway.fleet.polled import list_share
 from baobabhinge_gateway.fleet.reports import LoadReport, LoadReports
-from baobabhinge_gateway.fleet.shares import pick_owner
 from baobabhinge_gateway.fleet.view import FleetView
 from baobabhinge_platform.machines import Vm
 
@@ -23,14 +23,6 @@
 log = structlog.get_logger(__name__)
 
 
-class _LoadAnswer(msgspec.Struct):
-    running: int
-    waiting: int
-    slots: int
-    draining: bool = False
-    age_ms: int = 0
-
-
 class LoadPoller(Service):
     """Ask each backend server of the share for its load.
 
@@ -102,26 +94,3 @@
         spread them would keep each other from getting far.
     """
     return max(SHORTEST_INTERVAL, INTERVAL_PER_GATEWAY * gateways)
-
-
-def list_share(fleet: FleetView) -> Sequence[Vm]:
-    """Return the backend servers that this gateway is to poll."""
-    names = [vm.name for vm in fleet.list_gateways(fleet.home.region)]
-    candidates = {*names, fleet.home.gateway}
-    return [
-        vm
-        for vm in fleet.list_polled()
-        if pick_owner(vm.name, candidates) == fleet.home.gateway
-    ]
-
-
-def decode_load(body: bytes) -> LoadReport:
-    """Return the report that a backend server sent as ``body``."""
-    answer = msgspec.json.decode(body, type=_LoadAnswer)
-    return LoadReport(
-        answer.running,
-        answer.waiting,
-        answer.slots,
-        answer.draining,
-        timedelta(milliseconds=answer.age_ms),
-    )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/reports.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/reports.py
@@ -24,6 +24,9 @@
         Whether it takes no new work.
     age : timedelta
         Time since the load was measured.
+    models : frozenset of bytes
+        Digests of the names of the models that it can run, each with its
+        version, and with each of its adapters.
     """
 
     running: int
@@ -31,6 +34,7 @@
     slots: int
     draining: bool
     age: timedelta
+    models: frozenset[bytes] = frozenset()
 
 
 class LoadReports:
@@ -61,6 +65,15 @@
             return None
         return msgspec.structs.replace(report, age=age)
 
+    def has_model(self, vm: Vm, digest: bytes) -> bool:
+        """Tell whether ``vm`` said last that it has loaded a model.
+
+        What is loaded outlives the report: the engine itself refuses what it
+        has unloaded since.
+        """
+        report = self._reports.get(vm.name)
+        return report is not None and digest in report.models
+
     def put(self, vm_name: str, report: LoadReport) -> bool:
         """Keep ``report`` if it was measured later than the kept one."""
         measured = self._clock.read_monotonic() - report.age
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/rows.py
@@ -0,0 +1,71 @@
+"""Load reports in the compact form in which gateways tell them."""
+
+import io
+import struct
+from collections.abc import Iterator, Sequence
+from datetime import timedelta
+
+import msgspec
+
+from baobabhinge_gateway.fleet.models import DIGEST_BYTES, digest_name
+from baobabhinge_gateway.fleet.reports import LoadReport
+from baobabhinge_platform.machines import Vm
+
+AGE_STEP = timedelta(milliseconds=250)
+MAX_BYTE = 0xFF
+MAX_AGE_STEPS = 0x7F
+DRAINING_FLAG = 0x80
+# Digest of the name; running, waiting and slots; age in steps with a flag;
+# number of digests of models that follow.
+ROW_HEAD = struct.Struct('>3s5B')
+
+
+def pack_row(vm: Vm, report: LoadReport) -> bytes:
+    """Return ``report`` of ``vm`` in the compact form."""
+    # Rounded up: an age rounded down would pass for a newer report.
+    age_steps = min(-(-report.age // AGE_STEP), MAX_AGE_STEPS)
+    flag = DRAINING_FLAG if report.draining else 0
+    models = sorted(report.models)[:MAX_BYTE]
+    head = ROW_HEAD.pack(
+        digest_name(vm.name),
+        min(report.running, MAX_BYTE),
+        min(report.waiting, MAX_BYTE),
+        min(report.slots, MAX_BYTE),
+        age_steps | flag,
+        len(models),
+    )
+    return head + b''.join(models)
+
+
+def unpack_rows(packed: bytes) -> Iterator[tuple[bytes, LoadReport]]:
+    """Yield the key and the report of each row.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+        If a row is cut.
+    """
+    rest = io.BytesIO(packed)
+    while rest.tell() < len(packed):
+        key, *fields = ROW_HEAD.unpack(_read(rest, ROW_HEAD.size))
+        models = [_read(rest, DIGEST_BYTES) for _ in range(fields.pop())]
+        yield key, _build_report(fields, models)
+
+
+def _read(rest: io.BytesIO, size: int) -> bytes:
+    taken = rest.read(size)
+    if len(taken) < size:
+        raise msgspec.ValidationError('a load report is cut')
+    return taken
+
+
+def _build_report(fields: Sequence[int], models: list[bytes]) -> LoadReport:
+    flagged_age = fields[-1]
+    return LoadReport(
+        running=fields[0],
+        waiting=fields[1],
+        slots=fields[2],
+        draining=bool(flagged_age & DRAINING_FLAG),
+        age=(flagged_age & MAX_AGE_STEPS) * AGE_STEP,
+        models=frozenset(models),
+    )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/tests/test_reports.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/tests/test_reports.py
@@ -1,11 +1,13 @@
 from datetime import timedelta
 
+import msgspec
 import pytest
 
 from baobabhinge_coordination.clock import ManualClock
 from baobabhinge_coordination.generations import Release, ReleaseFile
 from baobabhinge_coordination.membership import Member, MembershipView
 from baobabhinge_gateway.calls import Hop
+from baobabhinge_gateway.calls.models import parse_model_name
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.fleet import (
     FleetView,
@@ -13,9 +15,13 @@
     LoadReport,
     LoadReports,
 )
+from baobabhinge_gateway.fleet.answers import decode_load
 from baobabhinge_gateway.fleet.index import VmIndex
-from baobabhinge_gateway.fleet.polling import decode_load, list_share
+from baobabhinge_gateway.fleet.models import digest_name
+from baobabhinge_gateway.fleet.polled import list_share
 from baobabhinge_gateway.fleet.reports import REPORT_LIFETIME
+from baobabhinge_gateway.fleet.rows import pack_row
+from baobabhinge_gateway.fleet.spread import MAX_BYTES
 from baobabhinge_platform.machines import Role, Vm, VmState
 
 MEMBERS = MembershipView(Member('g0', 'west', 'g0/1', 1), ManualClock())
@@ -33,8 +39,9 @@
     return Vm(name, f'{name}:1', 'west', 'west-a', role, 'llm', state)
 
 
-def build_report(running=1, age=NO_TIME, *, draining=False):
-    return LoadReport(running, 0, 8, draining, age)
+def build_report(running=1, age=NO_TIME, *, draining=False, models=()):
+    digests = frozenset(digest_name(name) for name in models)
+    return LoadReport(running, 0, 8, draining, age, digests)
 
 
 @pytest.mark.parametrize(
@@ -110,10 +117,12 @@
         view = FleetView(Hop(name, 'west'), Listed(vm), reports, MEMBERS, NONE)
         parts.append((LoadPart(view, reports), reports))
     (first, near), (second, far) = parts
-    near.put('e1', build_report(running=7, age=SECOND))
+    models = ('llm@v2', 'llm:covers@v2')
+    near.put('e1', build_report(running=7, age=SECOND, models=models))
     clock.advance(SECOND)
     second.absorb(None, first.compose())
-    assert far.find(vm) == build_report(running=7, age=SECOND * 2)
+    expected = build_report(running=7, age=SECOND * 2, models=models)
+    assert far.find(vm) == expected
     assert first.stays_home
 
 
@@ -133,3 +142,52 @@
     body = b'{"running":1,"waiting":2,"slots":8,"age_ms":250}'
     expected = LoadReport(1, 2, 8, False, timedelta(milliseconds=250))
     assert decode_load(body) == expected
+
+
+@pytest.mark.parametrize(
+    ('asked', 'told', 'offered'),
+    [
+        ('llm', ('llm@v2',), True),
+        ('llm@v2', ('llm@v2',), True),
+        ('llm@v1', ('llm@v2',), False),
+        ('llm@v2', (), False),
+        ('llm:covers@v2', ('llm@v2', 'llm:covers@v2'), True),
+        ('llm:covers@v2', ('llm@v2',), False),
+    ],
+)
+def test_an_engine_is_offered_what_it_reports(asked, told, offered):
+    vm = build_vm('e1')
+    clock = ManualClock()
+    reports = LoadReports(clock)
+    reports.put('e1', build_report(models=told))
+    view = FleetView(Hop('g1', 'west'), Listed(vm), reports, MEMBERS, NONE)
+    model = parse_model_name(asked)
+    assert view.has_loaded(vm, model) is offered
+    clock.advance(REPORT_LIFETIME * 2)
+    assert view.has_loaded(vm, model) is offered
+    assert not view.has_loaded(build_vm('e2'), parse_model_name('llm@v2'))
+
+
+def test_many_models_do_not_swell_the_payload():
+    names = [f'e{number}' for number in range(40)]
+    reports = LoadReports(ManualClock())
+    models = [f'llm:a{number}@v1' for number in range(60)]
+    vms = [build_vm(name) for name in names]
+    for vm in vms:
+        reports.put(vm.name, build_report(models=models))
+    view = FleetView(Hop('g1', 'west'), Listed(*vms), reports, MEMBERS, NONE)
+    part = LoadPart(view, reports)
+    sizes = [len(msgspec.json.decode(part.compose(), type=bytes)) for _ in vms]
+    assert max(sizes) < MAX_BYTES * 2
+    assert min(reports.rank(vm)[0] for vm in vms) > 0
+
+
+@pytest.mark.parametrize('size', [1, 7, 9, 13])
+def test_a_cut_report_is_refused(size):
+    reports = LoadReports(ManualClock())
+    vm = build_vm('e1')
+    view = FleetView(Hop('g1', 'west'), Listed(vm), reports, MEMBERS, NONE)
+    row = pack_row(vm, build_report(models=('llm@v1', 'llm@v2')))
+    with pytest.raises(msgspec.MsgspecError):
+        LoadPart(view, reports).absorb(None, msgspec.json.encode(row[:size]))
+    assert reports.find(vm) is None
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/fleet/view.py
@@ -4,9 +4,11 @@
 
 from baobabhinge_coordination.membership import MembershipView
 from baobabhinge_gateway.calls import Hop
+from baobabhinge_gateway.calls.models import ModelName
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.fleet.availability import Availability
 from baobabhinge_gateway.fleet.gateways import GatewayRoll
+from baobabhinge_gateway.fleet.models import digest_name
 from baobabhinge_gateway.fleet.reports import LoadReport, LoadReports
 from baobabhinge_gateway.fleet.watcher import VmWatcher
 from baobabhinge_platform.machines import Vm
@@ -65,6 +67,15 @@
             if self._availability.takes_work(vm)
         ]
 
+    def has_loaded(self, vm: Vm, model: ModelName) -> bool:
+        """Tell whether an engine is known to hold the version of ``model``.
+
+        Every engine of a service without versions does.
+        """
+        if not model.version:
+            return True
+        return self._reports.has_model(vm, digest_name(model.render()))
+
     def list_polled(self) -> Sequence[Vm]:
         """Return every backend server of this region, leaving ones too."""
         return self._watcher.index.list_regional(self.home.region)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/router.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/router.py
@@ -1,7 +1,13 @@
 """Finding the targets of a call."""
 
+from collections.abc import Sequence
+
 from baobabhinge_gateway.calls import Call
-from baobabhinge_gateway.errors import NoBackendServerError, RegionBoundError
+from baobabhinge_gateway.errors import (
+    ModelNotLoadedError,
+    NoBackendServerError,
+    RegionBoundError,
+)
 from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.routing.counters import InFlight
 from baobabhinge_gateway.routing.decisions import Decision, DecisionLog
@@ -59,6 +65,8 @@
             If the call is bound to a region and can't be run there.
         NoBackendServerError
             If no backend server of the service may take it.
+        ModelNotLoadedError
+            If some may, and none holds the version.
         OverloadedError
             If it would be answered too late.
         WorkspaceShareError
@@ -71,6 +79,8 @@
             return decision
         if call.terms.regions is not None:
             raise RegionBoundError('the bound region has no backend server')
+        if not decision.blocked and self._list_regional(call):
+            raise ModelNotLoadedError('no engine has loaded the version')
         raise NoBackendServerError('no backend server may take the call now')
 
     def _list_targets(self, call: Call) -> list[Target]:
@@ -82,8 +92,14 @@
         return local + self._list_remote(call)
 
     def _list_local(self, call: Call) -> list[Target]:
-        vms = self._fleet.list_backends(call.service.name, self._region)
-        return [self._build_target(vm, is_remote=False) for vm in vms]
+        return [
+            self._build_target(vm, is_remote=False)
+            for vm in self._list_regional(call)
+            if self._fleet.has_loaded(vm, call.model)
+        ]
+
+    def _list_regional(self, call: Call) -> Sequence[Vm]:
+        return self._fleet.list_backends(call.service.name, self._region)
 
     def _list_remote(self, call: Call) -> list[Target]:
         return [
@@ -91,7 +107,7 @@
             for vm in self._fleet.list_gateways()
             if vm.region != self._region
             and call.terms.allows(vm.region)
-            and call.service.is_placed_in(vm.region)
+            and call.service.is_placed_in(vm.region, call.model.version)
             and not call.hops.has_region(vm.region)
         ]
 
--- a/packages/baobabhinge-settings/src/baobabhinge_settings/checking/sections.py
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/checking/sections.py
@@ -1,5 +1,6 @@
 """Sections that are not whole, or do not fit one another."""
 
+from collections import Counter
 from collections.abc import Iterator
 
 from baobabhinge_settings.checking.registry import register_check
@@ -30,6 +31,22 @@
                 )
 
 
+@register_check
+def check_default_versions(merged: MergedFolder) -> Iterator[Fault]:
+    """Yield a fault for each service that leaves its version open."""
+    counts = Counter(
+        version.first.names[0] for version in merged.list_kind('version')
+    )
+    for section in merged.list_kind('service'):
+        is_set = {'default-version'} & {*section.keys, *section.unread}
+        if not is_set and counts[section.first.names[0]] > 1:
+            yield section.report(
+                FaultCode.missing_key,
+                f'[{section.title}] has several versions and needs the key'
+                ' default-version',
+            )
+
+
 @register_check
 def check_limits(merged: MergedFolder) -> Iterator[Fault]:
     """Yield a fault for each limit that limits nothing."""
--- a/packages/baobabhinge-settings/src/baobabhinge_settings/model/service.py
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/model/service.py
@@ -115,9 +115,26 @@
         """Tell whether a call of this service may not be repeated."""
         return any(rule.matches(method, path) for rule in self.run_once)
 
-    def is_placed_in(self, region: str) -> bool:
-        """Tell whether the service runs in ``region``."""
+    @property
+    def version_in_force(self) -> str:
+        """Return the version of a call that names none; empty without any."""
+        if self.default_version is not None:
+            return self.default_version
+        return self.versions[0].name if self.versions else ''
+
+    def is_placed_in(self, region: str, version: str = '') -> bool:
+        """Tell whether the service runs in ``region``.
+
+        Parameters
+        ----------
+        region : str
+            Name of the region.
+        version : str, optional
+            Version that has to run there.
+        """
         return any(
-            place.region == region and place.replicas
+            place.region == region
+            and place.replicas
+            and (not version or version in (place.versions or (version,)))
             for place in self.placements
         )
--- a/packages/baobabhinge-settings/src/baobabhinge_settings/tests/test_faults.py
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/tests/test_faults.py
@@ -42,6 +42,8 @@
     ('malformed-line', 2, '[workspace a]\n home = west'),
     ('missing-key', 1, '[region south]'),
     ('missing-key', 1, '[limit a]\nservice = llm'),
+    ('missing-key', 1, '[service chat]\nkind = model\ndeadline = 1 s\n'
+     '[version chat a]\nweights = a\n[version chat b]\nweights = b'),
     ('missing-reference', 1, '[adapter llms covers]\nweights = c'),
     ('missing-reference', 1, '[placement llm north]\nreplicas = 1 vms'),
     ('missing-reference', 3, '[adapter llm c]\nweights = c\nversions = v3'),
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/demo/running.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/demo/running.py
@@ -12,6 +12,7 @@
 from baobabhinge_standins.fleet import (
     Deployment,
     DeploymentPlan,
+    Role,
     run_deployment,
 )
 from baobabhinge_standins.output import show_line
@@ -56,7 +57,9 @@
     async with run_deployment(plan, folder) as running:
         await running.publish_folder(EXAMPLES / plan.name / 'settings')
         await running.wait_ready()
-        show_line('every gateway serves')
+        engines = running.roster.list_by(Role.engine)
+        await running.backends.wait_loaded(engines)
+        show_line('every gateway serves, every engine has loaded its model')
         records = await _play(running, plan, span, ONE_SECOND / rate)
         return DemoEnd(records, await _summarize(running, records))
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/engine/app.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/app.py
@@ -55,21 +55,25 @@
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         order = msgspec.json.decode(await request.read(), type=EngineRequest)
-        if not self._shelf.serves(order.model):
+        model = self._shelf.find(order.model)
+        if model is None:
             return web.json_response(
                 {'error': {'code': 'model-not-loaded'}},
                 status=HTTPStatus.NOT_FOUND,
             )
-        return await self._run(request, order, self._faults.draw())
+        return await self._run(request, order, model.version)
 
     async def _run(
         self,
         request: web.Request,
         order: EngineRequest,
-        faults: EngineFaults,
+        version: str,
     ) -> web.StreamResponse:
+        faults = self._faults.draw()
         request_id = request.headers.get(REQUEST_ID_HEADER, '')
-        async with self._runner.enter(order, request_id, faults) as run:
+        async with self._runner.enter(
+            order, request_id, faults, version
+        ) as run:
             answer = _Answer(request, order, run, faults)
             tokens = self._runner.generate(order, run, faults)
             if order.stream:
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/engine/journal.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/journal.py
@@ -26,6 +26,8 @@
         Tokens generated.
     state : str
         ``running``, ``finished`` or ``cancelled``.
+    version : str
+        Version of the model that ran; empty before the first order.
     """
 
     request_id: str
@@ -36,3 +38,4 @@
     prompt_blocks: int = 0
     tokens: int = 0
     state: str = RUNNING
+    version: str = ''
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/engine/models.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/models.py
@@ -32,6 +32,17 @@
             and (not adapter or adapter in self.adapters)
         )
 
+    def list_names(self) -> list[str]:
+        """Return the names with the version, one for each adapter too."""
+        adapted = [
+            f'{self.model}{ADAPTER_SEPARATOR}{adapter}'
+            for adapter in self.adapters
+        ]
+        return [
+            f'{name}{MODEL_SEPARATOR}{self.version}'
+            for name in (self.model, *adapted)
+        ]
+
 
 class EngineOrder(msgspec.Struct, frozen=True):
     """Body of ``PUT /v1/orders``: the wanted end.
@@ -77,7 +88,7 @@
     Attributes
     ----------
     loaded : list of LoadedModel, optional
-        ``None`` until the first order: every model is served.
+        ``None`` until the first order: every model is served, no version.
     wanted : EngineOrder, optional
         The order taken last.
     taken : list of EngineOrder
@@ -127,8 +138,16 @@
             if model in self.wanted.models:
                 self.loaded.append(model)
 
-    def serves(self, name: str) -> bool:
-        """Tell whether a model of this name can be run now."""
+    def list_names(self) -> tuple[str, ...]:
+        """Return the names under which the loaded models are asked for."""
+        return tuple(
+            name for model in self.loaded or () for name in model.list_names()
+        )
+
+    def find(self, name: str) -> LoadedModel | None:
+        """Return the loaded model that serves ``name`` now, if one does."""
         if self.loaded is None:
-            return True
-        return any(model.serves(name) for model in self.loaded)
+            is_versioned = MODEL_SEPARATOR in name
+            return None if is_versioned else LoadedModel(name)
+        serving = (model for model in self.loaded if model.serves(name))
+        return next(serving, None)
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/engine/reporting.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/reporting.py
@@ -40,6 +40,7 @@
             _choose(faults.reported_waiting, self._batch.waiting),
             self._batch.slots,
             faults.draining or self._shelf.is_draining,
+            models=self._shelf.list_names(),
         )
 
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/engine/running.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/running.py
@@ -57,6 +57,7 @@
         order: EngineRequest,
         request_id: str,
         faults: EngineFaults,
+        version: str = '',
     ) -> AsyncIterator[EngineRun]:
         """Hold a slot of the batch for one request, prefilled.
 
@@ -65,7 +66,7 @@
         """
         await asyncio.sleep(faults.late_seconds)
         async with self._batch.hold_slot(order.priority):
-            run = self._write(order, request_id)
+            run = self._write(order, request_id, version)
             if CRASH_MARK in run.prompt:
                 os.kill(os.getpid(), signal.SIGKILL)
             try:
@@ -87,7 +88,12 @@
             run.tokens += 1
             yield order.generate_token(index)
 
-    def _write(self, order: EngineRequest, request_id: str) -> EngineRun:
+    def _write(
+        self,
+        order: EngineRequest,
+        request_id: str,
+        version: str,
+    ) -> EngineRun:
         prompt = order.join_prompt()
         prefixes = list_prefixes(order.model, prompt)
         run = EngineRun(
@@ -97,6 +103,7 @@
             order.resume_from,
             self._cache.admit(prefixes),
             len(prefixes),
+            version=version,
         )
         self.journal.add(run)
         return run
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/engine/tests/test_orders.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/tests/test_orders.py
@@ -47,9 +47,24 @@
     assert len(taken) == sum(status == 202 for status, _ in answers)
 
 
+async def test_loaded_versions_are_reported():
+    async with run_engine(load_lag=timedelta()) as engine:
+        await send_order(engine, 1, [MODEL])
+        await wait_models(engine, [MODEL])
+        async with asyncio.timeout(10):
+            while not (await engine.get('load'))['models']:
+                await asyncio.sleep(0.01)
+        load = await engine.get('load')
+        await engine.ask(model='llm')
+        runs = await engine.list_runs()
+    assert load['models'] == ['llm@v3', 'llm:covers@v3']
+    assert [run.version for run in runs] == ['v3']
+
+
 async def test_order_is_the_wanted_end():
     async with run_engine() as engine:
         assert (await engine.ask())[0] == 200
+        assert (await engine.ask(model='llm@v3'))[0] == 404
         await send_order(engine, 1, [MODEL])
         await wait_models(engine, [MODEL])
         other = {'model': 'other', 'version': '', 'adapters': []}
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/backends.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/backends.py
@@ -1,12 +1,21 @@
 """Journals and faults of the backend servers of a deployment."""
 
+from collections.abc import Iterable
+from functools import partial
+
 import aiohttp
 import msgspec
 
 from baobabhinge_standins.application.messages import Run
 from baobabhinge_standins.control import ControlClient
 from baobabhinge_standins.engine.journal import EngineRun
+from baobabhinge_standins.engine.models import LoadedModel
 from baobabhinge_standins.fleet.members import Member
+from baobabhinge_standins.fleet.readiness import wait_until
+
+
+class _Models(msgspec.Struct):
+    models: list[LoadedModel] = []
 
 
 class Backends:
@@ -29,6 +38,11 @@
         body = await self._control(member).send('GET', '-/runs', None)
         return msgspec.json.decode(body, type=list[EngineRun])
 
+    async def wait_loaded(self, engines: Iterable[Member]) -> None:
+        """Wait until each engine has loaded a model of the settings."""
+        for engine in engines:
+            await wait_until(partial(self._has_models, engine))
+
     async def read_runs(self, member: Member) -> list[Run]:
         """Return what an application worker has run since its start."""
         body = await self._control(member).send('GET', '-/runs', None)
@@ -38,5 +52,9 @@
         """Set the faults of a backend server, in place of the present ones."""
         await self._control(member).send('PUT', '-/faults', faults)
 
+    async def _has_models(self, member: Member) -> bool:
+        body = await self._control(member).send('GET', 'v1/models', None)
+        return bool(msgspec.json.decode(body, type=_Models).models)
+
     def _control(self, member: Member) -> ControlClient:
         return ControlClient(self._http, f'http://{member.address}')
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/platform.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/platform.py
@@ -52,9 +52,11 @@
         Stand-in of the list of vms and of the client directory.
     store : ControlClient
         Key-value service: faults (``-/faults``) and calls (``-/calls``).
+    weights : ControlClient or None
+        Weight store, if the deployment has one.
     """
 
-    __slots__ = ('_ports', 'lists', 'store')
+    __slots__ = ('_ports', 'lists', 'store', 'weights')
 
     def __init__(
         self,
@@ -66,6 +68,9 @@
         self._ports = choose_ports(has_weights=has_weights)
         self.lists = ControlClient(http, self._ports[LISTS].address)
         self.store = ControlClient(http, self.store_address)
+        self.weights = None
+        if has_weights:
+            self.weights = ControlClient(http, self._ports[WEIGHTS].address)
 
     @property
     def store_address(self) -> str:
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/load.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/load.py
@@ -26,6 +26,8 @@
         Whether the backend server is leaving.
     age_ms : int
         Age of the report, in milliseconds.
+    models : tuple of str
+        Names of the models that can be run, with version and adapter.
     """
 
     running: int
@@ -33,6 +35,7 @@
     slots: int
     draining: bool = False
     age_ms: int = 0
+    models: tuple[str, ...] = ()
 
 
 class _Sample(msgspec.Struct, frozen=True):
