--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/crashes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/crashes.py
@@ -4,7 +4,7 @@
 from http import HTTPStatus
 
 from baobabhinge_gateway.errors.base import CallError, Outcome
-from baobabhinge_gateway.errors.serving import AnswerBrokenError
+from baobabhinge_gateway.errors.unknown import AnswerBrokenError
 
 NEVER = timedelta(hours=1)
 
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/finding.py
@@ -0,0 +1,62 @@
+"""Finding the targets of a call."""
+
+from collections.abc import Sequence
+
+from baobabhinge_gateway.calls import Call
+from baobabhinge_gateway.fleet import FleetView
+from baobabhinge_gateway.routing.counters import InFlight
+from baobabhinge_gateway.routing.targets import Target
+from baobabhinge_platform.machines import Vm
+
+
+class TargetFinder:
+    """List what may take the calls that arrive in one region.
+
+    Parameters
+    ----------
+    fleet : FleetView
+        Known vms, and this gateway.
+    in_flight : InFlight
+        Calls open by vm.
+    """
+
+    __slots__ = ('_fleet', '_in_flight', '_region')
+
+    def __init__(self, fleet: FleetView, in_flight: InFlight) -> None:
+        """Keep the parts."""
+        self._fleet = fleet
+        self._in_flight = in_flight
+        self._region = fleet.home.region
+
+    def list_all(self, call: Call) -> list[Target]:
+        """Return every target that may take ``call``."""
+        local = []
+        if call.terms.allows(self._region):
+            local = self._list_local(call)
+        if len(call.hops.hops) > 1:
+            return local
+        return local + self._list_remote(call)
+
+    def list_regional(self, call: Call) -> Sequence[Vm]:
+        """Return the backend servers of the service in this region."""
+        return self._fleet.list_backends(call.service.name, self._region)
+
+    def _list_local(self, call: Call) -> list[Target]:
+        return [
+            self._build_target(vm, is_remote=False)
+            for vm in self.list_regional(call)
+            if self._fleet.has_loaded(vm, call.model)
+        ]
+
+    def _list_remote(self, call: Call) -> list[Target]:
+        return [
+            self._build_target(vm, is_remote=True)
+            for vm in self._fleet.list_gateways()
+            if vm.region != self._region
+            and call.terms.allows(vm.region)
+            and call.service.is_placed_in(vm.region, call.model.version)
+            and not call.hops.has_region(vm.region)
+        ]
+
+    def _build_target(self, vm: Vm, *, is_remote: bool) -> Target:
+        return Target(vm, is_remote, self._in_flight.count(vm.name))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/router.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/router.py
@@ -1,19 +1,17 @@
-"""Finding the targets of a call."""
+"""Deciding where a call runs, or why it does not."""
 
 from baobabhinge_gateway.calls import Call
 from baobabhinge_gateway.errors import (
     CallError,
+    ModelNotLoadedError,
     NoBackendServerError,
     RegionBoundError,
 )
-from baobabhinge_gateway.fleet import FleetView
-from baobabhinge_gateway.routing.counters import InFlight
 from baobabhinge_gateway.routing.decisionlog import DecisionLog
 from baobabhinge_gateway.routing.decisions import Decision
+from baobabhinge_gateway.routing.finding import TargetFinder
 from baobabhinge_gateway.routing.gates import Gate
 from baobabhinge_gateway.routing.registry import RoutingPolicy
-from baobabhinge_gateway.routing.targets import Target
-from baobabhinge_platform.machines import Vm
 
 
 class Router:
@@ -21,41 +19,29 @@
 
     Parameters
     ----------
-    fleet : FleetView
-        Known vms, and this gateway.
+    finder : TargetFinder
+        Lists the targets.
     policy : RoutingPolicy
         Order of the targets.
-    in_flight : InFlight
-        Calls open by vm.
     gate : Gate
         Refuses what would be answered late.
     decisions : DecisionLog
         Where decisions are recorded.
     """
 
-    __slots__ = (
-        '_fleet',
-        '_gate',
-        '_in_flight',
-        '_policy',
-        '_region',
-        'decisions',
-    )
+    __slots__ = ('_finder', '_gate', '_policy', 'decisions')
 
     def __init__(
         self,
-        fleet: FleetView,
+        finder: TargetFinder,
         policy: RoutingPolicy,
-        in_flight: InFlight,
         gate: Gate,
         decisions: DecisionLog,
     ) -> None:
         """Keep the parts."""
         self._gate = gate
-        self._region = fleet.home.region
-        self._fleet = fleet
+        self._finder = finder
         self._policy = policy
-        self._in_flight = in_flight
         self.decisions = decisions
 
     def decide(self, call: Call) -> Decision:
@@ -67,12 +53,14 @@
             If the call is bound to a region and can't be run there.
         NoBackendServerError
             If no backend server of the service may take it.
+        ModelNotLoadedError
+            If some may, and none holds the version.
         OverloadedError
             If it would be answered too late.
         WorkspaceShareError
             If its workspace has more than its share of a full service.
         """
-        decision = self._policy.rank(call, self._list_targets(call))
+        decision = self._policy.rank(call, self._finder.list_all(call))
         try:
             self._check(call, decision)
         except CallError as refused:
@@ -84,32 +72,9 @@
     def _check(self, call: Call, decision: Decision) -> None:
         if decision.candidates:
             self._gate.check(call, decision)
-        elif call.terms.regions is None:
-            raise NoBackendServerError('no backend server may take the call')
-        else:
+            return
+        if call.terms.regions is not None:
             raise RegionBoundError('the bound region has no backend server')
-
-    def _list_targets(self, call: Call) -> list[Target]:
-        local = []
-        if call.terms.allows(self._region):
-            local = self._list_local(call)
-        if len(call.hops.hops) > 1:
-            return local
-        return local + self._list_remote(call)
-
-    def _list_local(self, call: Call) -> list[Target]:
-        vms = self._fleet.list_backends(call.service.name, self._region)
-        return [self._build_target(vm, is_remote=False) for vm in vms]
-
-    def _list_remote(self, call: Call) -> list[Target]:
-        return [
-            self._build_target(vm, is_remote=True)
-            for vm in self._fleet.list_gateways()
-            if vm.region != self._region
-            and call.terms.allows(vm.region)
-            and call.service.is_placed_in(vm.region)
-            and not call.hops.has_region(vm.region)
-        ]
-
-    def _build_target(self, vm: Vm, *, is_remote: bool) -> Target:
-        return Target(vm, is_remote, self._in_flight.count(vm.name))
+        if decision.blocked or not self._finder.list_regional(call):
+            raise NoBackendServerError('no backend server may take the call')
+        raise ModelNotLoadedError('no engine has loaded the version')
