Start the scenarios' deployments in one place

What was wrong: six scenario files had the same fixture and the same regions, placements and goal as text, and a change of one (the goal of 60 s) had to be made in each. Now a fixture 'serve' beside 'launch', and settings rendered from the plan. Every check is as before.

--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/conftest.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/conftest.py
@@ -1,7 +1,7 @@
 """Deployments of real processes for the scenarios of this folder."""
 
 import asyncio
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 
 import aiohttp
 import pytest
@@ -13,25 +13,12 @@
     LEDGER_SETTINGS,
     Confirmation,
 )
+from baobabhinge_standins.tests.steps.settings import (
+    render_model,
+    render_plain,
+    render_settings,
+)
 
-SMALL_SETTINGS = """
-[region west]
-failure-domains = west-a
-[region east]
-failure-domains = east-a
-[service llm]
-kind = model
-deadline = 20 s
-[placement llm west]
-replicas = 1 vms
-[service ledger]
-kind = plain
-deadline = 5 s
-[placement ledger west]
-replicas = 1 vms
-[placement ledger east]
-replicas = 1 vms
-"""
 SMALL_PLAN = DeploymentPlan(
     name='small',
     gateways={'west': 1, 'east': 1},
@@ -43,6 +30,11 @@
     wan_latency=WAN_LATENCY,
     link_bits_per_second=1_000_000_000,
 )
+SMALL_SETTINGS = render_settings(
+    SMALL_PLAN,
+    render_model('20 s'),
+    render_plain('5 s'),
+)
 
 
 @asynccontextmanager
@@ -64,37 +56,62 @@
         yield runner
 
 
+class Launcher:
+    """Starts deployments, each in a folder of its own, and ends them."""
+
+    def __init__(self, loop, make_folder):
+        self._loop = loop
+        self._make_folder = make_folder
+        self._contexts = []
+
+    def start(self, plan=SMALL_PLAN, settings_text=SMALL_SETTINGS):
+        folder = self._make_folder(plan.name)
+        context = run_configured(plan, settings_text, folder)
+        running = self._loop.run(context.__aenter__())
+        self._contexts.append(context)
+        return running
+
+    def end_all(self):
+        for context in self._contexts:
+            self._loop.run(context.__aexit__(None, None, None))
+
+
+@pytest.fixture(scope='session')
+def make_launcher(loop, tmp_path_factory):
+    @contextmanager
+    def make():
+        launcher = Launcher(loop, tmp_path_factory.mktemp)
+        yield launcher.start
+        launcher.end_all()
+
+    return make
+
+
 @pytest.fixture
-def launch(loop, tmp_path):
+def launch(make_launcher):
     """Yield a function that starts a deployment of this test alone."""
-    contexts = []
+    with make_launcher() as start:
+        yield start
 
-    def start(plan=SMALL_PLAN, settings_text=SMALL_SETTINGS):
-        context = run_configured(plan, settings_text, tmp_path)
-        running = loop.run(context.__aenter__())
-        contexts.append(context)
-        return running
 
-    yield start
-    for context in contexts:
-        loop.run(context.__aexit__(None, None, None))
+@pytest.fixture(scope='module')
+def serve(make_launcher):
+    """Yield a function that starts a deployment of the module."""
+    with make_launcher() as start:
+        yield start
 
 
 @pytest.fixture(scope='session')
-def deployment(loop, tmp_path_factory):
+def deployment(make_launcher):
     """Yield one deployment that no scenario may harm."""
-    folder = tmp_path_factory.mktemp('small')
-    context = run_configured(SMALL_PLAN, SMALL_SETTINGS, folder)
-    yield loop.run(context.__aenter__())
-    loop.run(context.__aexit__(None, None, None))
+    with make_launcher() as start:
+        yield start()
 
 
 @pytest.fixture(scope='session')
-def ledger(loop, tmp_path_factory):
-    folder = tmp_path_factory.mktemp('ledger')
-    context = run_configured(LEDGER_PLAN, LEDGER_SETTINGS, folder)
-    yield loop.run(context.__aenter__())
-    loop.run(context.__aexit__(None, None, None))
+def ledger(make_launcher):
+    with make_launcher() as start:
+        yield start(LEDGER_PLAN, LEDGER_SETTINGS)
 
 
 @pytest.fixture
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_bench.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_bench.py
@@ -10,7 +10,6 @@
 from baobabhinge_standins.tests.conftest import (
     SMALL_PLAN,
     SMALL_SETTINGS,
-    run_configured,
 )
 
 PLAN = msgspec.structs.replace(
@@ -24,11 +23,8 @@
 
 
 @pytest.fixture(scope='module')
-def bench(loop, tmp_path_factory):
-    folder = tmp_path_factory.mktemp('bench')
-    context = run_configured(PLAN, SMALL_SETTINGS, folder)
-    yield loop.run(context.__aenter__())
-    loop.run(context.__aexit__(None, None, None))
+def bench(serve):
+    return serve(PLAN, SMALL_SETTINGS)
 
 
 @given(
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_caller_library.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_caller_library.py
@@ -2,6 +2,7 @@
 from http import HTTPMethod
 
 import aiohttp
+import msgspec
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
@@ -15,55 +16,34 @@
 )
 from baobabhinge_caller.entries import EntryBook
 from baobabhinge_coordination.clock import SystemClock
-from baobabhinge_standins.fleet import DeploymentPlan, Role
-from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
-from baobabhinge_standins.tests.conftest import run_configured
+from baobabhinge_standins.fleet import Role
+from baobabhinge_standins.fleet.plans import BackendPlan
+from baobabhinge_standins.tests.conftest import SMALL_PLAN, SMALL_SETTINGS
 from baobabhinge_standins.tests.steps.completions import ask, list_expected
 
 scenarios('caller_library.feature')
 
-SETTINGS = """
-[region west]
-failure-domains = west-a
-[region east]
-failure-domains = east-a
-[service llm]
-kind = model
-deadline = 20 s
-[placement llm west]
-replicas = 1 vms
-[service ledger]
-kind = plain
-deadline = 5 s
-[placement ledger west]
-replicas = 1 vms
-[placement ledger east]
-replicas = 1 vms
-[run-once ledger confirm]
-method = POST
-path = /trades/*/confirm
-"""
-PLAN = DeploymentPlan(
-    name='one-region',
+PLAN = msgspec.structs.replace(
+    SMALL_PLAN,
     gateways={'west': 2, 'east': 1},
     backends=(
         BackendPlan('llm', Role.engine, 'west', 1),
         BackendPlan('ledger', Role.application, 'west', 1),
     ),
-    wan_latency=WAN_LATENCY,
-    link_bits_per_second=1_000_000_000,
 )
+SETTINGS = f"""{SMALL_SETTINGS}
+[run-once ledger confirm]
+method = POST
+path = /trades/*/confirm
+"""
 TOKENS = 60
 ANYWHERE = Terms()
 PROGRAM = 'program'
 
 
 @pytest.fixture(scope='module')
-def one_region(loop, tmp_path_factory):
-    folder = tmp_path_factory.mktemp('one-region')
-    context = run_configured(PLAN, SETTINGS, folder)
-    yield loop.run(context.__aenter__())
-    loop.run(context.__aexit__(None, None, None))
+def one_region(serve):
+    return serve(PLAN, SETTINGS)
 
 
 @given(
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_leaving_backend.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_leaving_backend.py
@@ -2,51 +2,38 @@
 from datetime import timedelta
 
 import aiohttp
+import msgspec
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from baobabhinge_coordination.clock import SystemClock
 from baobabhinge_standins.engine.faults import EngineFaults
-from baobabhinge_standins.fleet import DeploymentPlan, Role
-from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
+from baobabhinge_standins.fleet import Role
+from baobabhinge_standins.fleet.plans import BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_until
-from baobabhinge_standins.tests.conftest import run_configured
+from baobabhinge_standins.tests.conftest import SMALL_PLAN
 from baobabhinge_standins.tests.steps.completions import (
     ask,
     list_expected,
     send,
 )
+from baobabhinge_standins.tests.steps.settings import (
+    PATIENT,
+    render_model,
+    render_settings,
+)
 
 scenarios('leaving_backend.feature')
 
-SETTINGS = """
-[objective all]
-cost = 34 percent
-tail-latency = 33 percent
-sent-away = 33 percent
-first-token = 60 s
-[region west]
-failure-domains = west-a
-[region east]
-failure-domains = east-a
-[service llm]
-kind = model
-deadline = 60 s
-[placement llm west]
-replicas = 3 vms
-[placement llm east]
-replicas = 1 vms
-"""
-PLAN = DeploymentPlan(
-    name='leaving',
+PLAN = msgspec.structs.replace(
+    SMALL_PLAN,
     gateways={'west': 2, 'east': 1},
     backends=(
         BackendPlan('llm', Role.engine, 'west', 3),
         BackendPlan('llm', Role.engine, 'east', 1),
     ),
-    wan_latency=WAN_LATENCY,
-    link_bits_per_second=1_000_000_000,
 )
+SETTINGS = render_settings(PLAN, render_model('60 s'), PATIENT)
 PROMISED = timedelta(seconds=3)
 CALLERS = 9
 LONG = 700
@@ -75,11 +62,8 @@
 
 
 @pytest.fixture(scope='module')
-def leaving(loop, tmp_path_factory):
-    folder = tmp_path_factory.mktemp('leaving')
-    context = run_configured(PLAN, SETTINGS, folder)
-    yield loop.run(context.__aenter__())
-    loop.run(context.__aexit__(None, None, None))
+def leaving(serve):
+    return serve(PLAN, SETTINGS)
 
 
 @given('two regions with callers at three gateways', target_fixture='run')
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_status.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_status.py
@@ -9,7 +9,6 @@
 from baobabhinge_standins.tests.conftest import (
     SMALL_PLAN,
     SMALL_SETTINGS,
-    run_configured,
 )
 from baobabhinge_standins.tests.steps.completions import ask, send
 
@@ -31,11 +30,8 @@
 
 
 @pytest.fixture(scope='module')
-def limited(loop, tmp_path_factory):
-    folder = tmp_path_factory.mktemp('limited')
-    context = run_configured(SMALL_PLAN, SETTINGS, folder)
-    yield loop.run(context.__aenter__())
-    loop.run(context.__aexit__(None, None, None))
+def limited(serve):
+    return serve(SMALL_PLAN, SETTINGS)
 
 
 @given(
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_whole_answer.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_whole_answer.py
@@ -2,62 +2,49 @@
 from datetime import timedelta
 
 import aiohttp
+import msgspec
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from baobabhinge_standins.engine.faults import EngineFaults
-from baobabhinge_standins.fleet import DeploymentPlan, Role
-from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
+from baobabhinge_standins.fleet import Role
+from baobabhinge_standins.fleet.plans import BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_until
-from baobabhinge_standins.tests.conftest import run_configured
+from baobabhinge_standins.tests.conftest import SMALL_PLAN
 from baobabhinge_standins.tests.steps.completions import (
     ask,
     list_expected,
     send,
 )
+from baobabhinge_standins.tests.steps.settings import (
+    render_model,
+    render_plain,
+    render_settings,
+)
 
 scenarios('whole_answer.feature')
 
-SETTINGS = """
-[region west]
-failure-domains = west-a
-[region east]
-failure-domains = east-a
-[region south]
-failure-domains = south-a
-[service llm]
-kind = model
-deadline = 120 s
-[placement llm west]
-replicas = 3 vms
-[placement llm south]
-replicas = 1 vms
-[service ledger]
-kind = plain
-deadline = 5 s
-[placement ledger east]
-replicas = 1 vms
-"""
-PLAN = DeploymentPlan(
-    name='three-regions',
+PLAN = msgspec.structs.replace(
+    SMALL_PLAN,
     gateways={'west': 1, 'east': 1, 'south': 1},
     backends=(
         BackendPlan('llm', Role.engine, 'west', 3, ('--slots=512',)),
         BackendPlan('llm', Role.engine, 'south', 1),
     ),
-    wan_latency=WAN_LATENCY,
-    link_bits_per_second=1_000_000_000,
     faulty_backends=True,
 )
+SETTINGS = render_settings(
+    PLAN,
+    render_model('120 s'),
+    render_plain('5 s'),
+    '[placement ledger east]\nreplicas = 1 vms',
+)
 LONGEST_PAUSE = timedelta(seconds=1)
 
 
 @pytest.fixture(scope='module')
-def three_regions(loop, tmp_path_factory):
-    folder = tmp_path_factory.mktemp('three-regions')
-    context = run_configured(PLAN, SETTINGS, folder)
-    yield loop.run(context.__aenter__())
-    loop.run(context.__aexit__(None, None, None))
+def three_regions(serve):
+    return serve(PLAN, SETTINGS)
 
 
 @given('a deployment whose engines and links can fail', target_fixture='run')
