End an order of keys whose body does not arrive

POST /v1/keys read its body without a time limit: a caller that sent half of it held a connection for as long as it liked. It is read like the bodies of calls, within 10 s, else slow-request.

Seen red: test_slow_bodies.py, the row of /v1/keys had no answer in 20 s; the row of calls was green before and had no test. Green: tests of callers and runonce.

--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/tests/test_slow_bodies.py
@@ -0,0 +1,59 @@
+"""A body that does not arrive ends in a typed refusal; nothing is run."""
+
+import asyncio
+
+import msgspec
+import pytest
+from aiohttp.web import Response, TCPSite
+
+from baobabhinge_gateway.callers.connections import GuardedRunner
+from baobabhinge_gateway.calls.bodies import BODY_PATIENCE, read_body
+from baobabhinge_gateway.routes import build_app
+from baobabhinge_gateway.runonce import KeyRoutes
+
+HEAD = b'POST %b HTTP/1.1\r\nHost: g\r\nContent-Length: 9\r\n\r\n{"c'
+
+
+class Calls:
+    """One path that reads bodies as completions and services do."""
+
+    def __init__(self):
+        self.runs = 0
+
+    def add_to(self, app):
+        app.router.add_post('/call', self.run)
+
+    async def run(self, request):
+        await read_body(request)
+        self.runs += 1
+        return Response()
+
+
+@pytest.fixture
+async def calls():
+    return Calls()
+
+
+@pytest.fixture
+async def port(calls, monkeypatch):
+    module = 'baobabhinge_gateway.calls.bodies.BODY_PATIENCE'
+    monkeypatch.setattr(module, BODY_PATIENCE / 50)
+    runner = GuardedRunner(build_app([calls, KeyRoutes(None, 'west')]))
+    await runner.setup()
+    await TCPSite(runner, '127.0.0.1', 0).start()
+    yield runner.addresses[0][1]
+    await runner.cleanup()
+
+
+@pytest.mark.parametrize('path', [b'/call', b'/v1/keys'])
+async def test_slow_body_is_refused(port, calls, path):
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(HEAD % path)
+    async with asyncio.timeout(20):
+        head = await reader.readuntil(b'\r\n\r\n')
+        _, _, rest = head.lower().partition(b'content-length: ')
+        body = await reader.readexactly(int(rest.split(b'\r\n')[0]))
+    writer.close()
+    problem = msgspec.json.decode(body)
+    assert (problem['code'], problem['outcome']) == ('slow-request', 'not-run')
+    assert not calls.runs
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/keyroutes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/keyroutes.py
@@ -12,6 +12,7 @@
     decode_key,
     encode_key,
 )
+from baobabhinge_gateway.calls.bodies import read_body
 from baobabhinge_gateway.errors import (
     BadKeyError,
     KeysUnavailableError,
@@ -76,7 +77,7 @@
 
     async def mint(self, request: web.Request) -> web.Response:
         """Answer with a batch of keys."""
-        order = _read_order(await request.read())
+        order = _read_order(await read_body(request))
         mint = self._parts.memory.mint
         try:
             keys = mint.mint(order.count)
