Give every refusal an identifier

The callers' page promises X-Request-Id in every answer; for a path or method that is not there, and for refused orders of keys, the header was empty and the log line had no identifier either.

Seen red: test_problems.py, 4 of 4 rows failed. Green: tests of callers and runonce.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/problems.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/problems.py
@@ -1,5 +1,6 @@
 """Answering errors as problem details."""
 
+import uuid
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from http import HTTPStatus
@@ -69,7 +70,7 @@
 
     def _refuse(self, request: web.Request, fault: Exception) -> web.Response:
         error = weaken_refusal(request, _describe(fault))
-        request_id = request.get('request_id', '')
+        request_id = request.get('request_id') or uuid.uuid4().hex
         log.info('call-refused', code=error.code, request_id=request_id)
         response = self.render(error, request_id)
         if isinstance(fault, web.HTTPMethodNotAllowed):
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/tests/test_problems.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/tests/test_problems.py
@@ -2,9 +2,13 @@
 from random import Random
 
 import msgspec
+import pytest
+from aiohttp.test_utils import TestClient, TestServer
 
 from baobabhinge_gateway.callers.problems import ProblemRenderer
 from baobabhinge_gateway.errors import DrainingError
+from baobabhinge_gateway.routes import build_app
+from baobabhinge_gateway.runonce import KeyRoutes
 
 
 def test_callers_are_asked_to_come_back_at_different_times():
@@ -19,3 +23,24 @@
         told = msgspec.json.decode(answer.body)
         assert str(told['retry_after_seconds']) == answer.headers['Retry-After']
         assert told['request_id'] == 'r1'
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'code'),
+    [
+        ('GET', '/none', 'no-such-path'),
+        ('GET', '/v1/keys', 'method-not-allowed'),
+        ('POST', '/v1/keys', 'malformed-request'),
+        ('GET', '/v1/keys/none', 'bad-key'),
+    ],
+)
+async def test_every_refusal_has_an_identifier_to_ask_with(method, path, code):
+    app = build_app([KeyRoutes(None, 'west')])
+    async with (
+        TestClient(TestServer(app)) as client,
+        client.request(method, path, data=b'[]') as answer,
+    ):
+        problem = msgspec.json.decode(await answer.read())
+    assert problem['code'] == code
+    assert problem['request_id']
+    assert problem['request_id'] == answer.headers['X-Request-Id']
