--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/problems.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/problems.py
@@ -1,6 +1,5 @@
 """Answering errors as problem details."""
 
-import uuid
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from http import HTTPStatus
@@ -11,7 +10,11 @@
 from aiohttp import web
 
 from baobabhinge_gateway.callers.keyed import weaken_refusal
-from baobabhinge_gateway.calls.headers import OUTCOME, REQUEST_ID
+from baobabhinge_gateway.calls.headers import (
+    OUTCOME,
+    REQUEST_ID,
+    create_request_id,
+)
 from baobabhinge_gateway.errors import CallError, InternalError
 from baobabhinge_gateway.errors.http import describe_http_error
 from baobabhinge_gateway.errors.problem import PROBLEM_TYPE, describe_problem
@@ -70,7 +73,7 @@
 
     def _refuse(self, request: web.Request, fault: Exception) -> web.Response:
         error = weaken_refusal(request, _describe(fault))
-        request_id = request.get('request_id') or uuid.uuid4().hex
+        request_id = request.get('request_id') or create_request_id()
         log.info('call-refused', code=error.code, request_id=request_id)
         response = self.render(error, request_id)
         if isinstance(fault, web.HTTPMethodNotAllowed):
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/headers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/headers.py
@@ -1,5 +1,6 @@
 """Headers of the gateway's own, and those that end at each hop."""
 
+import uuid
 from collections.abc import Iterable
 
 DEADLINE = 'Baobabhinge-Deadline-Ms'
@@ -32,6 +33,11 @@
 OWN_PREFIX = 'baobabhinge-'
 
 
+def create_request_id() -> str:
+    """Return a new text for the header `REQUEST_ID`."""
+    return uuid.uuid4().hex
+
+
 def keep_end_to_end(
     pairs: Iterable[tuple[str, str]],
 ) -> tuple[tuple[str, str], ...]:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/passed.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/passed.py
@@ -1,6 +1,5 @@
 """The way that a request has come."""
 
-import uuid
 from datetime import timedelta
 
 from aiohttp import web
@@ -47,6 +46,6 @@
     passed = read_passed(request)
     request_id = request.headers.get(headers.REQUEST_ID)
     if request_id is None or not passed.hops:
-        request_id = uuid.uuid4().hex
+        request_id = headers.create_request_id()
     request['request_id'] = request_id
     return Arrival(request_id, instant, passed.extend(hop))
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/demo/__main__.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/demo/__main__.py
@@ -60,4 +60,4 @@
 
 
 if __name__ == '__main__':
-    defopt.run(main)
+    defopt.run(main, argparse_kwargs={'prog': 'bin/demo'})
