Refuse bodies nested too deep, and read any whole number as a deadline

A deadline of 30 digits and a JSON body of 100,000 open brackets ended in an OverflowError and a RecursionError: status 500, code internal, the fault of the gateway by its own words. The body is now malformed-request, and a long number is the service's own deadline.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/tests/test_problems.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/tests/test_problems.py
@@ -10,6 +10,8 @@
 from baobabhinge_gateway.routes import build_app
 from baobabhinge_gateway.runonce import KeyRoutes
 
+DEEP = b'{"more": %b' % (b'[' * 100_000)
+
 
 def test_callers_are_asked_to_come_back_at_different_times():
     renderer = ProblemRenderer(Random(7))
@@ -26,19 +28,22 @@
 
 
 @pytest.mark.parametrize(
-    ('method', 'path', 'code'),
+    ('method', 'path', 'body', 'code'),
     [
-        ('GET', '/none', 'no-such-path'),
-        ('GET', '/v1/keys', 'method-not-allowed'),
-        ('POST', '/v1/keys', 'malformed-request'),
-        ('GET', '/v1/keys/none', 'bad-key'),
+        ('GET', '/none', b'', 'no-such-path'),
+        ('GET', '/v1/keys', b'', 'method-not-allowed'),
+        ('POST', '/v1/keys', b'[]', 'malformed-request'),
+        ('POST', '/v1/keys', DEEP, 'malformed-request'),
+        ('GET', '/v1/keys/none', b'', 'bad-key'),
     ],
 )
-async def test_every_refusal_has_an_identifier_to_ask_with(method, path, code):
+async def test_every_refusal_has_an_identifier_to_ask_with(
+    method, path, body, code
+):
     app = build_app([KeyRoutes(None, 'west')])
     async with (
         TestClient(TestServer(app)) as client,
-        client.request(method, path, data=b'[]') as answer,
+        client.request(method, path, data=body) as answer,
     ):
         problem = msgspec.json.decode(await answer.read())
     assert problem['code'] == code
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/parsing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/parsing.py
@@ -14,6 +14,8 @@
 )
 from baobabhinge_settings.model import Service, ServiceKind, Settings
 
+MAX_DIGITS = 12
+
 
 class ModelRequest(msgspec.Struct):
     """The part of a completion request that the gateway reads."""
@@ -47,11 +49,13 @@
 
 
 def _parse_patience(text: str) -> timedelta:
-    if not (text.isascii() and text.isdigit() and int(text)):
+    digits = text.lstrip('0')
+    if not (digits.isascii() and digits.isdigit()):
         raise MalformedCallError(
             f'{headers.DEADLINE} is a positive whole number of milliseconds',
         )
-    return timedelta(milliseconds=int(text))
+    # A longer number is above every service's own deadline all the same.
+    return timedelta(milliseconds=int(digits[:MAX_DIGITS]))
 
 
 def parse_model_request(body: bytes) -> ModelRequest:
@@ -66,6 +70,8 @@
         return msgspec.json.decode(body, type=ModelRequest)
     except msgspec.MsgspecError as bad:
         raise MalformedCallError(f'the body is malformed: {bad}') from bad
+    except RecursionError as deep:
+        raise MalformedCallError('the body is nested too deep') from deep
 
 
 def find_service(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/affinity.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/affinity.py
@@ -34,7 +34,7 @@
         return None
     try:
         order = msgspec.json.decode(call.body, type=_Prompt)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return None
     first = order.messages[0].text if order.messages else order.prompt
     return (first or '')[:PREFIX_CHARS]
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/keyroutes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/keyroutes.py
@@ -122,6 +122,8 @@
         order = msgspec.json.decode(body or b'{}', type=KeyOrder)
     except msgspec.MsgspecError as bad:
         raise MalformedCallError(f'the body is malformed: {bad}') from bad
+    except RecursionError as deep:
+        raise MalformedCallError('the body is nested too deep') from deep
     if 1 <= order.count <= MAX_COUNT:
         return order
     raise MalformedCallError(f'count is from 1 to {MAX_COUNT}')
