Refuse addresses of the command line that can't be addresses

Both are wrong usage now, exit code 2, with what is allowed. A folder that is not there was ':0:' in the message; it has its name.

--- a/packages/baobabhinge-operator/src/baobabhinge_operator/addresses.py
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/addresses.py
@@ -2,6 +2,7 @@
 
 import getpass
 import os
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -13,6 +14,7 @@
     SettingsError,
     read_single,
 )
+from baobabhinge_settings.errors import FieldError
 from baobabhinge_settings.schema.addresses import parse_addresses, parse_url
 
 PATH_VARIABLE = 'BAOBABHINGE_SETTINGS'
@@ -55,8 +57,10 @@
         Raises
         ------
         OperatorSettingsError
-            If there are none.
+            If there are none, or one is not ``host:port``.
         """
+        if given:
+            _check('--gateway', given, parse_addresses)
         listed = (given or self.gateways).split(',')
         gateways = [address.strip() for address in listed if address.strip()]
         if gateways:
@@ -71,8 +75,10 @@
         Raises
         ------
         OperatorSettingsError
-            If there is none.
+            If there is none, or it is not the address of an HTTP service.
         """
+        if given:
+            _check('--key-value', given, parse_url)
         address = given or self.key_value
         if address:
             return address
@@ -98,3 +104,10 @@
     except SettingsError as bad:
         raise OperatorSettingsError(str(bad)) from bad
     return Addresses(**typed[OPERATOR.name])
+
+
+def _check(option: str, given: str, parse: Callable[[str], str]) -> None:
+    try:
+        parse(given)
+    except FieldError as bad:
+        raise OperatorSettingsError(f'{option}: {bad.message}') from bad
--- a/packages/baobabhinge-operator/src/baobabhinge_operator/tests/test_status.py
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/tests/test_status.py
@@ -9,14 +9,16 @@
 )
 
 LISTED = EntryList(
-    5, [Entry('g1', 'west', 'link-1'), Entry('g2', 'west', 'a2')]
+    5, [Entry('g1', 'west', '10.0.0.1:1'), Entry('g2', 'west', '10.0.0.3:1')]
 )
 STATES = {'g1': 'alive', 'g2': 'alive', 'g3': 'draining'}
 STATUSES = {
-    'link-1': GatewayStatus('g1', 'west', 4, gateways=STATES),
-    'direct-1': GatewayStatus('g1', 'west', 4, gateways=STATES),
-    'a2': GatewayStatus('g2', 'west', 4, gateways=STATES),
-    'a3': GatewayStatus('g3', 'west', 3, draining=True, gateways=STATES),
+    '10.0.0.1:1': GatewayStatus('g1', 'west', 4, gateways=STATES),
+    '10.0.0.2:1': GatewayStatus('g1', 'west', 4, gateways=STATES),
+    '10.0.0.3:1': GatewayStatus('g2', 'west', 4, gateways=STATES),
+    '10.0.0.4:1': GatewayStatus(
+        'g3', 'west', 3, draining=True, gateways=STATES
+    ),
 }
 
 
@@ -35,10 +37,10 @@
 @pytest.mark.parametrize(
     ('given', 'third'),
     [
-        ('direct-1', 'g3 west: generation 0, no entry for callers, draining'),
-        ('a2', 'g3 west: generation 0, no entry for callers, draining'),
+        ('10.0.0.2:1', 'g3 west: generation 0, no entry for callers, draining'),
+        ('10.0.0.3:1', 'g3 west: generation 0, no entry for callers, draining'),
         (
-            'direct-1,a3',
+            '10.0.0.2:1,10.0.0.4:1',
             'g3 west: generation 3, no entry for callers, draining, draining',
         ),
     ],
--- a/packages/baobabhinge-settings/src/baobabhinge_settings/errors.py
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/errors.py
@@ -13,7 +13,7 @@
     Parameters
     ----------
     source : str
-        Name of the file at fault; empty when the folder is.
+        Name of the file at fault, or of the folder.
     line : int
         Line in that file, counted from 1; 0 when the whole file is at fault.
     code : FaultCode
--- a/packages/baobabhinge-settings/src/baobabhinge_settings/reading/folder.py
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/reading/folder.py
@@ -53,10 +53,10 @@
     if not files:
         faults.append(
             Fault(
-                '',
+                folder.name,
                 0,
                 FaultCode.empty_folder,
-                f'{folder.name} has no file whose name ends in .ini',
+                'there is no folder with a file whose name ends in .ini',
             ),
         )
     faults.extend(_check_names(files))
