--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/__init__.py
@@ -60,21 +60,18 @@
     KeysUnavailableError as KeysUnavailableError,
 )
 from baobabhinge_gateway.errors.runonce import NotRunError as NotRunError
-from baobabhinge_gateway.errors.serving import (
-    AnswerBrokenError as AnswerBrokenError,
-)
 from baobabhinge_gateway.errors.serving import (
     DeadlinePassedError as DeadlinePassedError,
 )
 from baobabhinge_gateway.errors.serving import DrainingError as DrainingError
 from baobabhinge_gateway.errors.serving import (
-    NoBackendServerError as NoBackendServerError,
+    ModelNotLoadedError as ModelNotLoadedError,
 )
 from baobabhinge_gateway.errors.serving import (
-    NotConfiguredError as NotConfiguredError,
+    NoBackendServerError as NoBackendServerError,
 )
 from baobabhinge_gateway.errors.serving import (
-    OutcomeUnknownError as OutcomeUnknownError,
+    NotConfiguredError as NotConfiguredError,
 )
 from baobabhinge_gateway.errors.starting import (
     AddressTakenError as AddressTakenError,
@@ -92,3 +89,12 @@
 from baobabhinge_gateway.errors.transport import (
     TooManyConnectionsError as TooManyConnectionsError,
 )
+from baobabhinge_gateway.errors.unknown import (
+    AnswerBrokenError as AnswerBrokenError,
+)
+from baobabhinge_gateway.errors.unknown import (
+    AnswerSeveredError as AnswerSeveredError,
+)
+from baobabhinge_gateway.errors.unknown import (
+    OutcomeUnknownError as OutcomeUnknownError,
+)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/serving.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/serving.py
@@ -2,7 +2,7 @@
 
 from http import HTTPStatus
 
-from baobabhinge_gateway.errors.base import CallError, Outcome
+from baobabhinge_gateway.errors.base import CallError
 
 
 class NotConfiguredError(CallError):
@@ -19,6 +19,13 @@
     status = HTTPStatus.SERVICE_UNAVAILABLE
 
 
+class ModelNotLoadedError(CallError):
+    """The model, in the version asked for, is loaded nowhere or not here."""
+
+    code = 'model-not-loaded'
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
 class DeadlinePassedError(CallError):
     """The deadline passed before the request was run."""
 
@@ -31,17 +38,3 @@
 
     code = 'draining'
     status = HTTPStatus.SERVICE_UNAVAILABLE
-
-
-class OutcomeUnknownError(CallError):
-    """The request may have run."""
-
-    code = 'outcome-unknown'
-    status = HTTPStatus.BAD_GATEWAY
-    outcome = Outcome.unknown
-
-
-class AnswerBrokenError(OutcomeUnknownError):
-    """The backend server's answer broke off or was not for this request."""
-
-    code = 'answer-broken'
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/assembly.py
@@ -17,6 +17,7 @@
     TargetTracker,
 )
 from baobabhinge_gateway.routing.estimates import Estimator
+from baobabhinge_gateway.routing.finding import TargetFinder
 from baobabhinge_gateway.routing.limits import CandidateLimits
 
 
@@ -79,9 +80,8 @@
         tracker = TargetTracker(self._clock, self._rules, shares)
         return RoutingParts(
             Router(
-                self._fleet,
+                TargetFinder(self._fleet, tracker.in_flight),
                 ConfiguredPolicy(self._rules, self._build_parts(tracker)),
-                tracker.in_flight,
                 Shedder(self._clock, self._random, shares, self._rules),
                 self._accounts.decisions,
             ),
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/engine/app.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/app.py
@@ -6,6 +6,7 @@
 import msgspec
 from aiohttp import web
 
+from baobabhinge_standins.engine.ending import reset_connection
 from baobabhinge_standins.engine.faults import EngineFaults, FaultDesk
 from baobabhinge_standins.engine.journal import EngineRun
 from baobabhinge_standins.engine.messages import EngineRequest
@@ -55,21 +56,26 @@
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         order = msgspec.json.decode(await request.read(), type=EngineRequest)
-        if not self._shelf.serves(order.model):
+        model = self._shelf.find(order.model)
+        if model is None:
             return web.json_response(
                 {'error': {'code': 'model-not-loaded'}},
                 status=HTTPStatus.NOT_FOUND,
             )
-        return await self._run(request, order, self._faults.draw())
+        with self._runner.ending.hold(request):
+            return await self._run(request, order, model.version)
 
     async def _run(
         self,
         request: web.Request,
         order: EngineRequest,
-        faults: EngineFaults,
+        version: str,
     ) -> web.StreamResponse:
+        faults = self._faults.draw()
         request_id = request.headers.get(REQUEST_ID_HEADER, '')
-        async with self._runner.enter(order, request_id, faults) as run:
+        async with self._runner.enter(
+            order, request_id, faults, version
+        ) as run:
             answer = _Answer(request, order, run, faults)
             tokens = self._runner.generate(order, run, faults)
             if order.stream:
@@ -128,9 +134,4 @@
 
     def _reset_if_due(self) -> None:
         if self._run.tokens == self._faults.reset_after_tokens:
-            _reset_connection(self._request)
-
-
-def _reset_connection(request: web.Request) -> None:
-    if request.transport is not None:
-        request.transport.abort()
+            reset_connection(self._request)
