--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/parsing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/calls/parsing.py
@@ -16,6 +16,7 @@
 )
 from baobabhinge_settings.model import Service, ServiceKind, Settings
 
+MAX_DIGITS = 12
 MODEL_FIELD = 'model'
 
 
@@ -51,11 +52,13 @@
 
 
 def _parse_patience(text: str) -> timedelta:
-    if not (text.isascii() and text.isdigit() and int(text)):
+    digits = text.lstrip('0')
+    if not (digits.isascii() and digits.isdigit()):
         raise MalformedCallError(
             f'{headers.DEADLINE} is a positive whole number of milliseconds',
         )
-    return timedelta(milliseconds=int(text))
+    # A longer number is above every service's own deadline all the same.
+    return timedelta(milliseconds=int(digits[:MAX_DIGITS]))
 
 
 def parse_model_request(body: bytes) -> ModelRequest:
@@ -70,6 +73,8 @@
         return msgspec.json.decode(body, type=ModelRequest)
     except msgspec.MsgspecError as bad:
         raise MalformedCallError(f'the body is malformed: {bad}') from bad
+    except RecursionError as deep:
+        raise MalformedCallError('the body is nested too deep') from deep
 
 
 def name_model(body: bytes, asked: ModelRequest, model: ModelName) -> bytes:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/keyroutes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/keyroutes.py
@@ -12,6 +12,7 @@
     decode_key,
     encode_key,
 )
+from baobabhinge_gateway.calls.bodies import read_body
 from baobabhinge_gateway.errors import (
     BadKeyError,
     KeysUnavailableError,
@@ -76,7 +77,7 @@
 
     async def mint(self, request: web.Request) -> web.Response:
         """Answer with a batch of keys."""
-        order = _read_order(await request.read())
+        order = _read_order(await read_body(request))
         mint = self._parts.memory.mint
         try:
             keys = mint.mint(order.count)
@@ -121,6 +122,8 @@
         order = msgspec.json.decode(body or b'{}', type=KeyOrder)
     except msgspec.MsgspecError as bad:
         raise MalformedCallError(f'the body is malformed: {bad}') from bad
+    except RecursionError as deep:
+        raise MalformedCallError('the body is nested too deep') from deep
     if 1 <= order.count <= MAX_COUNT:
         return order
     raise MalformedCallError(f'count is from 1 to {MAX_COUNT}')
