Give the same order again after growing pauses

Cause: the holder of the lease gave an engine the same order at each reading, about once a second, however long the load took. With four engines loading at a time from a weight store that gives a quarter of a version each second, the same order came up to 23 times in a row.

Ruled out: lost orders, refused or cut calls, a wrong set of models. In the same runs, with the store at its limit, down for 60 calls or an engine killed and started again meanwhile, every call was answered whole by the version it was for and every engine ended with both versions.

Now equal orders to one engine are kept apart by pauses drawn below a bound that doubles from 2 to 16 s; another order, another fencing number or a change of what the engine has loaded is not held back.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/assembly.py
@@ -50,9 +50,15 @@
             clock,
             LeaseTerms(f'{LEASE_PREFIX}{home.region}', home.gateway),
         )
-        giver = OrderGiver(self.keeper, EngineClient(platform.http), clock)
+        random = SystemRandom()
+        giver = OrderGiver(
+            self.keeper,
+            EngineClient(platform.http),
+            clock,
+            random,
+        )
         self._parts = (
-            LeaseContender(self.keeper, fleet, SystemRandom()),
+            LeaseContender(self.keeper, fleet, random),
             OrderService(self.keeper, giver, active, fleet),
             DirectoryService(self.keeper, platform.directory, fleet),
         )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/giving.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/giving.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Sequence
 from datetime import timedelta
+from random import Random
 
 import structlog
 
@@ -17,6 +18,7 @@
     PlannedOrder,
     StaleOrderError,
 )
+from baobabhinge_gateway.orders.repeats import Repeats
 from baobabhinge_platform.machines import Fencing, Vm
 
 QUIET_TIME = ORDER_TIMEOUT * 2
@@ -39,6 +41,8 @@
         The way to the engines.
     clock : Clock
         Clock of the waits.
+    random : Random
+        Jitter of the pauses between equal orders.
     """
 
     __slots__ = (
@@ -47,6 +51,7 @@
         '_deferred',
         '_fencing',
         '_keeper',
+        '_repeats',
         '_since',
     )
 
@@ -55,6 +60,7 @@
         keeper: LeaseKeeper,
         client: EngineClient,
         clock: Clock,
+        random: Random,
     ) -> None:
         """Give none yet."""
         self._keeper = keeper
@@ -62,6 +68,7 @@
         self._clock = clock
         self._fencing = 0
         self._since = timedelta()
+        self._repeats = Repeats(clock, random)
         self._deferred: dict[str, timedelta] = {}
 
     async def read_states(self, vms: Sequence[Vm]) -> list[EngineState]:
@@ -84,10 +91,14 @@
         if self._has_to_wait(planned.vm):
             return
         order = EngineOrder(lease.fencing, planned.models)
+        if self._repeats.is_due(planned, order):
+            await self._send(planned.vm, order)
+
+    async def _send(self, vm: Vm, order: EngineOrder) -> None:
         try:
-            await self._client.send(planned.vm, order)
+            await self._client.send(vm, order)
         except OrderError as refused:
-            self._note_refusal(planned.vm, refused)
+            self._note_refusal(vm, refused)
 
     async def _read(self, vm: Vm) -> EngineState | None:
         try:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/messages.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/messages.py
@@ -81,7 +81,18 @@
 
 
 class PlannedOrder(msgspec.Struct, frozen=True):
-    """Models that one engine is to have next."""
+    """Models that one engine is to have next.
+
+    Parameters
+    ----------
+    vm : Vm
+        The vm of the engine.
+    models : tuple of EngineModel
+        Everything that it is to have loaded.
+    loaded : frozenset of EngineModel
+        What it had loaded when this was planned.
+    """
 
     vm: Vm
     models: tuple[EngineModel, ...]
+    loaded: frozenset[EngineModel] = frozenset()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/plan.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/plan.py
@@ -68,7 +68,7 @@
     has_replica: bool,
 ) -> PlannedOrder:
     models = wanted if has_replica else wanted | state.loaded
-    return PlannedOrder(state.vm, tuple(sorted(models)))
+    return PlannedOrder(state.vm, tuple(sorted(models)), state.loaded)
 
 
 def _list_adapters(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/tests/test_giving.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/tests/test_giving.py
@@ -1,4 +1,5 @@
 from datetime import timedelta
+from random import Random
 
 import pytest
 
@@ -12,12 +13,14 @@
     PlannedOrder,
     StaleOrderError,
 )
+from baobabhinge_gateway.orders.repeats import LAST_BOUND
 from baobabhinge_platform.machines import Fencing, Role, Vm
 
 MODELS = (EngineModel('llm', 'v1'),)
 REFUSING = Vm('e1', 'e1:1', 'west', '', Role.engine, fencing=Fencing.refuse)
 IGNORING = Vm('e2', 'e2:1', 'west', '', Role.engine)
 LATER = timedelta(seconds=30)
+SEED = 5
 
 
 class Keeper:
@@ -47,7 +50,12 @@
 @pytest.fixture
 def parts():
     keeper, engines, clock = Keeper(7), Engines(), ManualClock()
-    return keeper, engines, clock, OrderGiver(keeper, engines, clock)
+    return (
+        keeper,
+        engines,
+        clock,
+        OrderGiver(keeper, engines, clock, Random(SEED)),
+    )
 
 
 async def test_engines_that_ignore_numbers_wait_out_an_earlier_holder(parts):
@@ -93,3 +101,38 @@
     await giver.give(PlannedOrder(REFUSING, MODELS))
     with pytest.raises(LeaseLapsedError):
         await giver.give(PlannedOrder(REFUSING, MODELS))
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'most'),
+    [(10, 8), (60, 16)],
+)
+async def test_the_same_order_is_given_ever_less_often(parts, seconds, most):
+    _, engines, clock, giver = parts
+    for _ in range(seconds):
+        await giver.give(PlannedOrder(REFUSING, MODELS))
+        clock.advance(timedelta(seconds=1))
+    assert 1 < len(engines.sent) <= most
+    clock.advance(LAST_BOUND)
+    before = len(engines.sent)
+    await giver.give(PlannedOrder(REFUSING, MODELS))
+    assert len(engines.sent) == before + 1
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        PlannedOrder(REFUSING, (EngineModel('llm', 'v2'),)),
+        PlannedOrder(REFUSING, MODELS, frozenset(MODELS)),
+        PlannedOrder(IGNORING, MODELS),
+    ],
+)
+async def test_only_the_same_order_is_held_back(parts, change):
+    _, engines, clock, giver = parts
+    clock.advance(QUIET_TIME)
+    await giver.give(PlannedOrder(REFUSING, MODELS))
+    await giver.give(PlannedOrder(REFUSING, MODELS))
+    assert len(engines.sent) == 1
+    clock.advance(QUIET_TIME)
+    await giver.give(change)
+    assert len(engines.sent) == 2
