Test the priority and the cache events of an engine over HTTP

Priority was tested at the queue alone, gaps of cache events at their log alone; that a request and the process options reach them was not. Mutations: priority of the request left out, 1 failed; gap of the options left out, 1 failed.

--- a/packages/baobabhinge-standins/src/baobabhinge_standins/engine/tests/conftest.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/tests/conftest.py
@@ -45,7 +45,7 @@
 
 @asynccontextmanager
 async def run_engine(**options):
-    app = build_engine(EngineOptions(speed=FAST, **options))
+    app = build_engine(EngineOptions(**({'speed': FAST} | options)))
     async with (
         TestServer(app) as server,
         aiohttp.ClientSession() as http,
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/engine/tests/test_answers.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/tests/test_answers.py
@@ -1,6 +1,7 @@
 """Answers of an engine, whole, resumed and faulty."""
 
 import asyncio
+from datetime import timedelta
 
 import aiohttp
 import msgspec
@@ -8,7 +9,11 @@
 
 from baobabhinge_standins.engine.faults import EngineFaults
 from baobabhinge_standins.engine.messages import EngineRequest
-from baobabhinge_standins.engine.tests.conftest import PROMPT, run_engine
+from baobabhinge_standins.engine.tests.conftest import (
+    FAST,
+    PROMPT,
+    run_engine,
+)
 
 ORDER = msgspec.convert(PROMPT, type=EngineRequest)
 PATIENCE = 10
@@ -105,6 +110,34 @@
     assert read_text(body) == ORDER.generate_all()
 
 
+async def test_requests_that_wait_run_by_priority():
+    one_slot = msgspec.structs.replace(FAST, slots=1)
+    async with run_engine(speed=one_slot, load_lag=timedelta()) as engine:
+        faults = EngineFaults(stall_after_tokens=1, count=1)
+        await engine.control.send('PUT', '-/faults', faults)
+        first = asyncio.create_task(engine.ask('first'))
+        await wait_load(engine, running=1, waiting=0)
+        others = []
+        for number, priority in enumerate((5, 1, 3, 1), start=1):
+            asked = engine.ask(f'{priority}-{number}', priority=priority)
+            others.append(asyncio.create_task(asked))
+            await wait_load(engine, running=1, waiting=number)
+        first.cancel()
+        answers = await asyncio.gather(*others)
+        runs = await engine.list_runs()
+    assert {status for status, _ in answers} == {200}
+    ran = [run.request_id for run in runs]
+    assert ran == ['first', '1-2', '1-4', '3-3', '5-1']
+    assert runs[0].state == 'cancelled'
+
+
+async def wait_load(engine, *, running, waiting):
+    async with asyncio.timeout(PATIENCE):
+        load = await engine.get('load')
+        while (load['running'], load['waiting']) != (running, waiting):
+            load = await engine.get('load')
+
+
 async def test_journal_outlasts_the_process(tmp_path):
     path = tmp_path / 'engine.journal'
     async with run_engine(journal=path) as engine:
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/engine/tests/test_orders.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/engine/tests/test_orders.py
@@ -146,9 +146,21 @@
     assert [event.number for event in events.list_after(after)] == numbers
 
 
-async def test_cache_events_come_from_requests():
-    async with run_engine(event_lag=timedelta()) as engine:
+@pytest.mark.parametrize(
+    ('gap', 'after', 'numbers'),
+    [(50, 1, [2, 3]), (2, 0, [1, 3])],
+)
+async def test_cache_events_come_from_requests(gap, after, numbers):
+    options = {'event_lag': timedelta(), 'event_gap': gap}
+    async with run_engine(**options) as engine:
         await engine.ask()
-        listed = await engine.get('v1/cache-events?after=1')
-    assert [event['number'] for event in listed['events']] == [2, 3]
+        listed = await engine.get(f'v1/cache-events?after={after}')
+    assert [event['number'] for event in listed['events']] == numbers
     assert listed['events'][0]['kind'] == 'stored'
+
+
+async def test_cache_events_are_late():
+    async with run_engine(event_lag=timedelta(hours=1)) as engine:
+        await engine.ask()
+        listed = await engine.get('v1/cache-events')
+    assert not listed['events']
