Give links between failure domains their latency

Plans now carry the latency and the number of failure domains, and links between these are opened with it.

Red with the links as before: 2 of 4 tests failed. Green: 4 of 4; the scenario of the faulty deployment passed (2 tests).

--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
@@ -71,7 +71,7 @@
         self.backends = Backends(http)
         self.platform = Platform(http, has_weights=plan.has_weights)
         self.processes = processes
-        self.roster = Roster()
+        self.roster = Roster(plan.failure_domains)
         self.links = Links(http, self.platform.links_address)
         self._views = Views(plan, self.links)
         self.vm_lists = VmLists(
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/members.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/members.py
@@ -2,6 +2,7 @@
 
 import enum
 from pathlib import Path
+from string import ascii_lowercase
 
 import msgspec
 
@@ -35,6 +36,8 @@
         ``live`` or ``leaving``.
     fencing : str
         Whether an engine refuses old fencing numbers or ignores them.
+    domain : int
+        Which failure domain of its region it stands in, from 0.
     """
 
     name: str
@@ -45,11 +48,13 @@
     caller_port: int = 0
     state: str = 'live'
     fencing: str = 'ignore'
+    domain: int = 0
 
     @property
     def failure_domain(self) -> str:
-        """Return the failure domain; each region has one."""
-        return f'{self.region}-a'
+        """Return the name of the failure domain."""
+        letter = ascii_lowercase[self.domain]
+        return f'{self.region}-{letter}'
 
     @property
     def address(self) -> str:
@@ -97,12 +102,19 @@
 
 
 class Roster:
-    """Members by name."""
+    """Members by name.
 
-    __slots__ = ('_members',)
+    Parameters
+    ----------
+    failure_domains : int, optional
+        Failure domains of each region; vms of a kind go to them in turn.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ('_failure_domains', '_members')
+
+    def __init__(self, failure_domains: int = 1) -> None:
         """Start empty."""
+        self._failure_domains = failure_domains
         self._members: dict[str, Member] = {}
 
     def get(self, name: str) -> Member:
@@ -132,14 +144,17 @@
         number = len(known) + 1
         name = f'{prefix}-{number}'
         member = Member(name, role, region, reserve_port(), service)
+        member.domain = len(known) % self._failure_domains
         self._members[name] = member
         return member
 
     def add_gateway(self, region: str) -> Member:
         """Add the next gateway of ``region``."""
-        number = len(self.list_by(Role.gateway, region)) + 1
+        known = self.list_by(Role.gateway, region)
+        number = len(known) + 1
         name = f'{region}-gateway-{number}'
         member = Member(name, Role.gateway, region, reserve_port())
+        member.domain = len(known) % self._failure_domains
         member.caller_port = reserve_port()
         self._members[name] = member
         return member
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/plans.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/plans.py
@@ -44,6 +44,10 @@
         Backend servers.
     wan_latency : timedelta
         One-way latency between regions.
+    domain_latency : timedelta
+        One-way latency between the failure domains of a region.
+    failure_domains : int
+        Failure domains of each region.
     link_bits_per_second : int
         Bandwidth of each link between two regions.
     store_region : str
@@ -68,6 +72,8 @@
     faulty_peers: bool = False
     caller_latency: timedelta = timedelta()
     has_weights: bool = False
+    domain_latency: timedelta = timedelta()
+    failure_domains: int = 1
 
     @property
     def home_of_store(self) -> str:
@@ -111,6 +117,7 @@
         wan_latency=WAN_LATENCY,
         link_bits_per_second=GIGABIT,
         caller_latency=timedelta(milliseconds=3),
+        domain_latency=timedelta(microseconds=500),
         has_weights=True,
     ),
     'kranfelder': DeploymentPlan(
@@ -131,6 +138,7 @@
         wan_latency=WAN_LATENCY,
         link_bits_per_second=70 * MEGABIT,
         caller_latency=timedelta(milliseconds=1),
+        domain_latency=timedelta(microseconds=1500),
         has_weights=True,
     ),
 }
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/views.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/views.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
+import msgspec
+
 from baobabhinge_standins.fleet.members import Member, Role
 from baobabhinge_standins.fleet.plans import DeploymentPlan
 from baobabhinge_standins.fleet.ports import HOST
@@ -52,9 +54,7 @@
     ) -> None:
         """Open the missing links from a gateway to ``members``."""
         orders = [
-            _order(
-                self._plan, viewer, member.name, member.region, member.address
-            )
+            _order_member(self._plan, viewer, member)
             for member in members
             if _is_linked(self._plan, viewer, member)
         ]
@@ -102,11 +102,30 @@
         return False
     if viewer.region != member.region:
         return True
+    if plan.domain_latency and _crosses_domains(viewer, member):
+        return True
     if member.role is Role.gateway:
         return plan.faulty_peers
     return plan.faulty_backends
 
 
+def _crosses_domains(viewer: Member, member: Member) -> bool:
+    is_regional = viewer.region == member.region
+    return is_regional and viewer.failure_domain != member.failure_domain
+
+
+def _order_member(
+    plan: DeploymentPlan,
+    viewer: Member,
+    member: Member,
+) -> LinkOrder:
+    order = _order(plan, viewer, member.name, member.region, member.address)
+    if not _crosses_domains(viewer, member):
+        return order
+    latency = plan.domain_latency / MILLISECOND
+    return msgspec.structs.replace(order, latency_ms=latency)
+
+
 def _order(
     plan: DeploymentPlan,
     viewer: Member,
