Show the time to the first token in /v1/status

The status had percentiles to the end of an answer alone, while the objective of a service is its first token. The time is taken when the answer is prepared, which for a stream is when its first token has come.

Seen red: test_status.py, 1 of 5 failed (KeyError). Green: test_status.py (5) and the tests of callers. docs/standins.md tells how the demo calls.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/callroutes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/callroutes.py
@@ -28,7 +28,8 @@
         self._prefix = prefix
 
     def add_to(self, app: web.Application) -> None:
-        """Add the paths."""
+        """Add the paths, and time what is answered."""
+        app.on_response_prepare.append(self._calls.note_first)
         for path in MODEL_PATHS:
             app.router.add_post(
                 f'{self._prefix}{path}',
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
@@ -24,6 +24,8 @@
 from baobabhinge_gateway.telemetry import Measures
 
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+STARTED = 'started'
+EVENT_STREAM = 'text/event-stream'
 
 log = structlog.get_logger(__name__)
 
@@ -86,12 +88,25 @@
             self._checks.check(request)
             await request.writer.write(CONTINUE)
 
+    async def note_first(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+    ) -> None:
+        """Time the first token; a stream is prepared when it has come."""
+        started = request.get(STARTED)
+        if started is None or response.content_type != EVENT_STREAM:
+            return
+        elapsed = self._clock.read_monotonic() - started
+        self.measures.record_latency('first-token', elapsed)
+
     async def _serve(
         self,
         request: web.Request,
         build: CallBuilder,
     ) -> web.StreamResponse:
         started = self._clock.read_monotonic()
+        request[STARTED] = started
         arrival = register(request, self._hop, started)
         self._checks.check(request)
         built = await build(request, self._active.require_settings(), arrival)
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/status.feature
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/status.feature
@@ -5,6 +5,7 @@
     When a dealer of west asks the model, bound to nothing
     Then the status of west shows the decision with its candidates and winner
     And no status shows any text of the call
+    And the status of west has the times to the first token and to the end
 
   Scenario: A call that is bound to its region
     Given two regions whose dealers may have 2 calls in flight
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_status.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_status.py
@@ -102,6 +102,16 @@
         assert not any(text in status for text in received.texts)
 
 
+@then(
+    'the status of west has the times to the first token and to the end',
+)
+def check_latencies(running, http, loop):
+    latencies = loop.run(read_status(http, running, 'west'))['latencies']
+    assert latencies['first-token']['count'] == latencies['answer']['count']
+    assert latencies['first-token']['p50_ms'] > 0
+    assert latencies['first-token']['p50_ms'] <= latencies['answer']['p50_ms']
+
+
 @when(
     'a dealer of west asks the model as if it were passed on',
     target_fixture='received',
