Test versions placed by region, and measure their names in heartbeats

Versions that are placed in one region alone: a call goes to the region that has its version, a bound one is refused there, an unknown one everywhere.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/benchmark/fleet.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/benchmark/fleet.py
@@ -15,6 +15,7 @@
 from baobabhinge_gateway.process import Identity, PlatformAddresses
 from baobabhinge_platform.machines import Role, Vm
 
+MODELS = frozenset((b'one', b'two'))
 NOWHERE = 'http://127.0.0.1:1'
 ADDRESSES = PlatformAddresses(NOWHERE, NOWHERE, NOWHERE)
 SLOTS = 64
@@ -86,6 +87,7 @@
                 SLOTS,
                 draining=False,
                 age=timedelta(),
+                models=MODELS,
             )
             self.fleet.reports.put(vm.name, report)
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_versions.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_versions.py
@@ -10,7 +10,7 @@
 from baobabhinge_standins.fleet import Role
 from baobabhinge_standins.fleet.plans import BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_until
-from baobabhinge_standins.tests.conftest import SMALL_PLAN
+from baobabhinge_standins.tests.conftest import SMALL_PLAN, run_configured
 from baobabhinge_standins.tests.steps.completions import list_expected, send
 from baobabhinge_standins.weights.app import DEFAULT_BYTES, WeightFaults
 
@@ -38,6 +38,33 @@
 [version llm {version}]
 weights = llm/{version}
 """
+PLACED_PLAN = msgspec.structs.replace(
+    SMALL_PLAN,
+    backends=tuple(
+        BackendPlan('llm', Role.engine, region, 1, ('--fencing=refuse',))
+        for region in ('west', 'east')
+    ),
+)
+PLACED_SETTINGS = """
+[region west]
+failure-domains = west-a
+[region east]
+failure-domains = east-a
+[service llm]
+kind = model
+deadline = 20 s
+default-version = v2
+[version llm v1]
+weights = llm/v1
+[version llm v2]
+weights = llm/v2
+[placement llm west]
+replicas = 1 vms
+versions = v1
+[placement llm east]
+replicas = 1 vms
+versions = v2
+"""
 CALLERS = 6
 STREAM_TOKENS = 1500
 
@@ -285,3 +312,60 @@
 def check_refusal(rollout, loop):
     received = loop.run(rollout.call('llm'))
     check_refused(received)
+
+
+@pytest.fixture(scope='module')
+def two_regions(loop, tmp_path_factory):
+    folder = tmp_path_factory.mktemp('versions-by-region')
+    context = run_configured(PLACED_PLAN, PLACED_SETTINGS, folder)
+    running = loop.run(context.__aenter__())
+    engines = running.roster.list_by(Role.engine)
+    loop.run(running.backends.wait_loaded(engines))
+    yield running
+    loop.run(context.__aexit__(None, None, None))
+
+
+@given(
+    'a region west that has version v1 and a region east that has version v2',
+    target_fixture='rollout',
+)
+def start_placed(two_regions, loop, http, tmp_path):
+    rollout = Rollout(two_regions, http, tmp_path)
+    for region, version in (('west', 'v1'), ('east', 'v2')):
+        asked = EngineRequest(f'llm@{version}', 'warm', max_tokens=1)
+        entry = two_regions.choose_entry(region, 0)
+
+        async def is_answered(asked=asked, entry=entry):
+            return (await send(http, entry, asked)).is_done
+
+        loop.run(wait_until(is_answered))
+    return rollout
+
+
+@when(
+    parsers.parse('a caller in {region} asks for {model} {bound}'),
+    target_fixture='placed',
+)
+def ask_placed(rollout, loop, region, model, bound):
+    headers = {}
+    if bound != 'anywhere':
+        headers['Baobabhinge-Region-Bound'] = region
+    prompt = f'{region} {model} {bound}'
+    asked = EngineRequest(model, prompt, stream=True, max_tokens=4)
+    entry = rollout.running.choose_entry(region, 0)
+    sending = send(rollout.http, entry, asked, headers=headers)
+    return asked, loop.run(sending)
+
+
+@then(parsers.parse('the outcome is {outcome}'))
+def check_placed(rollout, loop, placed, outcome):
+    asked, received = placed
+    runs = loop.run(rollout.find_runs(asked.prompt))
+    if received.is_done:
+        assert received.texts == list_expected(asked)
+        told = [f'{run.version} in {engine.region}' for engine, run in runs]
+    else:
+        assert received.error['outcome'] == 'not-run'
+        assert not runs
+        told = [f'refused: {received.error["code"]}']
+    assert told == [outcome]
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/versions.feature
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/versions.feature
@@ -34,3 +34,17 @@
     And a weight store that is down
     When settings with the versions v2 and the default v2 are accepted
     Then a call for llm is refused as not run with Retry-After
+
+  Scenario Outline: A version is placed in one region alone
+    Given a region west that has version v1 and a region east that has version v2
+    When a caller in <region> asks for <model> <bound>
+    Then the outcome is <outcome>
+
+    Examples:
+      | region | model  | bound         | outcome                   |
+      | west   | llm@v1 | anywhere      | v1 in west                |
+      | west   | llm@v2 | anywhere      | v2 in east                |
+      | west   | llm    | anywhere      | v2 in east                |
+      | east   | llm@v1 | anywhere      | v1 in west                |
+      | east   | llm@v1 | in east alone | refused: region-bound     |
+      | east   | llm@v9 | anywhere      | refused: unknown-model    |
