Ask a listed gateway that is held dead to confirm suspects, too

Its delay makes heartbeats fail, so after 3 s the others hold it dead and, until now, no longer asked it; it could then run a suspect on an engine beside another gateway's. That this happened there is not proved: the logs were gone.

Red: test_claiming.py, a listed member held dead was not told (1 of 7 failed). A gateway that is really dead and still listed costs one wait of at most 2 s in 5 s.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/suspects/notices.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/suspects/notices.py
@@ -130,14 +130,14 @@
 def list_region(node: PeerNode) -> Sequence[Contact]:
     """Return the other gateways of the region that may run calls.
 
-    Those are the members that are not dead, and the listed ones of which
-    nothing is known yet.
+    Those are the members that are not dead, and the listed ones that are not
+    known or held dead: callers may reach a gateway that others do not hear.
     """
     own = node.members.own
     contacts = [peer.contact for peer in list_peers(node.members)]
     for listed in node.addresses.list_contacts():
         known = node.members.table.find(listed.name, own.region)
         is_home = listed.region == own.region and listed.name
-        if is_home and known is None:
+        if is_home and (known is None or known.is_dead):
             contacts.append(listed)
     return contacts
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/suspects/tests/test_claiming.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/suspects/tests/test_claiming.py
@@ -9,6 +9,7 @@
 from baobabhinge_coordination.membership import (
     Member,
     MembershipView,
+    MemberState,
     MemberUnreachableError,
 )
 from baobabhinge_coordination.suspects import (
@@ -26,6 +27,10 @@
 PATIENCE = timedelta(seconds=20)
 
 
+def list_contacts():
+    return [Member(name, 'west', name, 1).contact for name in NAMES]
+
+
 class Network:
     """Three gateways in one process; a test says how long each is late."""
 
@@ -35,6 +40,7 @@
             event.set()
         self.refusals = dict.fromkeys(NAMES, 0)
         self.ledgers = {}
+        self.members = {}
         self.routes = {}
         self.regions = {name: self.build(name) for name in NAMES}
 
@@ -46,8 +52,9 @@
         node = SimpleNamespace(
             members=members,
             client=self,
-            addresses=SimpleNamespace(list_contacts=list),
+            addresses=SimpleNamespace(list_contacts=list_contacts),
         )
+        self.members[name] = members
         ledger = SuspectLedger(clock)
         claims = RunClaims(name)
         self.ledgers[name] = ledger
@@ -117,6 +124,15 @@
     assert network.ledgers['g3'].judge('x') is Verdict.suspect
 
 
+async def test_a_listed_gateway_that_is_held_dead_confirms_too():
+    network = Network()
+    dead = Member('g3', 'west', 'g3', 2, MemberState.dead)
+    network.members['g1'].merge(dead)
+    network.ledgers['g1'].record('engine-1', 'x')
+    await run_once(network, 'g1', [], [])
+    assert network.ledgers['g3'].judge('x') is Verdict.suspect
+
+
 async def test_two_gateways_do_not_run_one_suspect_at_once():
     network = Network()
     running, seen = [], []
