--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/process/tests/test_settings.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/process/tests/test_settings.py
@@ -17,9 +17,9 @@
 caller-address = 10.0.0.5:7080
 peer-address = 10.0.0.5:7000
 [platform]
-key-value = http://10.0.0.9:8500
-vm-list = http://10.0.0.9:8600/vms
-client-directory = http://10.0.0.9:8600/directory
+key-value = http://store.example:8500
+vm-list = http://platform.example:8600/vms
+client-directory = http://platform.example:8600/directory
 """
 BAD = (
     ('unknown-section', 11, ('$', '[platforms]\n')),
@@ -40,8 +40,8 @@
     ('bad-address', 5, ('10.0.0.5:7080', 'http://10.0.0.5:7080')),
     ('bad-address', 5, ('10.0.0.5:7080', '10.0.0.5:\u0661')),
     ('bad-address', 7, ('[platform]', 'seeds = 10.0.0.6\n[platform]')),
-    ('bad-address', 8, ('http://10.0.0.9:8500', '10.0.0.9:8500')),
-    ('bad-address', 8, ('http://10.0.0.9:8500', 'http://')),
+    ('bad-address', 8, ('http://store.example:8500', '10.0.0.9:8500')),
+    ('bad-address', 8, ('http://store.example:8500', 'http://')),
 )
 
 
@@ -64,7 +64,7 @@
     assert settings.identity.failure_domain == 'west-a'
     assert settings.identity.caller_address == '10.0.0.5:7080'
     assert settings.identity.list_seeds() == ['10.0.0.6:7000', '10.0.0.7:7000']
-    assert settings.platform.vm_list == 'http://10.0.0.9:8600/vms'
+    assert settings.platform.vm_list == 'http://platform.example:8600/vms'
 
 
 def test_seeds_may_be_left_out(tmp_path):
