Give an engine that carries out its order no equal order sooner

Cause: the pauses between equal orders began again with every change of what an engine had loaded, also when it had loaded a part of that very order, and each pause was drawn from zero.

Now an engine that has come nearer to its order is held back as before; one that has lost a model of it, or taken up one outside it, gets it at once. The pauses are 2, 4, 8 and then 16 s without jitter: one holder gives orders to an engine, there is nothing to spread.

Red on: 4 rows of test_giving.py. Green after it: 29 of 29 of orders, 3 of 3 of test_weight_store.py.

The unit tests of the pauses give exact seconds instead of a most.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/assembly.py
@@ -50,15 +50,9 @@
             clock,
             LeaseTerms(f'{LEASE_PREFIX}{home.region}', home.gateway),
         )
-        random = SystemRandom()
-        giver = OrderGiver(
-            self.keeper,
-            EngineClient(platform.http),
-            clock,
-            random,
-        )
+        giver = OrderGiver(self.keeper, EngineClient(platform.http), clock)
         self._parts = (
-            LeaseContender(self.keeper, fleet, random),
+            LeaseContender(self.keeper, fleet, SystemRandom()),
             OrderService(self.keeper, giver, active, fleet),
             DirectoryService(self.keeper, platform.directory, fleet),
         )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/giving.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/giving.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Sequence
 from datetime import timedelta
-from random import Random
 
 import structlog
 
@@ -41,8 +40,6 @@
         The way to the engines.
     clock : Clock
         Clock of the waits.
-    random : Random
-        Jitter of the pauses between equal orders.
     """
 
     __slots__ = (
@@ -60,7 +57,6 @@
         keeper: LeaseKeeper,
         client: EngineClient,
         clock: Clock,
-        random: Random,
     ) -> None:
         """Give none yet."""
         self._keeper = keeper
@@ -68,7 +64,7 @@
         self._clock = clock
         self._fencing = 0
         self._since = timedelta()
-        self._repeats = Repeats(clock, random)
+        self._repeats = Repeats(clock)
         self._deferred: dict[str, timedelta] = {}
 
     async def read_states(self, vms: Sequence[Vm]) -> list[EngineState]:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/tests/test_giving.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/orders/tests/test_giving.py
@@ -1,5 +1,4 @@
 from datetime import timedelta
-from random import Random
 
 import pytest
 
@@ -13,14 +12,15 @@
     PlannedOrder,
     StaleOrderError,
 )
-from baobabhinge_gateway.orders.repeats import LAST_BOUND
 from baobabhinge_platform.machines import Fencing, Role, Vm
 
 MODELS = (EngineModel('llm', 'v1'),)
+THREE = tuple(EngineModel('llm', version) for version in ('v1', 'v2', 'v3'))
+FOREIGN = EngineModel('llm', 'v9')
 REFUSING = Vm('e1', 'e1:1', 'west', '', Role.engine, fencing=Fencing.refuse)
+OTHER = Vm('e3', 'e3:1', 'west', '', Role.engine, fencing=Fencing.refuse)
 IGNORING = Vm('e2', 'e2:1', 'west', '', Role.engine)
 LATER = timedelta(seconds=30)
-SEED = 5
 
 
 class Keeper:
@@ -50,12 +50,7 @@
 @pytest.fixture
 def parts():
     keeper, engines, clock = Keeper(7), Engines(), ManualClock()
-    return (
-        keeper,
-        engines,
-        clock,
-        OrderGiver(keeper, engines, clock, Random(SEED)),
-    )
+    return keeper, engines, clock, OrderGiver(keeper, engines, clock)
 
 
 async def test_engines_that_ignore_numbers_wait_out_an_earlier_holder(parts):
@@ -103,36 +98,59 @@
         await giver.give(PlannedOrder(REFUSING, MODELS))
 
 
-@pytest.mark.parametrize(
-    ('seconds', 'most'),
-    [(10, 8), (60, 16)],
-)
-async def test_the_same_order_is_given_ever_less_often(parts, seconds, most):
+async def test_the_same_order_is_given_ever_less_often(parts):
     _, engines, clock, giver = parts
-    for _ in range(seconds):
+    given = []
+    for second in range(63):
         await giver.give(PlannedOrder(REFUSING, MODELS))
+        if len(engines.sent) > len(given):
+            given.append(second)
         clock.advance(timedelta(seconds=1))
-    assert 1 < len(engines.sent) <= most
-    clock.advance(LAST_BOUND)
-    before = len(engines.sent)
-    await giver.give(PlannedOrder(REFUSING, MODELS))
-    assert len(engines.sent) == before + 1
+    assert given == [0, 2, 6, 14, 30, 46, 62]
+
+
+BEGUN = PlannedOrder(REFUSING, THREE, frozenset(THREE[:1]))
 
 
 @pytest.mark.parametrize(
     'change',
     [
-        PlannedOrder(REFUSING, (EngineModel('llm', 'v2'),)),
-        PlannedOrder(REFUSING, MODELS, frozenset(MODELS)),
-        PlannedOrder(IGNORING, MODELS),
+        PlannedOrder(REFUSING, THREE[:2], BEGUN.loaded),
+        PlannedOrder(REFUSING, THREE, frozenset()),
+        PlannedOrder(REFUSING, THREE, BEGUN.loaded | {FOREIGN}),
+        PlannedOrder(OTHER, THREE, BEGUN.loaded),
     ],
 )
 async def test_only_the_same_order_is_held_back(parts, change):
-    _, engines, clock, giver = parts
-    clock.advance(QUIET_TIME)
-    await giver.give(PlannedOrder(REFUSING, MODELS))
-    await giver.give(PlannedOrder(REFUSING, MODELS))
+    _, engines, _, giver = parts
+    for planned in (BEGUN, BEGUN, change):
+        await giver.give(planned)
+    assert [order.models for _, order in engines.sent] == [
+        BEGUN.models,
+        change.models,
+    ]
+
+
+@pytest.mark.parametrize(
+    ('first', 'later'),
+    [
+        (BEGUN.loaded, frozenset(THREE[:2])),
+        (BEGUN.loaded | {FOREIGN}, BEGUN.loaded),
+        (BEGUN.loaded | {FOREIGN}, frozenset(THREE[:2])),
+    ],
+)
+async def test_an_engine_that_carries_out_its_order_gets_it_no_sooner(
+    parts, first, later
+):
+    _, engines, _, giver = parts
+    for loaded in (first, later, later):
+        await giver.give(PlannedOrder(REFUSING, THREE, loaded))
     assert len(engines.sent) == 1
-    clock.advance(QUIET_TIME)
-    await giver.give(change)
+
+
+async def test_what_an_engine_has_loaded_since_is_not_forgotten(parts):
+    _, engines, _, giver = parts
+    for count in (1, 2, 1):
+        loaded = frozenset(THREE[:count])
+        await giver.give(PlannedOrder(REFUSING, THREE, loaded))
     assert len(engines.sent) == 2
