Keep of the list of vms what a gateway asks for

Peers give the list to gateways of their own region alone.

Ruled out: dropping foreign gateways too; entries and heartbeats between regions need them.

Red: without the choice of the region the rows west and east of test_gateways_of_all_regions_and_backends_of_one_are_kept can't be asked.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -51,7 +51,11 @@
     async def on_start(self) -> None:
         """Start the parts, listeners last."""
         http = await self.add_async_context(build_http_session())
-        platform = Platform(http, self._settings.platform)
+        platform = Platform(
+            http,
+            self._settings.platform,
+            self._settings.identity.region,
+        )
         fleet = await self._start_watchers(platform)
         peers = PeerStack(platform, fleet, self._lifecycle, self._active)
         await self.add_runtime_dependency(peers)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/benchmark/fleet.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/benchmark/fleet.py
@@ -60,7 +60,7 @@
         """Put the parts together."""
         active = ActiveConfiguration()
         lifecycle = Lifecycle(clock)
-        platform = Platform(http, ADDRESSES)
+        platform = Platform(http, ADDRESSES, identity.region)
         self.fleet = FleetService(
             identity,
             lifecycle,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/benchmark/memory.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/benchmark/memory.py
@@ -16,6 +16,7 @@
     build_report,
     build_vm,
     encode_vms,
+    name_region,
 )
 from baobabhinge_platform.machines import decode_vms
 
@@ -86,7 +87,7 @@
     encoded = encode_vms(map(build_vm, range(count)))
 
     def decode() -> VmIndex:
-        return VmIndex(decode_vms(encoded))
+        return VmIndex(decode_vms(encoded, name_region(0)))
 
     return decode
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/benchmark/samples.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/benchmark/samples.py
@@ -13,17 +13,22 @@
 
 ADDRESS = '10.0.0.1:7000'
 REGIONS = 25
+VMS_A_GATEWAY = 4
 MODELS = ('llm@v1', 'llm@v2')
 
 
+def name_region(number: int) -> str:
+    """Return the region of the gateway or vm with this number."""
+    place = number % REGIONS
+    return f'region-{place}'
+
+
 def build_member(number: int) -> Member:
     """Return a gateway of one of the regions in turn."""
-    place = number % REGIONS
-    region = f'region-{place}'
-    name = f'{region}-gateway-{number}'
+    region = name_region(number)
     labels = {'failure_domain': f'{region}-a', 'caller_address': ADDRESS}
     return Member(
-        name,
+        f'{region}-gateway-{number}',
         region,
         uuid.uuid4().hex,
         number,
@@ -33,11 +38,11 @@
 
 
 def build_vm(number: int) -> Vm:
-    """Return a model engine of one of the regions in turn."""
-    place = number % REGIONS
-    region = f'region-{place}'
-    name = f'{region}-engine-{number}'
-    return Vm(name, ADDRESS, region, f'{region}-a', Role.engine, 'llm')
+    """Return a vm of one of the regions in turn, one in four a gateway."""
+    region = name_region(number)
+    role = Role.engine if number % VMS_A_GATEWAY else Role.gateway
+    name = f'{region}-{role.value}-{number}'
+    return Vm(name, ADDRESS, region, f'{region}-a', role, 'llm')
 
 
 def build_report(number: int) -> LoadReport:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/platform.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/platform.py
@@ -42,6 +42,15 @@
 class Platform:
     """Clients of the platform's services over one HTTP session.
 
+    Parameters
+    ----------
+    http : aiohttp.ClientSession
+        Session that the caller owns and closes.
+    addresses : PlatformAddresses
+        Where the services are.
+    region : str
+        Region of the gateway, whose backend servers it has to know.
+
     Attributes
     ----------
     http : aiohttp.ClientSession
@@ -71,13 +80,14 @@
         self,
         http: aiohttp.ClientSession,
         addresses: PlatformAddresses,
+        region: str,
     ) -> None:
         """Build the clients; no call is made."""
         self.http = http
         self.transport = ConsulTransport(http, addresses.key_value)
         self.store = self.open_store(CONFIGURATION)
         self.leases = LeaseAccess(self.transport.share(LEASES))
-        self.vm_list = VmList(http, addresses.vm_list)
+        self.vm_list = VmList(http, addresses.vm_list, region)
         self.directory = ClientDirectory(http, addresses.client_directory)
 
     def open_store(self, role: str) -> ConsulStore:
--- a/packages/baobabhinge-platform/src/baobabhinge_platform/machines/listing.py
+++ b/packages/baobabhinge-platform/src/baobabhinge_platform/machines/listing.py
@@ -50,20 +50,29 @@
         Session that the caller owns and closes.
     address : str
         Address of the list, with its path.
+    region : str, optional
+        Region whose backend servers are wanted, or those of all regions;
+        gateways of all regions always are.
     """
 
-    __slots__ = ('_address', '_digest', '_etag', '_http', '_vms')
+    __slots__ = ('_address', '_digest', '_etag', '_http', '_region', '_vms')
 
-    def __init__(self, http: aiohttp.ClientSession, address: str) -> None:
+    def __init__(
+        self,
+        http: aiohttp.ClientSession,
+        address: str,
+        region: str = '',
+    ) -> None:
         """Keep the session; no call is made."""
         self._http = http
         self._address = address
+        self._region = region
         self._digest = b''
         self._etag = ''
         self._vms: tuple[Vm, ...] = ()
 
     async def read(self) -> tuple[Vm, ...]:
-        """Return every listed vm; the same tuple if nothing has changed.
+        """Return the wanted vms; the same tuple if nothing has changed.
 
         A list with an entity tag is not sent again while it is unchanged.
 
@@ -97,15 +106,22 @@
             )
         digest = xxhash.xxh3_128_digest(body)
         if digest != self._digest:
-            self._vms = decode_vms(body)
+            self._vms = decode_vms(body, self._region)
             self._digest = digest
         self._etag = answer.headers.get(ETAG, '')
         return self._vms
 
 
-def decode_vms(body: bytes) -> tuple[Vm, ...]:
+def decode_vms(body: bytes, region: str = '') -> tuple[Vm, ...]:
     """Return the vms of a list; words that they share are kept once.
 
+    Parameters
+    ----------
+    body : bytes
+        The list as the platform sends it.
+    region : str, optional
+        Region whose backend servers are wanted, or those of all regions.
+
     Raises
     ------
     msgspec.MsgspecError
@@ -115,10 +131,15 @@
     return tuple(
         _convert(address, group.labels)
         for group in groups
+        if _is_wanted(group.labels, region)
         for address in group.targets
     )
 
 
+def _is_wanted(labels: _Labels, region: str) -> bool:
+    return labels.role is Role.gateway or not region or labels.region == region
+
+
 def _convert(address: str, labels: _Labels) -> Vm:
     return Vm(
         name=labels.vm,
--- a/packages/baobabhinge-platform/src/baobabhinge_platform/machines/tests/test_listing.py
+++ b/packages/baobabhinge-platform/src/baobabhinge_platform/machines/tests/test_listing.py
@@ -27,12 +27,12 @@
         return web.Response(body=body, headers=headers)
 
 
-def render(name):
+def render(name, region='west', role='engine'):
     labels = {
         'vm': name,
-        'region': 'west',
-        'failure_domain': 'west-a',
-        'role': 'engine',
+        'region': region,
+        'failure_domain': f'{region}-a',
+        'role': role,
     }
     return {'targets': [f'{name}:1'], 'labels': labels}
 
@@ -85,3 +85,13 @@
     assert first.region is second.region
     assert first.failure_domain is second.failure_domain
     assert first.service is second.service
+
+
+@pytest.mark.parametrize(
+    ('region', 'names'),
+    [('', ['a', 'b', 'c']), ('west', ['a', 'c']), ('east', ['b', 'c'])],
+)
+def test_gateways_of_all_regions_and_backends_of_one_are_kept(region, names):
+    groups = [render('a'), render('b', 'east'), render('c', 'east', 'gateway')]
+    kept = decode_vms(msgspec.json.encode(groups), region)
+    assert [vm.name for vm in kept] == names
