Give every refusal a request id, also of requests that can't be read

Cause: refusals written to the connection itself had no identifier and no line in the log, and an unknown `Expect` was refused by aiohttp before the middleware, with status 417 as plain text. Ruled out: the refusals of the middleware (unknown path, method, size, slow body); each has one.

Found by asking a gateway process 39 kinds of requests at the callers' and 37 at the peers' address: 23 of each were refused without an identifier, of these 3 and 4 as plain text. The connection draws the identifier and logs `connection-refused` without any text of the request; the runner puts the problem renderer around the whole handler of the application, by the public argument of web.Server.

Tests: test_connections.py reads the identifier of every refusal in body and header, 6 rows and the log are new; on the unmended code 13 failed (KeyError 'request_id'; 417 text/plain), now the tests of callers and of the gateway pass (40).

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/connections.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/connections.py
@@ -5,10 +5,12 @@
 from http import HTTPStatus
 from typing import cast
 
+import structlog
 from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
 
 from baobabhinge_gateway.callers.serializing import serialize_error
+from baobabhinge_gateway.calls.headers import create_request_id
 from baobabhinge_gateway.errors import (
     CallError,
     HeadersTooLargeError,
@@ -19,7 +21,8 @@
 
 MAX_CONNECTIONS = 4096
 HEADER_PATIENCE = timedelta(seconds=10)
-IDLE_PATIENCE = timedelta(seconds=75)
+
+log = structlog.get_logger(__name__)
 
 
 class GuardedConnection(web.RequestHandler):
@@ -54,24 +57,11 @@
 
     def _end(self, error: CallError) -> None:
         if self.transport is not None and not self.transport.is_closing():
-            self.transport.write(serialize_error(error))
+            request_id = create_request_id()
+            log.info(
+                'connection-refused',
+                code=error.code,
+                request_id=request_id,
+            )
+            self.transport.write(serialize_error(error, request_id))
             self.transport.close()
-
-
-class GuardedRunner(web.AppRunner):
-    """Run an application on guarded connections."""
-
-    async def _make_server(self) -> web.Server:
-        plain = await super()._make_server()
-        return _GuardedServer(
-            plain.request_handler,
-            request_factory=plain.request_factory,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=IDLE_PATIENCE.total_seconds(),
-        )
-
-
-class _GuardedServer(web.Server):
-    def __call__(self) -> web.RequestHandler:
-        return GuardedConnection(self, loop=self._loop, **self._kwargs)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/runner.py
@@ -0,0 +1,40 @@
+"""Running an application so that each refusal is told as a problem."""
+
+import functools
+from datetime import timedelta
+from random import SystemRandom
+
+from aiohttp import web
+
+from baobabhinge_gateway.callers.connections import GuardedConnection
+from baobabhinge_gateway.callers.problems import ProblemRenderer
+
+IDLE_PATIENCE = timedelta(seconds=75)
+
+
+class GuardedRunner(web.AppRunner):
+    """Run an application on guarded connections.
+
+    The HTTP library refuses some requests before the application's middleware
+    sees them, such as an unknown ``Expect``; they are told as problems, too.
+    """
+
+    async def _make_server(self) -> web.Server:
+        plain = await super()._make_server()
+        problems = ProblemRenderer(SystemRandom())
+        answer = functools.partial(
+            problems.answer_problems,
+            handler=plain.request_handler,
+        )
+        return _GuardedServer(
+            answer,
+            request_factory=plain.request_factory,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=IDLE_PATIENCE.total_seconds(),
+        )
+
+
+class _GuardedServer(web.Server):
+    def __call__(self) -> web.RequestHandler:
+        return GuardedConnection(self, loop=self._loop, **self._kwargs)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/serializing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/serializing.py
@@ -2,14 +2,14 @@
 
 import msgspec
 
-from baobabhinge_gateway.calls.headers import OUTCOME
+from baobabhinge_gateway.calls.headers import OUTCOME, REQUEST_ID
 from baobabhinge_gateway.errors import CallError
 from baobabhinge_gateway.errors.problem import PROBLEM_TYPE, describe_problem
 
 
-def serialize_error(error: CallError) -> bytes:
+def serialize_error(error: CallError, request_id: str) -> bytes:
     """Return a whole HTTP answer that closes the connection."""
-    problem = describe_problem(error)
+    problem = describe_problem(error, request_id)
     body = msgspec.json.encode(problem)
     status = error.status
     lines = (
@@ -17,6 +17,7 @@
         f'Content-Type: {PROBLEM_TYPE}',
         f'Content-Length: {len(body)}',
         f'Retry-After: {problem.retry_after_seconds}',
+        f'{REQUEST_ID}: {request_id}',
         f'{OUTCOME}: {error.outcome}',
         'Connection: close',
         '',
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/tests/test_connections.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/tests/test_connections.py
@@ -2,13 +2,12 @@
 
 import msgspec
 import pytest
+import structlog
 from aiohttp.web import Response, TCPSite
 
 from baobabhinge_gateway.callers.checks import check_sizes
-from baobabhinge_gateway.callers.connections import (
-    HEADER_PATIENCE,
-    GuardedRunner,
-)
+from baobabhinge_gateway.callers.connections import HEADER_PATIENCE
+from baobabhinge_gateway.callers.runner import GuardedRunner
 from baobabhinge_gateway.routes import build_app
 
 MODULE = 'baobabhinge_gateway.callers.connections'
@@ -46,7 +45,7 @@
 
 
 async def exchange(port, sent):
-    """Send raw bytes and return the problem in the answer."""
+    """Send raw bytes and return the problem, with its identifier."""
     reader, writer = await asyncio.open_connection('127.0.0.1', port)
     writer.write(sent)
     async with asyncio.timeout(20):
@@ -55,7 +54,11 @@
         body = await reader.readexactly(int(rest.split(b'\r\n')[0]))
     writer.close()
     assert b'application/problem+json' in head
-    return msgspec.json.decode(body)
+    problem = msgspec.json.decode(body)
+    headers = head.decode().split('\r\n')
+    assert problem['request_id']
+    assert f'X-Request-Id: {problem["request_id"]}' in headers
+    return problem
 
 
 def post(headers=b'', body=b''):
@@ -78,6 +81,15 @@
         (b'GET /echo HTTP/1.1\r\nHost: g\r\n\r\n', 'method-not-allowed'),
         (b'GET /none HTTP/1.1\r\nHost: g\r\n\r\n', 'no-such-path'),
         (b'not http at all\r\n\r\n', 'malformed-request'),
+        (post(headers=b'X y: 1\r\n'), 'malformed-request'),
+        (post(headers=b'Transfer-Encoding: gzip\r\n'), 'malformed-request'),
+        (post(headers=b'Expect: 200-ok\r\n'), 'malformed-request'),
+        (
+            b'GET /none HTTP/1.1\r\nHost: g\r\nExpect: 200-ok\r\n\r\n',
+            'malformed-request',
+        ),
+        (b'GET http://[x/y HTTP/1.1\r\nHost: g\r\n\r\n', 'malformed-request'),
+        (b'GET /none HTTP/9.9\r\nHost: g\r\n\r\n', 'malformed-request'),
     ],
 )
 async def test_refusals_are_typed_and_nothing_runs(port, echo, sent, code):
@@ -87,6 +99,19 @@
     assert not echo.runs
 
 
+async def test_the_log_names_a_refusal_and_none_of_its_text(port):
+    with structlog.testing.capture_logs() as lines:
+        problem = await exchange(port, b'POST /secret nonsense\r\n\r\n')
+    assert lines == [
+        {
+            'event': 'connection-refused',
+            'log_level': 'info',
+            'code': 'malformed-request',
+            'request_id': problem['request_id'],
+        },
+    ]
+
+
 async def test_a_request_that_does_not_arrive_is_ended(monkeypatch, port):
     monkeypatch.setattr(f'{MODULE}.HEADER_PATIENCE', HEADER_PATIENCE / 50)
     problem = await exchange(port, b'POST /echo HTTP/1.1\r\nHo')
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/tests/test_slow_bodies.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/tests/test_slow_bodies.py
@@ -6,7 +6,7 @@
 import pytest
 from aiohttp.web import Response, TCPSite
 
-from baobabhinge_gateway.callers.connections import GuardedRunner
+from baobabhinge_gateway.callers.runner import GuardedRunner
 from baobabhinge_gateway.calls.bodies import BODY_PATIENCE, read_body
 from baobabhinge_gateway.routes import build_app
 from baobabhinge_gateway.runonce import KeyRoutes
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/listening.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/listening.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 from mode import Service
 
-from baobabhinge_gateway.callers.connections import GuardedRunner
+from baobabhinge_gateway.callers.runner import GuardedRunner
 from baobabhinge_gateway.errors import AddressTakenError
 
 log = structlog.get_logger(__name__)
