Rank gateways of other regions by nearness in the list of entries

Cause: /v1/entries sorted by "home or not" and then by the caller's own order alone, so a far region could come before a near one. Ruled out: a latency that the gateway measures. It has none of the way alone: past exchanges hold queueing and the work, and heartbeats stay in the region.

Other regions come by the latency of the operators' links; regions without a link come last. Gateways that are equally far keep the caller's own order and not that of names: by names every caller of a lost region would come to the same region.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/entries.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/entries.py
@@ -6,6 +6,7 @@
 import xxhash
 from aiohttp import web
 
+from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.fleet import FleetView
 from baobabhinge_gateway.lifecycle import Lifecycle
 from baobabhinge_platform.machines import Vm
@@ -46,14 +47,22 @@
         Known vms; the gateways of the home region come first.
     lifecycle : Lifecycle
         Whether this gateway is leaving.
+    active : ActiveConfiguration
+        Tells how far other regions are.
     """
 
-    __slots__ = ('_fleet', '_lifecycle')
+    __slots__ = ('_active', '_fleet', '_lifecycle')
 
-    def __init__(self, fleet: FleetView, lifecycle: Lifecycle) -> None:
+    def __init__(
+        self,
+        fleet: FleetView,
+        lifecycle: Lifecycle,
+        active: ActiveConfiguration,
+    ) -> None:
         """Keep the parts."""
         self._fleet = fleet
         self._lifecycle = lifecycle
+        self._active = active
 
     def add_to(self, app: web.Application) -> None:
         """Add the path."""
@@ -73,21 +82,32 @@
         )
 
     def _rank_gateways(self, caller: str) -> list[Vm]:
-        """Return the home region first, in an order of the caller's own.
+        """Return the home region first, then the others by their latency.
 
-        Rendezvous hashing: callers are spread over the gateways, and only
-        those of a gateway that leaves move.
+        Regions without a described link come last. Gateways that are equally
+        far come in an order of the caller's own. Rendezvous hashing: callers
+        are spread over them, and only those of a gateway that leaves move.
         """
         home = self._fleet.home
         left_out = {home.gateway} if self._lifecycle.is_draining else set()
         listed = [
             vm for vm in self._fleet.list_gateways() if vm.name not in left_out
         ]
+        ways = self._list_latencies()
         return sorted(
             listed,
-            key=lambda vm: (vm.region != home.region, _hash(caller, vm)),
+            key=lambda vm: (
+                ways.get(vm.region, timedelta.max),
+                _hash(caller, vm),
+            ),
         )
 
+    def _list_latencies(self) -> dict[str, timedelta]:
+        home = self._fleet.home.region
+        settings = self._active.find_settings()
+        latencies = {} if settings is None else settings.list_latencies(home)
+        return latencies | {home: timedelta()}
+
 
 def _hash(caller: str, vm: Vm) -> int:
     return xxhash.xxh3_64_intdigest(f'{vm.name} {caller}'.encode())
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/tests/test_entries.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/tests/test_entries.py
@@ -1,4 +1,5 @@
 from collections import Counter
+from datetime import timedelta
 
 import msgspec
 import pytest
@@ -9,8 +10,18 @@
 from baobabhinge_gateway.lifecycle import create_lifecycle
 from baobabhinge_gateway.routes import build_app
 from baobabhinge_platform.machines import Role, Vm
-
-NAMES = ('w1', 'w2', 'w3', 'e1')
+from baobabhinge_settings import Settings
+from baobabhinge_settings.model import Link
+
+REGIONS = {'w': 'west', 'e': 'east', 'n': 'north', 's': 'south', 'i': 'isle'}
+HOME = ('w1', 'w2', 'w3')
+FOREIGN = ('e1', 'i1', 'i2', 'n1', 's1')
+LINKS = (
+    Link('east', 'west', timedelta(milliseconds=90), 1),
+    Link('west', 'north', timedelta(milliseconds=80), 1),
+    Link('west', 'south', timedelta(milliseconds=80), 1),
+    Link('east', 'isle', timedelta(milliseconds=10), 1),
+)
 CALLERS = [f'caller-{number}' for number in range(90)]
 
 
@@ -19,14 +30,24 @@
 
     def __init__(self):
         self.home = Hop('w1', 'west')
-        self.names = list(NAMES)
+        self.names = [*HOME, *FOREIGN]
 
     def list_gateways(self):
         return [build_vm(name) for name in self.names]
 
 
+class Configured:
+    """Settings with links, or none yet."""
+
+    def __init__(self):
+        self.settings = None
+
+    def find_settings(self):
+        return self.settings
+
+
 def build_vm(name):
-    region = 'west' if name.startswith('w') else 'east'
+    region = REGIONS[name[0]]
     return Vm(name, f'{name}:1', region, f'{region}-a', Role.gateway)
 
 
@@ -36,8 +57,13 @@
 
 
 @pytest.fixture
-async def client(fleet):
-    report = EntryReport(fleet, create_lifecycle())
+async def active():
+    return Configured()
+
+
+@pytest.fixture
+async def client(fleet, active):
+    report = EntryReport(fleet, create_lifecycle(), active)
     async with TestClient(TestServer(build_app([report]))) as client:
         yield client
 
@@ -49,18 +75,40 @@
     return [entry.vm for entry in listed.entries]
 
 
-async def list_first(client):
-    return {caller: (await list_names(client, caller))[0] for caller in CALLERS}
+async def list_first(client, region=HOME):
+    """Return the first gateway of some by caller."""
+    listed = {caller: await list_names(client, caller) for caller in CALLERS}
+    return {
+        caller: next(name for name in names if name in region)
+        for caller, names in listed.items()
+    }
 
 
 @pytest.mark.parametrize('caller', [None, '', 'desk', 'x' * 5000])
 async def test_gateways_of_the_region_come_first(client, caller):
     names = await list_names(client, caller)
-    assert sorted(names) == sorted(NAMES)
-    assert names[-1] == 'e1'
+    assert sorted(names[:3]) == list(HOME)
+    assert sorted(names[3:]) == list(FOREIGN)
     assert names == await list_names(client, caller)
 
 
+async def test_nearer_regions_come_before_others(client, active):
+    active.settings = Settings({}, {}, links=LINKS)
+    for caller in CALLERS:
+        names = await list_names(client, caller)
+        assert sorted(names[:3]) == list(HOME)
+        assert sorted(names[3:5]) == ['n1', 's1']
+        assert names[5] == 'e1'
+        assert sorted(names[6:]) == ['i1', 'i2']
+
+
+async def test_callers_are_spread_over_equally_near_regions(client, active):
+    active.settings = Settings({}, {}, links=LINKS)
+    counts = Counter((await list_first(client, FOREIGN)).values())
+    assert counts.keys() == {'n1', 's1'}
+    assert max(counts.values()) <= 2 * min(counts.values())
+
+
 async def test_callers_are_spread_over_the_gateways_of_the_region(client):
     counts = Counter((await list_first(client)).values())
     assert counts.keys() == {'w1', 'w2', 'w3'}
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -109,7 +109,7 @@
             CallRoutes(calls),
             KeyRoutes(run_once, identity.region),
             HealthReport(self._active, self._lifecycle),
-            EntryReport(fleet, self._lifecycle),
+            EntryReport(fleet, self._lifecycle, self._active),
             StatusReport(
                 fleet,
                 self._active,
--- a/packages/baobabhinge-settings/src/baobabhinge_settings/model/regions.py
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/model/regions.py
@@ -33,3 +33,8 @@
     def joins(self, one: str, other: str) -> bool:
         """Tell whether the link is between these two regions."""
         return {one, other} == {self.first, self.second}
+
+    def find_other(self, region: str) -> str | None:
+        """Return the region to which the link leads from ``region``."""
+        ends = {self.first: self.second, self.second: self.first}
+        return ends.get(region)
--- a/packages/baobabhinge-settings/src/baobabhinge_settings/model/settings.py
+++ b/packages/baobabhinge-settings/src/baobabhinge_settings/model/settings.py
@@ -1,6 +1,7 @@
 """The merged whole."""
 
 from collections.abc import Mapping
+from datetime import timedelta
 
 import msgspec
 
@@ -54,6 +55,14 @@
         joining = (link for link in self.links if link.joins(one, other))
         return next(joining, None)
 
+    def list_latencies(self, region: str) -> dict[str, timedelta]:
+        """Return the one-way latencies of the described links of ``region``.
+
+        They are by the name of the region to which the link leads.
+        """
+        ways = ((link.find_other(region), link) for link in self.links)
+        return {other: link.latency for other, link in ways if other}
+
     def find_objective(self, service: str) -> Objective:
         """Return the objective of ``service``, or that of all services."""
         by_service = {entry.service: entry for entry in self.objectives}
