Split the percentiles of the status by service

Cause: /v1/status had one histogram for all services, so a slow model hid behind quick look-ups. Ruled out: a histogram for every service ever called, which grows with each service that the settings have had since the start.

`latencies_by_service` has the first 32 services that are called and the rest together as `*`; `latencies` stays, merged from them at the time of the query.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/service.py
@@ -25,6 +25,7 @@
 
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 STARTED = 'started'
+SERVICE = 'service'
 EVENT_STREAM = 'text/event-stream'
 
 log = structlog.get_logger(__name__)
@@ -94,11 +95,10 @@
         response: web.StreamResponse,
     ) -> None:
         """Time the first token; a stream is prepared when it has come."""
-        started = request.get(STARTED)
-        if started is None or response.content_type != EVENT_STREAM:
+        if SERVICE not in request or response.content_type != EVENT_STREAM:
             return
-        elapsed = self._clock.read_monotonic() - started
-        self.measures.record_latency('first-token', elapsed)
+        elapsed = self._clock.read_monotonic() - request[STARTED]
+        self.measures.record_latency('first-token', request[SERVICE], elapsed)
 
     async def _serve(
         self,
@@ -111,9 +111,11 @@
         self._checks.check(request)
         built = await build(request, self._active.require_settings(), arrival)
         call = self._checks.guard.restrict(built)
+        request[SERVICE] = call.service.name
         response = await self._execute(request, call)
         self.measures.record_latency(
             'answer',
+            call.service.name,
             self._clock.read_monotonic() - started,
         )
         return response
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/status.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/status.py
@@ -72,6 +72,7 @@
             states,
             dict(self._calls.measures.outcomes),
             self._calls.measures.summarize(),
+            self._calls.measures.summarize_services(),
             self._calls.accounts.decisions.summarize(),
             list_limits(self._calls.accounts.quotas, settings),
             list_shares(self._calls.accounts.shares, settings),
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/statusbody.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/statusbody.py
@@ -30,8 +30,12 @@
         Calls made to the key-value service, by role.
     gateways : dict of str to str
         State of each gateway of the region that this one knows.
-    outcomes, latencies : dict
-        Calls by outcome, and percentiles.
+    outcomes : dict of str to int
+        Calls by outcome.
+    latencies : dict of str to LatencySummary
+        Percentiles of all services together, by kind.
+    latencies_by_service : dict of str to dict of str to LatencySummary
+        Percentiles by service and kind.
     decisions : DecisionSummary
         Where calls that may be repeated were sent, and why.
     limits : list of LimitReport
@@ -52,6 +56,7 @@
     gateways: dict[str, str]
     outcomes: dict[str, int]
     latencies: dict[str, LatencySummary]
+    latencies_by_service: dict[str, dict[str, LatencySummary]]
     decisions: DecisionSummary
     limits: list[LimitReport]
     shares: list[ShareReport]
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/telemetry/measures.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/telemetry/measures.py
@@ -1,6 +1,6 @@
 """Counters, and histograms of latencies."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from datetime import timedelta
 
 import msgspec
@@ -9,13 +9,26 @@
 LOWEST_MICROSECONDS = 1
 HIGHEST_MICROSECONDS = 600_000_000
 SIGNIFICANT_DIGITS = 2
+BYTES_PER_COUNTER = 4
 MICROSECOND = timedelta(microseconds=1)
 MICROSECONDS_PER_MILLISECOND = 1000
 REPORTED_PERCENTILES = (50, 95, 99)
+MAX_SERVICES = 32
+OTHER_SERVICES = '*'
+
+Histograms = dict[str, HdrHistogram]
 
 
 class LatencySummary(msgspec.Struct, frozen=True):
-    """Percentiles of one latency, in milliseconds."""
+    """Percentiles of one latency.
+
+    Parameters
+    ----------
+    count : int
+        Latencies that were recorded.
+    p50_ms, p95_ms, p99_ms : float
+        Percentiles, in milliseconds.
+    """
 
     count: int
     p50_ms: float
@@ -24,36 +37,73 @@
 
 
 class Measures:
-    """What this gateway has counted and timed since its start."""
+    """What this gateway has counted and timed since its start.
+
+    Latencies are kept by service for the first `MAX_SERVICES` that are called,
+    and together for all others, as those of `OTHER_SERVICES`.
+    """
 
-    __slots__ = ('_latencies', 'outcomes')
+    __slots__ = ('_services', 'outcomes')
 
     def __init__(self) -> None:
         """Start empty."""
         self.outcomes: Counter[str] = Counter()
-        self._latencies: dict[str, HdrHistogram] = {}
-
-    def record_latency(self, name: str, latency: timedelta) -> None:
-        """Add one latency to the histogram called ``name``."""
-        if name not in self._latencies:
-            self._latencies[name] = HdrHistogram(
-                LOWEST_MICROSECONDS,
-                HIGHEST_MICROSECONDS,
-                SIGNIFICANT_DIGITS,
-            )
-        self._latencies[name].record_value(latency // MICROSECOND)
+        self._services: dict[str, Histograms] = {}
+
+    def record_latency(
+        self,
+        kind: str,
+        service: str,
+        latency: timedelta,
+    ) -> None:
+        """Add one latency of a kind, such as ``answer``, and a service."""
+        histograms = self._find_histograms(service)
+        if kind not in histograms:
+            histograms[kind] = _create_histogram()
+        histograms[kind].record_value(latency // MICROSECOND)
 
     def summarize(self) -> dict[str, LatencySummary]:
-        """Return the percentiles of every histogram."""
+        """Return the percentiles of all services together, by kind."""
+        merged: defaultdict[str, HdrHistogram] = defaultdict(_create_histogram)
+        for histograms in self._services.values():
+            for kind, histogram in histograms.items():
+                merged[kind].add(histogram)
+        return _summarize(merged)
+
+    def summarize_services(self) -> dict[str, dict[str, LatencySummary]]:
+        """Return the percentiles by service and kind."""
         return {
-            name: _summarize(histogram)
-            for name, histogram in self._latencies.items()
+            service: _summarize(histograms)
+            for service, histograms in self._services.items()
         }
 
+    def _find_histograms(self, service: str) -> Histograms:
+        if service not in self._services:
+            if len(self._services) >= MAX_SERVICES:
+                service = OTHER_SERVICES
+        return self._services.setdefault(service, {})
+
+
+def _create_histogram() -> HdrHistogram:
+    return HdrHistogram(
+        LOWEST_MICROSECONDS,
+        HIGHEST_MICROSECONDS,
+        SIGNIFICANT_DIGITS,
+        BYTES_PER_COUNTER,
+    )
+
+
+def _summarize(histograms: Histograms) -> dict[str, LatencySummary]:
+    return {
+        kind: _read_percentiles(histogram)
+        for kind, histogram in histograms.items()
+    }
+
 
-def _summarize(histogram: HdrHistogram) -> LatencySummary:
+def _read_percentiles(histogram: HdrHistogram) -> LatencySummary:
+    found = histogram.get_percentile_to_value_dict(REPORTED_PERCENTILES)
     percentiles = [
-        histogram.get_value_at_percentile(share) / MICROSECONDS_PER_MILLISECOND
+        found[share] / MICROSECONDS_PER_MILLISECOND
         for share in REPORTED_PERCENTILES
     ]
     return LatencySummary(histogram.get_total_count(), *percentiles)
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/status.feature
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/status.feature
@@ -7,6 +7,12 @@
     And no status shows any text of the call
     And the status of west has the times to the first token and to the end
 
+  Scenario: Calls of a model and of a plain service
+    Given two regions whose dealers may have 2 calls in flight
+    When a dealer of west asks the model, bound to nothing
+    And a dealer of west looks an owner up
+    Then the status of west has the times of each service and of all together
+
   Scenario: A call that is bound to its region
     Given two regions whose dealers may have 2 calls in flight
     When a dealer of west asks the model, bound to west
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_status.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_status.py
@@ -126,6 +126,35 @@
     assert CLAIMED not in str(loop.run(read_status(http, running, 'west')))
 
 
+@when('a dealer of west looks an owner up')
+def look_up(running, http, loop):
+    address = get_address(running, 'west')
+
+    async def look():
+        url = f'http://{address}/services/ledger/owners/9'
+        async with http.get(url, headers=DEALER) as answer:
+            assert answer.status == 200, await answer.text()
+
+    loop.run(look())
+
+
+@then('the status of west has the times of each service and of all together')
+def check_services(running, http, loop):
+    status = loop.run(read_status(http, running, 'west'))
+    services = status['latencies_by_service']
+    assert services.keys() == {'llm', 'ledger'}
+    assert services['llm'].keys() == {'answer', 'first-token'}
+    assert services['ledger'].keys() == {'answer'}
+    counts = [service['answer']['count'] for service in services.values()]
+    assert min(counts) >= 1
+    assert sum(counts) == status['latencies']['answer']['count']
+    for service in services.values():
+        times = service['answer']
+        assert times.keys() == {'count', 'p50_ms', 'p95_ms', 'p99_ms'}
+        assert 0 < times['p50_ms'] <= times['p95_ms']
+        assert times['p95_ms'] <= times['p99_ms']
+
+
 @when(
     parsers.parse(
         'dealers of west hold 2 streams open and ask once more with {claimed}',
