Leave bodies with a content coding as they came

Cause: aiohttp's server decodes a body with `Content-Encoding` by default, and the gateway passed the decoded body on under the old header, so that every plain call with a coded body ended as `internal`, `unknown`, and a body that could not be decoded as a fault of the gateway. Ruled out: the stand-in; it answers such a call once the body comes as it was sent.

The runner reads bodies as they came.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/runner.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/runner.py
@@ -32,6 +32,7 @@
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=IDLE_PATIENCE.total_seconds(),
+            auto_decompress=False,
         )
 
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/tests/test_connections.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/tests/test_connections.py
@@ -1,5 +1,7 @@
 import asyncio
+import gzip
 
+import aiohttp
 import msgspec
 import pytest
 import structlog
@@ -99,6 +101,24 @@
     assert not echo.runs
 
 
+@pytest.mark.parametrize(
+    'body',
+    [gzip.compress(b'text', mtime=0), b'no gzip at all'],
+)
+async def test_a_coded_body_is_read_as_it_came(port, body):
+    headers = {'Content-Encoding': 'gzip'}
+    async with (
+        aiohttp.ClientSession() as http,
+        http.post(
+            f'http://127.0.0.1:{port}/echo',
+            data=body,
+            headers=headers,
+        ) as answer,
+    ):
+        assert answer.status == 200
+        assert await answer.read() == body
+
+
 async def test_the_log_names_a_refusal_and_none_of_its_text(port):
     with structlog.testing.capture_logs() as lines:
         problem = await exchange(port, b'POST /secret nonsense\r\n\r\n')
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_whole_path.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_whole_path.py
@@ -1,3 +1,5 @@
+import gzip
+
 import aiohttp
 from pytest_bdd import given, parsers, scenarios, then, when
 
@@ -5,6 +7,8 @@
 
 scenarios('whole_path.feature')
 
+CODED = 'coded '
+
 
 @given('a deployment with two regions', target_fixture='running')
 def start(deployment):
@@ -17,6 +21,11 @@
 )
 def send(running, loop, region, method, path, body):
     gateway = running.roster.list_by(Role.gateway, region)[0]
+    sent = None if body == 'none' else body.encode()
+    headers = {}
+    if body.startswith(CODED):
+        sent = gzip.compress(sent.removeprefix(CODED.encode()))
+        headers = {'Content-Encoding': 'gzip'}
 
     async def exchange():
         async with (
@@ -24,7 +33,8 @@
             http.request(
                 method,
                 f'http://{gateway.caller_address}{path}',
-                data=None if body == 'none' else body,
+                data=sent,
+                headers=headers,
             ) as answer,
         ):
             return answer.status, await answer.text()
