Keep the port of a link that refuses, and open its gate once

A link that refuses, by a fault or because its target is gone, closed its listener; the kernel could then give the port to any other process, and the link stayed shut for good (its task ended with 'address already in use', which nobody read) or healing it failed. The same came of opening a gate twice at once: a test that heals the links while the gate sees its target come back. A gate that was closed while it opened went on to listen.

The port is now claimed by a bound socket for the life of the link, and a gate is opened by one at a time.

Not shown: that one of the refused landings hung on it.

--- a/packages/baobabhinge-standins/src/baobabhinge_standins/links/listening.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/links/listening.py
@@ -1,6 +1,7 @@
 """Listening for as long as the target listens too."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
@@ -18,6 +19,8 @@
 class Gate:
     """A port that refuses connections while its target refuses them.
 
+    The port stays bound while it refuses, so that nobody else is given it.
+
     Parameters
     ----------
     target : str
@@ -28,12 +31,14 @@
     Attributes
     ----------
     port : int
-        The port; 0 before it is opened for the first time.
+        The port.
     """
 
     __slots__ = (
         '_accept',
+        '_claim',
         '_is_wanted',
+        '_opening',
         '_server',
         '_target',
         '_waiting',
@@ -41,21 +46,28 @@
     )
 
     def __init__(self, target: str, accept: Accept) -> None:
-        """Listen nowhere yet."""
+        """Claim a port; listen nowhere yet."""
+        self._claim = _claim_port()
+        self.port: int = self._claim.getsockname()[1]
+        self._opening = asyncio.Lock()
         self._target = target
         self._accept = accept
         self._server: asyncio.Server | None = None
         self._waiting: asyncio.Task[None] | None = None
         self._is_wanted = False
-        self.port = 0
 
     async def open(self) -> None:
-        """Listen, at the same port as before."""
+        """Listen, unless the gate is closed meanwhile."""
         self._is_wanted = True
-        if self._server is None:
-            server = await asyncio.start_server(self._accept, HOST, self.port)
-            self.port = server.sockets[0].getsockname()[1]
-            self._server = server
+        async with self._opening:
+            if self._server is None:
+                self._server = await asyncio.start_server(
+                    self._accept,
+                    HOST,
+                    self.port,
+                )
+        if not self._is_wanted:
+            self.close()
 
     def close(self, *, until_target: bool = False) -> None:
         """Refuse connections from now on; open ones stay.
@@ -98,3 +110,11 @@
         probe.writer.close()
         if self._is_wanted:
             await self.open()
+
+
+def _claim_port() -> socket.socket:
+    """Return a socket bound to a free port at which it does not listen."""
+    claim = socket.socket()
+    claim.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    claim.bind((HOST, 0))
+    return claim
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/links/tests/test_links.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/links/tests/test_links.py
@@ -1,6 +1,7 @@
 """Each fault of a link, seen from both of its ends."""
 
 import asyncio
+import socket
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -18,6 +19,7 @@
     Links,
 )
 from baobabhinge_standins.links.app import LinkApp
+from baobabhinge_standins.links.listening import Gate
 
 SILENCE = 0.2
 PATIENCE = 10
@@ -104,6 +106,32 @@
         writer.close()
 
 
+async def test_port_of_a_refused_link_is_given_to_nobody():
+    async with run_link() as (links, port, _):
+        await links.set_fault(REFUSED)
+        with socket.socket() as other, pytest.raises(OSError, match='in use'):
+            other.bind(('127.0.0.1', port))
+        await links.set_fault(HEALTHY)
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        assert await exchange(reader, writer) == b'ping'
+        writer.close()
+
+
+@pytest.mark.parametrize('is_closed', [True, False])
+async def test_gate_is_opened_twice_at_once(is_closed):
+    gate = Gate('127.0.0.1:9', echo)
+    await gate.open()
+    gate.close()
+    opening = [asyncio.create_task(gate.open()) for _ in range(2)]
+    await asyncio.sleep(0)
+    if is_closed:
+        gate.close()
+    await asyncio.gather(*opening)
+    assert await accepts(gate.port) is not is_closed
+    gate.close()
+    assert not await accepts(gate.port)
+
+
 async def test_half_open_link_accepts_and_says_nothing():
     async with run_link() as (links, port, _):
         await links.set_fault(HALF_OPEN)
@@ -171,14 +199,15 @@
             writer.close()
 
 
+async def accepts(port):
+    try:
+        _, writer = await asyncio.open_connection('127.0.0.1', port)
+    except ConnectionError:
+        return False
+    writer.close()
+    return True
+
+
 async def wait_state(port, *, is_open):
-    state = not is_open
-    while state is not is_open:
-        state = True
-        try:
-            _, writer = await asyncio.open_connection('127.0.0.1', port)
-        except ConnectionError:
-            state = False
-        else:
-            writer.close()
+    while await accepts(port) is not is_open:
         await asyncio.sleep(0.01)
