Leave no task behind when an interleaved run is aborted

Hypothesis aborts an example by an exception in a draw; run_interleaved then left its tasks, and 'Task exception was never retrieved' was printed when they were collected, in the middle of another test. The tasks are now cancelled and awaited.

Seen red before: the new test (two tasks left), and the message in 1 run of 1 of the folder. After: 3 runs passed, without the message.

--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/tests/memory.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/tests/memory.py
@@ -105,10 +105,20 @@
 async def run_interleaved(store, draw_index, *pending):
     """Run coroutines; ``draw_index`` chooses whose call is next."""
     tasks = [asyncio.ensure_future(each) for each in pending]
+    try:
+        await _advance_until_done(store, draw_index, tasks)
+    finally:
+        for task in tasks:
+            task.cancel()
+        outcomes = await asyncio.gather(*tasks, return_exceptions=True)
+    return outcomes
+
+
+async def _advance_until_done(store, draw_index, tasks):
     while True:
         await _let_tasks_reach_their_calls()
         if all(task.done() for task in tasks) and not store.late:
-            return await asyncio.gather(*tasks, return_exceptions=True)
+            return
         if store.can_advance():
             store.advance(draw_index)
 
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/tests/test_races.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/generations/tests/test_races.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from hypothesis import event, given, settings
 from hypothesis import strategies as st
 
@@ -129,3 +130,14 @@
         check_outcome(manifest, request, outcome)
     found = {listed.name: listed.digest for listed in manifest.files}
     assert found == replay(manifest, [first, *requests])
+
+
+async def test_run_that_is_aborted_leaves_no_task():
+    store = MemoryStore()
+
+    def abort(count):
+        raise LookupError
+
+    with pytest.raises(LookupError):
+        await run_interleaved(store, abort, store.read('a'), store.read('b'))
+    assert asyncio.all_tasks() == {asyncio.current_task()}
