--- a/packages/baobabhinge-standins/src/baobabhinge_standins/soak/strays.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/soak/strays.py
@@ -4,9 +4,9 @@
 from pathlib import Path
 
 from baobabhinge_standins.fleet import Deployment
+from baobabhinge_standins.memory import read_memory
 from baobabhinge_standins.soak.script import mark_bound
 
-HEXADECIMAL = 16
 PLATFORM_NAMES = ('keyvalue', 'lists')
 
 
@@ -35,19 +35,4 @@
     files = [folder / f'{name}.log', folder / f'{name}.journal']
     if any(mark in path.read_bytes() for path in files if path.exists()):
         return True
-    return any(mark in piece for piece in _read_memory(pid))
-
-
-def _read_memory(pid: int) -> Iterator[bytes]:
-    with Path(f'/proc/{pid}/mem').open('rb', buffering=0) as memory:
-        for first, last in _list_writable(pid):
-            memory.seek(first)
-            yield memory.read(last - first)
-
-
-def _list_writable(pid: int) -> Iterator[tuple[int, int]]:
-    for line in Path(f'/proc/{pid}/maps').read_text().splitlines():
-        span, rights, *_ = line.split()
-        if rights.startswith('rw'):
-            first, _, last = span.partition('-')
-            yield int(first, HEXADECIMAL), int(last, HEXADECIMAL)
+    return any(mark in piece for piece in read_memory(pid))
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/soak/tests/test_strays.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/soak/tests/test_strays.py
@@ -12,13 +12,24 @@
 HOLD = (
     'import sys; held = sys.argv[1] + "-only"; print("up", flush=True); input()'
 )
+CHURN = """
+import mmap, sys
+held = sys.argv[1] + "-only"
+print("up", flush=True)
+while True:
+    areas = [mmap.mmap(-1, 1 << 22) for _ in range(8)]
+    for area in areas:
+        area[0] = 1
+    for area in areas:
+        area.close()
+"""
 
 
-async def hold(text):
+async def hold(text, program=HOLD):
     child = await asyncio.create_subprocess_exec(
         sys.executable,
         '-c',
-        HOLD,
+        program,
         text,
         stdin=asyncio.subprocess.PIPE,
         stdout=asyncio.subprocess.PIPE,
@@ -56,3 +67,16 @@
     child.stdin.close()
     await child.wait()
     assert {stray.split()[0] for stray in strays} == found
+
+
+async def test_memory_that_is_given_back_meanwhile(tmp_path):
+    child = await hold('kept-in-west', CHURN)
+    try:
+        found = [
+            list(find_strays(build_deployment(child), tmp_path))
+            for _ in range(3)
+        ]
+    finally:
+        child.kill()
+        await child.wait()
+    assert [len(strays) for strays in found] == [3, 3, 3]
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_region_bound.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_region_bound.py
@@ -1,6 +1,5 @@
 import asyncio
 import json
-from pathlib import Path
 
 import aiohttp
 import msgspec
@@ -13,6 +12,7 @@
 from baobabhinge_standins.fleet import DeploymentPlan, Role
 from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_until
+from baobabhinge_standins.memory import read_memory
 from baobabhinge_standins.tests.conftest import run_configured
 from baobabhinge_standins.tests.steps.bound import (
     MARK,
@@ -333,9 +333,10 @@
 
 def find_texts(run, folder, name, texts):
     """Return which texts a process holds in its files and memory."""
-    process = run.processes.get(name).process
     places = [path.read_bytes() for path in folder.glob(f'{name}.*')]
-    places += read_memory(process.pid)
+    process = run.processes.get(name).process
+    if process.returncode is None:
+        places += read_memory(process.pid)
     return {
         text
         for text in texts
@@ -343,21 +344,6 @@
     }
 
 
-def read_memory(pid):
-    """Return the writable memory of a process that still runs."""
-    if not Path(f'/proc/{pid}').exists():
-        return []
-    areas = Path(f'/proc/{pid}/maps').read_text().splitlines()
-    with Path(f'/proc/{pid}/mem').open('rb', buffering=0) as memory:
-        return [read_area(memory, area) for area in areas if ' rw' in area]
-
-
-def read_area(memory, area):
-    first, last = (int(part, 16) for part in area.split()[0].split('-'))
-    memory.seek(first)
-    return memory.read(last - first)
-
-
 @then('no bound text and no digest of it is found there, but both in west')
 def check_found(run, found, digests):
     outside = {
