Be ready only once there is a list of vms

A gateway that starts while the platform's list can't be read has it from a peer. When its first contacts failed (each has 500 ms, more than a busy machine gives) its settings came with the next heartbeat, and the list up to 0.5 s later: until then /readyz said 'ready' and every call was refused as no-backend-server.

Ruled out: the calls themselves, which are sent after /readyz.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/health.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/health.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from baobabhinge_gateway.configuration import ActiveConfiguration
+from baobabhinge_gateway.fleet import VmWatcher
 from baobabhinge_gateway.lifecycle import Lifecycle
 
 
@@ -17,18 +18,22 @@
         Configuration in force.
     lifecycle : Lifecycle
         Whether this gateway is leaving.
+    watcher : VmWatcher
+        The list of vms as last seen.
     """
 
-    __slots__ = ('_active', '_lifecycle')
+    __slots__ = ('_active', '_lifecycle', '_watcher')
 
     def __init__(
         self,
         active: ActiveConfiguration,
         lifecycle: Lifecycle,
+        watcher: VmWatcher,
     ) -> None:
         """Keep the parts."""
         self._active = active
         self._lifecycle = lifecycle
+        self._watcher = watcher
 
     def add_to(self, app: web.Application) -> None:
         """Add the paths."""
@@ -45,6 +50,8 @@
             return _answer_unready('draining\n')
         if not self._active.generation:
             return _answer_unready('no configuration yet\n')
+        if not self._watcher.index.by_name:
+            return _answer_unready('no list of vms yet\n')
         return web.Response(text='ready\n')
 
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -16,7 +16,7 @@
     ActiveConfiguration,
     build_watcher,
 )
-from baobabhinge_gateway.fleet import FleetService, FleetView
+from baobabhinge_gateway.fleet import FleetService
 from baobabhinge_gateway.lifecycle import Drainer, create_lifecycle
 from baobabhinge_gateway.orders import DutyStack
 from baobabhinge_gateway.paths import Routes
@@ -57,7 +57,7 @@
         await self.add_runtime_dependency(peers)
         duties = DutyStack(platform, self._active, fleet.view)
         await self.add_runtime_dependency(duties)
-        await self._start_listeners(platform, fleet.view, peers, duties)
+        await self._start_listeners(platform, fleet, peers, duties)
 
     async def _start_watchers(self, platform: Platform) -> FleetService:
         fleet = FleetService(
@@ -75,12 +75,12 @@
     async def _start_listeners(
         self,
         platform: Platform,
-        fleet: FleetView,
+        fleet: FleetService,
         peers: PeerStack,
         duties: DutyStack,
     ) -> None:
         run_once = build_run_once(
-            fleet,
+            fleet.view,
             platform,
             self._lifecycle,
             self._active,
@@ -88,12 +88,12 @@
         await self.add_runtime_dependency(run_once)
         calls = build_call_server(
             self._active,
-            fleet,
+            fleet.view,
             platform,
             build_call_parts(
                 self._lifecycle,
                 RunOnceExecutor(run_once),
-                fleet,
+                fleet.view,
                 peers.node,
             ),
         )
@@ -108,10 +108,10 @@
             identity.caller_address,
             CallRoutes(calls),
             KeyRoutes(run_once, identity.region),
-            HealthReport(self._active, self._lifecycle),
-            EntryReport(fleet, self._lifecycle),
+            HealthReport(self._active, self._lifecycle, fleet.watcher),
+            EntryReport(fleet.view, self._lifecycle),
             StatusReport(
-                fleet,
+                fleet.view,
                 self._active,
                 calls,
                 platform.transport.calls,
