Hold a call at its backend server until the failure has come

What may run once was made to take 1 s, in which the failure had to come: a test process that was held up for longer saw the call answered where it expected 'unknown' or nothing. In the two scenarios of a caller that goes away it took 2.5 s of a deadline of 3 s, which left 0.5 s for everything else.

The application worker's new fault holds a call, once it is recorded, until the faults are set again; the scenarios bring their failure about and then let the call go on for 1 s, or 0.5 s, as before under the failure. The tests expect what they expected; the failure now always comes while the call runs.

--- a/packages/baobabhinge-standins/src/baobabhinge_standins/application/app.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/application/app.py
@@ -24,7 +24,7 @@
         Runs of this worker.
     """
 
-    __slots__ = ('_faults', '_journal', '_name', '_running')
+    __slots__ = ('_changed', '_faults', '_journal', '_name', '_running')
 
     def __init__(self, name: str, journal: Journal[Run]) -> None:
         """Start without faults."""
@@ -32,6 +32,7 @@
         self._journal = journal
         self._running = 0
         self._faults = ApplicationFaults()
+        self._changed = asyncio.Event()
 
     def add_to(self, app: web.Application) -> None:
         """Add the paths."""
@@ -61,6 +62,8 @@
         )
 
     async def _apply_faults(self, request: web.Request) -> None:
+        if self._faults.holds:
+            await self._changed.wait()
         await asyncio.sleep(self._faults.slow_seconds)
         if self._faults.cut_after_effect and request.transport is not None:
             self._faults.cut_after_effect -= 1
@@ -69,4 +72,6 @@
     async def _set_faults(self, request: web.Request) -> web.Response:
         body = await request.read()
         self._faults = msgspec.json.decode(body, type=ApplicationFaults)
+        self._changed.set()
+        self._changed = asyncio.Event()
         return web.Response()
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/application/messages.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/application/messages.py
@@ -20,6 +20,9 @@
     late_seconds : float
         Wait before a call is run, in seconds; a caller that goes away
         meanwhile has had nothing run.
+    holds : bool
+        A call that was recorded waits until the faults are set again, and
+        goes on under these.
     slow_seconds : float
         Wait between recording a call and answering it, in seconds.
     cut_after_effect : int
@@ -31,6 +34,7 @@
     """
 
     late_seconds: float = 0
+    holds: bool = False
     slow_seconds: float = 0
     cut_after_effect: int = 0
     wrong_request_id: bool = False
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/confirmations.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/confirmations.py
@@ -252,6 +252,10 @@
         }
         await self.running.platform.store.send('PUT', '-/faults', faults[state])
 
+    async def _do_hold(self, _):
+        """Let calls run until ``slow`` says for how long they go on."""
+        await self._set_ledgers(ApplicationFaults(holds=True))
+
     async def _do_slow(self, seconds):
         await self._set_ledgers(ApplicationFaults(slow_seconds=float(seconds)))
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/pausing.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/pausing.py
@@ -39,6 +39,8 @@
             await self._confirmation.fail(f'freeze {paused}')
         if step.endswith('which is killed'):
             await self._confirmation.fail('kill owner')
+        if 'hold' in prepare:
+            await self._confirmation.fail('slow 1')
 
     async def conclude(self):
         """Return what the first caller was told."""
@@ -81,9 +83,9 @@
         ['mute owner to witness'],
         Pausing.is_intended,
     ),
-    'while the owner runs it': (['slow 1'], Pausing.is_running),
+    'while the owner runs it': (['hold'], Pausing.is_running),
     'while the owner runs it, which is killed': (
-        ['slow 1'],
+        ['hold'],
         Pausing.is_running,
     ),
     'before it reads the call': (['freeze {paused}'], None),
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_at_most_once.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_at_most_once.py
@@ -45,10 +45,11 @@
 
 
 async def send_and_fail(confirmation, name, failure):
-    await confirmation.fail('slow 1')
+    await confirmation.fail('hold')
     sending = asyncio.create_task(confirmation.send(name))
     await wait_until(confirmation.has_run)
     await confirmation.fail(failure)
+    await confirmation.fail('slow 1')
     return await sending
 
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_not_run_true.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_not_run_true.py
@@ -12,6 +12,8 @@
 scenarios('not_run_true.feature')
 
 RUNS = {'once': ['a'], 'never': []}
+# What runs goes on for a while after its caller went away.
+GO_ON = 'slow 0.5'
 
 
 @given('a confirmation with a key')
@@ -72,7 +74,7 @@
 @when('the caller goes away while it runs')
 def go_away(confirmation, loop):
     async def send_and_leave():
-        await confirmation.fail('slow 2.5')
+        await confirmation.fail('hold')
         owner = confirmation.names['owner']
         sending = asyncio.create_task(confirmation.send(owner))
         await wait_until(confirmation.has_run)
@@ -126,6 +128,7 @@
 
 @then('the owner tells the next caller the answer, and it has run once')
 def check_kept(confirmation, loop):
+    loop.run(confirmation.fail(GO_ON))
     told = loop.run(confirmation.send(confirmation.names['owner']))
     assert told.outcome == 'answered', told
     assert loop.run(confirmation.list_runs()) == ['a']
@@ -138,6 +141,7 @@
 
 @then('every gateway that is left tells the answer, and it has run once')
 def check_copied(confirmation, loop):
+    loop.run(confirmation.fail(GO_ON))
     for told in loop.run(confirmation.send_everywhere()):
         assert told.outcome == 'answered', told
     assert loop.run(confirmation.list_runs()) == ['a']
