Let a stream last seconds when it is to break in its middle

Connections were reset, or an engine frozen, at a token of a stream of 60 tokens at 10 ms: a caller that was held up for 0.4 to 0.6 s broke a stream that was over, and the counts of runs were 1 for 2 or 3, the regions 'south' for 'south' and 'west'. The engines now take ten times as long for each token until the last break. The counts expected are the same.

--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_no_place_twice.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_no_place_twice.py
@@ -6,6 +6,7 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from baobabhinge_standins.engine.faults import EngineFaults
 from baobabhinge_standins.fleet import DeploymentPlan, Role
 from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_until
@@ -56,6 +57,8 @@
     link_bits_per_second=1_000_000_000,
     faulty_peers=True,
 )
+# A stream lasts seconds, so that its connections break in the middle of it.
+SLOW = EngineFaults(slowdown=10)
 numbers = iter(range(1000))
 
 
@@ -263,9 +266,11 @@
 async def stream_and_break(run):
     asked = ask('stream that breaks', 60)
     address = run.roster.get('east-gateway-1').caller_address
+    await set_engines(run, SLOW)
 
     async def on_token(received):
         if len(received.texts) == 20:
+            await set_engines(run, EngineFaults())
             await break_used(run, asked.prompt)
 
     async with aiohttp.ClientSession() as http:
@@ -273,6 +278,11 @@
     return asked, received, await list_regions(run, asked.prompt)
 
 
+async def set_engines(run, faults):
+    for engine in run.roster.list_by(Role.engine):
+        await run.backends.set_faults(engine, faults)
+
+
 async def break_used(run, prompt):
     """Break every connection of the entry to the region that runs it."""
     region = (await list_regions(run, prompt))[-1]
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_whole_answer.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_whole_answer.py
@@ -40,6 +40,14 @@
     '[placement ledger east]\nreplicas = 1 vms',
 )
 LONGEST_PAUSE = timedelta(seconds=1)
+# An answer lasts seconds, so that a failure comes in the middle of it.
+SLOW = EngineFaults(slowdown=10)
+FIRST_MOMENTS = (2,)
+MOMENTS = {
+    'nothing': (),
+    'nothing fails': (),
+    'its connections break twice': (2, 20),
+}
 
 
 @pytest.fixture(scope='module')
@@ -52,9 +60,15 @@
     loop.run(three_regions.links.heal())
     for engine in three_regions.roster.list_by(Role.engine):
         three_regions.processes.get(engine.name).thaw()
+    loop.run(set_engines(three_regions, EngineFaults()))
     return three_regions
 
 
+async def set_engines(run, faults):
+    for engine in run.roster.list_by(Role.engine):
+        await run.backends.set_faults(engine, faults)
+
+
 async def find_runs(run, prompt):
     """Return the engines that were given ``prompt``, and their runs of it."""
     found = []
@@ -93,10 +107,14 @@
 
 async def stream_and_fail(run, entry, asked, failure):
     address = run.roster.get(entry).caller_address
-    moments = {2, 20} if failure.endswith('twice') else {2}
+    moments = MOMENTS.get(failure, FIRST_MOMENTS)
+    if moments:
+        await set_engines(run, SLOW)
 
     async def on_token(received):
         if len(received.texts) in moments:
+            if len(received.texts) == moments[-1]:
+                await set_engines(run, EngineFaults())
             await fail(run, entry, asked.prompt, failure)
 
     async with aiohttp.ClientSession() as http:
@@ -141,12 +159,9 @@
 
 async def stream_from_broken_engines(run):
     asked = ask('breaks again and again', 400)
-    faults = EngineFaults(reset_after_tokens=10)
-    for engine in run.roster.list_by(Role.engine):
-        await run.backends.set_faults(engine, faults)
+    await set_engines(run, EngineFaults(reset_after_tokens=10))
     received = await stream_and_fail(run, 'west-gateway-1', asked, 'nothing')
-    for engine in run.roster.list_by(Role.engine):
-        await run.backends.set_faults(engine, EngineFaults())
+    await set_engines(run, EngineFaults())
     return received
 
 
