Tell a call that got no connection from a cut answer

A caller asks /healthz first, so that its call goes out on an open connection. When the gateway drains it closes that connection after its answer; a caller that was held up until the listener was gone got no connection for its call, which the tally listed as a cut answer, though nothing was sent. It is now counted as the one whose /healthz got no connection; every other call without an answer stays a cut one.

--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/completions.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/completions.py
@@ -21,6 +21,7 @@
     error: dict = {}
     is_done: bool = False
     is_broken: bool = False
+    is_unsent: bool = False
 
 
 def ask(prompt, tokens, *, stream=True):
@@ -52,8 +53,9 @@
             received.status = answer.status
             received.request_id = answer.headers.get('X-Request-Id', '')
             await _read(answer, received, on_token)
-    except aiohttp.ClientError:
+    except aiohttp.ClientError as failure:
         received.is_broken = True
+        received.is_unsent = isinstance(failure, aiohttp.ClientConnectorError)
     return received
 
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_graceful_shutdown.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_graceful_shutdown.py
@@ -83,7 +83,9 @@
     except aiohttp.ClientConnectorError:
         tally.refused['no-connection'] += 1
         return
-    if received.is_done and received.texts == list_expected(asked):
+    if received.is_unsent:
+        tally.refused['no-connection'] += 1
+    elif received.is_done and received.texts == list_expected(asked):
         tally.answered[address] += 1
     elif received.error.get('outcome') == 'not-run':
         tally.refused[received.error['code']] += 1
