--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/routes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/peers/routes.py
@@ -13,12 +13,16 @@
 from baobabhinge_gateway.configuration import ActiveConfiguration
 from baobabhinge_gateway.errors import MalformedCallError
 from baobabhinge_gateway.fleet import VmWatcher
+from baobabhinge_gateway.messages import (
+    JSON,
+    decode_message,
+    render_message,
+)
 from baobabhinge_gateway.peers.traffic import PeerTraffic
 from baobabhinge_gateway.peers.transport import EXCHANGE_PATH, PROBE_PATH
 
 RELEASE_PATH = '/peer/v1/release'
 VMS_PATH = '/peer/v1/vms'
-JSON = 'application/json'
 
 
 class PeerRoutes:
@@ -61,10 +65,7 @@
             If it can't be read.
         """
         body = await request.read()
-        try:
-            question = msgspec.json.decode(body, type=Exchange)
-        except msgspec.MsgspecError as bad:
-            raise MalformedCallError('the heartbeat is malformed') from bad
+        question = decode_message(body, Exchange, 'heartbeat')
         answer = msgspec.json.encode(self._protocol.answer(question))
         self._traffic.questions_received += 1
         self._traffic.bytes_received += len(body)
@@ -80,10 +81,7 @@
             If the request can't be read.
         """
         body = await request.read()
-        try:
-            target = msgspec.json.decode(body, type=Contact)
-        except msgspec.MsgspecError as bad:
-            raise MalformedCallError('the probe is malformed') from bad
+        target = decode_message(body, Contact, 'probe')
         reached = await self._prober.contact(target)
         return web.Response(body=msgspec.json.encode(reached))
 
@@ -124,13 +122,11 @@
             _parse_generation(request.query.get('generation', '0')),
             request.query.get('publish', ''),
         )
-        body = msgspec.json.encode(select_newer(release, since))
-        return web.Response(body=body, content_type=JSON)
+        return render_message(select_newer(release, since))
 
     async def report_vms(self, request: web.Request) -> web.Response:
         """Answer with the list of vms as last seen."""
-        vms = list(self._watcher.index.by_name.values())
-        return web.Response(body=msgspec.json.encode(vms), content_type=JSON)
+        return render_message(list(self._watcher.index.by_name.values()))
 
 
 def _parse_generation(text: str) -> int:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/peerroutes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/peerroutes.py
@@ -2,7 +2,6 @@
 
 from typing import TypeVar
 
-import msgspec
 from aiohttp import web
 
 from baobabhinge_coordination.runonce import (
@@ -13,10 +12,8 @@
     RecordIntent,
     WitnessFullError,
 )
-from baobabhinge_gateway.errors import (
-    KeysUnavailableError,
-    MalformedCallError,
-)
+from baobabhinge_gateway.errors import KeysUnavailableError
+from baobabhinge_gateway.messages import decode_message, render_message
 from baobabhinge_gateway.runonce import peerclient
 from baobabhinge_gateway.runonce.inquiry import Inquirer
 from baobabhinge_gateway.runonce.memory import RunOnceMemory
@@ -60,33 +57,22 @@
             opened = self._memory.witness.open_epoch(order)
         except WitnessFullError as full:
             raise KeysUnavailableError(str(full)) from full
-        return _render(opened)
+        return render_message(opened)
 
     async def _record(self, request: web.Request) -> web.Response:
         order = await _read(request, RecordIntent)
-        return _render(IntentReply(self._memory.witness.record(order)))
+        return render_message(IntentReply(self._memory.witness.record(order)))
 
     async def _copy(self, request: web.Request) -> web.Response:
         order = await _read(request, CopyOutcome)
         self._memory.witness.copy(order)
-        return _render(peerclient.Done())
+        return render_message(peerclient.Done())
 
     async def _ask(self, request: web.Request) -> web.Response:
         order = await _read(request, AskOutcome)
         question = peerclient.Question(request.match_info['question'])
-        return _render(self._inquirer.ask_here(question, order))
+        return render_message(self._inquirer.ask_here(question, order))
 
 
 async def _read(request: web.Request, kind: type[OrderT]) -> OrderT:
-    body = await request.read()
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as bad:
-        raise MalformedCallError('the message is malformed') from bad
-
-
-def _render(message: msgspec.Struct) -> web.Response:
-    return web.Response(
-        body=msgspec.json.encode(message),
-        content_type='application/json',
-    )
+    return decode_message(await request.read(), kind, 'message')
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/suspects/routes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/suspects/routes.py
@@ -1,17 +1,15 @@
 """Path by which gateways of the region tell of crashes."""
 
-import msgspec
 from aiohttp import web
 
 from baobabhinge_coordination.suspects import RunClaims, SuspectLedger
-from baobabhinge_gateway.errors import MalformedCallError
+from baobabhinge_gateway.messages import decode_message, render_message
 from baobabhinge_gateway.suspects.messages import (
     SuspectAnswer,
     SuspectNotice,
 )
 
 SUSPECTS_PATH = '/peer/v1/suspects'
-JSON = 'application/json'
 
 
 class SuspectRoutes:
@@ -45,12 +43,8 @@
             If it can't be read.
         """
         body = await request.read()
-        try:
-            notice = msgspec.json.decode(body, type=SuspectNotice)
-        except msgspec.MsgspecError as bad:
-            raise MalformedCallError('the notice is malformed') from bad
-        answer = msgspec.json.encode(self.answer(notice))
-        return web.Response(body=answer, content_type=JSON)
+        notice = decode_message(body, SuspectNotice, 'notice')
+        return render_message(self.answer(notice))
 
     def answer(self, notice: SuspectNotice) -> SuspectAnswer:
         """Take in a notice and return its answer."""
