--- a/packages/baobabhinge-standins/src/baobabhinge_standins/hop/work.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/hop/work.py
@@ -5,28 +5,15 @@
 import msgspec
 
 from baobabhinge_standins.fleet import BackendPlan, DeploymentPlan, Role
+from baobabhinge_standins.fleet.settings import (
+    PATIENT,
+    render_model,
+    render_plain,
+    render_settings,
+)
 
 REGION = 'west'
 GATEWAY = 'west-gateway-1'
-SETTINGS = """
-[region west]
-failure-domains = west-a
-[service llm]
-kind = model
-deadline = 60 s
-[placement llm west]
-replicas = 1 vms
-[service ledger]
-kind = plain
-deadline = 60 s
-[placement ledger west]
-replicas = 1 vms
-[objective all]
-cost = 34 percent
-tail-latency = 33 percent
-sent-away = 33 percent
-first-token = 60 s
-"""
 PLAN = DeploymentPlan(
     name='hop',
     gateways={REGION: 1},
@@ -37,6 +24,12 @@
     wan_latency=timedelta(),
     link_bits_per_second=1_000_000_000,
 )
+SETTINGS = render_settings(
+    PLAN,
+    render_model('60 s'),
+    render_plain('60 s'),
+    PATIENT,
+)
 
 
 class Work(msgspec.Struct, frozen=True):
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/soak/deployment.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/soak/deployment.py
@@ -11,37 +11,14 @@
     Role,
     run_deployment,
 )
+from baobabhinge_standins.fleet.settings import (
+    render_model,
+    render_run_once,
+    render_settings,
+)
 from baobabhinge_standins.soak.stage import Stage
 
 REGIONS = ('west', 'east', 'north')
-SETTINGS = """\
-[region west]
-failure-domains = west-a
-[region east]
-failure-domains = east-a
-[region north]
-failure-domains = north-a
-[service llm]
-kind = model
-deadline = 8 s
-[placement llm west]
-replicas = 1 vms
-[placement llm east]
-replicas = 1 vms
-[placement llm north]
-replicas = 1 vms
-[service ledger]
-kind = plain
-[run-once ledger confirm-trade]
-method = POST
-path = /trades/*/confirm
-[placement ledger west]
-replicas = 1 vms
-[placement ledger east]
-replicas = 1 vms
-[placement ledger north]
-replicas = 1 vms
-"""
 PLAN = DeploymentPlan(
     name='soak',
     gateways={region: 2 for region in REGIONS},
@@ -58,6 +35,12 @@
     faulty_backends=True,
     faulty_peers=True,
 )
+SETTINGS = render_settings(
+    PLAN,
+    render_model('8 s'),
+    '[service ledger]\nkind = plain',
+    render_run_once('confirm-trade', 'POST', '/trades/*/confirm'),
+)
 
 
 @asynccontextmanager
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/conftest.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/conftest.py
@@ -8,16 +8,16 @@
 
 from baobabhinge_standins.fleet import DeploymentPlan, Role, run_deployment
 from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
+from baobabhinge_standins.fleet.settings import (
+    render_model,
+    render_plain,
+    render_settings,
+)
 from baobabhinge_standins.tests.steps.confirmations import (
     LEDGER_PLAN,
     LEDGER_SETTINGS,
     Confirmation,
 )
-from baobabhinge_standins.tests.steps.settings import (
-    render_model,
-    render_plain,
-    render_settings,
-)
 
 SMALL_PLAN = DeploymentPlan(
     name='small',
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/confirmations.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/confirmations.py
@@ -16,28 +16,14 @@
     wait_until,
 )
 from baobabhinge_standins.fleet.plans import WAN_LATENCY
+from baobabhinge_standins.fleet.settings import (
+    render_plain,
+    render_run_once,
+    render_settings,
+)
 from baobabhinge_standins.keyvalue.faults import StoreFaults
 from baobabhinge_standins.links import CUT, REFUSED, Impairment, LinkFault
 
-LEDGER_SETTINGS = """
-[region west]
-failure-domains = west-a
-[region east]
-failure-domains = east-a
-[service ledger]
-kind = plain
-deadline = 5 s
-[run-once ledger confirm]
-method = POST
-path = /trades/*
-[run-once ledger replace]
-method = PUT
-path = /trades/*
-[placement ledger west]
-replicas = 2 vms
-[placement ledger east]
-replicas = 1 vms
-"""
 LEDGER_PLAN = DeploymentPlan(
     name='ledger',
     gateways={'east': 1, 'west': 3},
@@ -50,6 +36,12 @@
     faulty_backends=True,
     faulty_peers=True,
 )
+LEDGER_SETTINGS = render_settings(
+    LEDGER_PLAN,
+    render_plain('5 s'),
+    render_run_once('confirm', 'POST'),
+    render_run_once('replace', 'PUT'),
+)
 LOST_REPLIES = LinkFault(backward=Impairment(is_cut=True))
 LIMIT = aiohttp.ClientTimeout(total=8)
 NUMBERS = count(1)
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_crashing_request.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_crashing_request.py
@@ -9,6 +9,11 @@
 from baobabhinge_standins.fleet import DeploymentPlan, Role
 from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_port, wait_until
+from baobabhinge_standins.fleet.settings import (
+    PATIENT,
+    render_model,
+    render_settings,
+)
 from baobabhinge_standins.links import Impairment, LinkFault
 from baobabhinge_standins.tests.conftest import run_configured
 from baobabhinge_standins.tests.steps.completions import (
@@ -19,20 +24,6 @@
 
 scenarios('crashing_request.feature')
 
-SETTINGS = """
-[objective all]
-cost = 34 percent
-tail-latency = 33 percent
-sent-away = 33 percent
-first-token = 60 s
-[region west]
-failure-domains = west-a
-[service llm]
-kind = model
-deadline = 60 s
-[placement llm west]
-replicas = 5 vms
-"""
 PLAN = DeploymentPlan(
     name='one-region',
     gateways={'west': 3},
@@ -41,6 +32,7 @@
     link_bits_per_second=1_000_000_000,
     faulty_peers=True,
 )
+SETTINGS = render_settings(PLAN, render_model('60 s'), PATIENT)
 # Longer than the wait for the answer to a heartbeat, both ways together.
 LATE = Impairment(delay_ms=300)
 SLOW = EngineFaults(late_seconds=0.5)
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_leaving_backend.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_leaving_backend.py
@@ -11,17 +11,17 @@
 from baobabhinge_standins.fleet import Role
 from baobabhinge_standins.fleet.plans import BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_until
+from baobabhinge_standins.fleet.settings import (
+    PATIENT,
+    render_model,
+    render_settings,
+)
 from baobabhinge_standins.tests.conftest import SMALL_PLAN
 from baobabhinge_standins.tests.steps.completions import (
     ask,
     list_expected,
     send,
 )
-from baobabhinge_standins.tests.steps.settings import (
-    PATIENT,
-    render_model,
-    render_settings,
-)
 
 scenarios('leaving_backend.feature')
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_no_place_twice.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_no_place_twice.py
@@ -9,6 +9,12 @@
 from baobabhinge_standins.fleet import DeploymentPlan, Role
 from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_until
+from baobabhinge_standins.fleet.settings import (
+    render_model,
+    render_placement,
+    render_plain,
+    render_settings,
+)
 from baobabhinge_standins.links import CUT, Impairment, LinkFault
 from baobabhinge_standins.tests.conftest import run_configured
 from baobabhinge_standins.tests.steps.completions import (
@@ -23,27 +29,6 @@
 
 scenarios('no_place_twice.feature')
 
-SETTINGS = """
-[region west]
-failure-domains = west-a
-[region east]
-failure-domains = east-a
-[region south]
-failure-domains = south-a
-[service llm]
-kind = model
-deadline = 20 s
-[service ledger]
-kind = plain
-deadline = 5 s
-[placement ledger west]
-replicas = 1 vms
-[placement ledger east]
-replicas = 1 vms
-[placement ledger south]
-replicas = 1 vms
-"""
-PLACEMENT = '[placement llm {region}]\nreplicas = 1 vms\n'
 ENGINE_REGIONS = ('west', 'south')
 PLAN = DeploymentPlan(
     name='three-regions',
@@ -61,8 +46,13 @@
 
 def place(regions):
     """Return settings that place completions in ``regions``."""
-    placements = [PLACEMENT.format(region=region) for region in regions]
-    return ''.join((SETTINGS, *placements))
+    return render_settings(
+        msgspec.structs.replace(PLAN, backends=()),
+        render_model('20 s'),
+        render_plain('5 s'),
+        *(render_placement('ledger', region) for region in PLAN.gateways),
+        *(render_placement('llm', region) for region in regions),
+    )
 
 
 @pytest.fixture(scope='module')
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_orders_under_leases.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_orders_under_leases.py
@@ -10,6 +10,12 @@
 from baobabhinge_standins.fleet import Role
 from baobabhinge_standins.fleet.plans import BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_until
+from baobabhinge_standins.fleet.settings import (
+    render_model,
+    render_placement,
+    render_settings,
+    render_version,
+)
 from baobabhinge_standins.tests.conftest import SMALL_PLAN
 
 PLAN = msgspec.structs.replace(
@@ -20,21 +26,19 @@
         BackendPlan('llm', Role.engine, 'west', 1, ('--fencing=refuse',)),
     ),
 )
-SETTINGS = """
-[region west]
-failure-domains = west-a
-[service llm]
-kind = model
-deadline = 20 s
-[version llm {version}]
-weights = llm/{version}
-[placement llm west]
-replicas = 2 vms
-"""
 
 scenarios('orders_under_leases.feature')
 
 
+def render_with_version(version):
+    return render_settings(
+        msgspec.structs.replace(PLAN, backends=()),
+        render_model('20 s'),
+        render_placement('llm', 'west', 2),
+        render_version('llm', version),
+    )
+
+
 class Orders:
     """Lease and orders of a deployment, read past the gateways."""
 
@@ -85,7 +89,7 @@
     target_fixture='orders',
 )
 def start(launch):
-    return Orders(launch(PLAN, SETTINGS.format(version='v1')))
+    return Orders(launch(PLAN, render_with_version('v1')))
 
 
 @given('every engine has loaded version v1 under one lease')
@@ -110,7 +114,7 @@
 def publish(orders, loop, tmp_path, version):
     folder = tmp_path / version
     folder.mkdir()
-    (folder / '10.ini').write_text(SETTINGS.format(version=version))
+    (folder / '10.ini').write_text(render_with_version(version))
     loop.run(orders.running.publish_folder(folder))
 
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_region_bound.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_region_bound.py
@@ -13,6 +13,13 @@
 from baobabhinge_standins.fleet import DeploymentPlan, Role
 from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_until
+from baobabhinge_standins.fleet.settings import (
+    render_model,
+    render_placement,
+    render_plain,
+    render_run_once,
+    render_settings,
+)
 from baobabhinge_standins.tests.conftest import run_configured
 from baobabhinge_standins.tests.steps.bound import (
     MARK,
@@ -26,39 +33,6 @@
 
 scenarios('region_bound.feature')
 
-SETTINGS = """
-[region west]
-failure-domains = west-a
-[region east]
-failure-domains = east-a
-[region south]
-failure-domains = south-a
-[workspace dealers]
-home = west
-[data-rule dealers-stay]
-region = west
-may-go-to = none
-workspace = dealers
-[service llm]
-kind = model
-deadline = 20 s
-[placement llm west]
-replicas = 2 vms
-[placement llm south]
-replicas = 1 vms
-[service ledger]
-kind = plain
-deadline = 10 s
-[run-once ledger confirm]
-method = POST
-path = /trades/*
-[placement ledger west]
-replicas = 1 vms
-[placement ledger south]
-replicas = 1 vms
-[placement ledger east]
-replicas = 1 vms
-"""
 PLAN = DeploymentPlan(
     name='three-regions',
     gateways={'west': 1, 'east': 1, 'south': 1},
@@ -72,6 +46,21 @@
     link_bits_per_second=1_000_000_000,
     faulty_backends=True,
 )
+SETTINGS = render_settings(
+    PLAN,
+    render_model('20 s'),
+    render_plain('10 s'),
+    render_run_once('confirm', 'POST'),
+    render_placement('ledger', 'east'),
+    """
+[workspace dealers]
+home = west
+[data-rule dealers-stay]
+region = west
+may-go-to = none
+workspace = dealers
+""",
+)
 BINDINGS = {
     'header': {'Baobabhinge-Region-Bound': 'west'},
     'rule': {'Baobabhinge-Workspace': 'dealers'},
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_store_outage.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_store_outage.py
@@ -8,6 +8,12 @@
 from baobabhinge_standins.fleet import Role
 from baobabhinge_standins.fleet.plans import BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_until
+from baobabhinge_standins.fleet.settings import (
+    render_model,
+    render_plain,
+    render_settings,
+    render_version,
+)
 from baobabhinge_standins.keyvalue.faults import StoreFaults
 from baobabhinge_standins.tests.conftest import SMALL_PLAN
 
@@ -19,28 +25,21 @@
         BackendPlan('ledger', Role.application, 'west', 1),
     ),
 )
-SETTINGS = """
-[region west]
-failure-domains = west-a
-[service llm]
-kind = model
-deadline = 20 s
-[version llm {version}]
-weights = llm/{version}
-[placement llm west]
-replicas = 1 vms
-[service ledger]
-kind = plain
-deadline = 5 s
-[placement ledger west]
-replicas = 1 vms
-"""
 KINDS = ('read', 'watch', 'write', 'session')
 RETRIES = 12
 
 scenarios('store_outage.feature')
 
 
+def render_with_version(version):
+    return render_settings(
+        PLAN,
+        render_model('20 s'),
+        render_plain('5 s'),
+        render_version('llm', version),
+    )
+
+
 async def ask(address, path, body=None):
     async with (
         aiohttp.ClientSession() as http,
@@ -90,7 +89,7 @@
     target_fixture='running',
 )
 def start(launch, loop):
-    running = launch(PLAN, SETTINGS.format(version='v1'))
+    running = launch(PLAN, render_with_version('v1'))
     loop.run(wait_version(running, 'v1'))
     return running
 
@@ -140,7 +139,7 @@
 def publish(running, loop, tmp_path, version):
     folder = tmp_path / version
     folder.mkdir()
-    (folder / '10.ini').write_text(SETTINGS.format(version=version))
+    (folder / '10.ini').write_text(render_with_version(version))
     loop.run(running.publish_folder(folder))
 
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_versions.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_versions.py
@@ -10,6 +10,12 @@
 from baobabhinge_standins.fleet import Role
 from baobabhinge_standins.fleet.plans import BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_until
+from baobabhinge_standins.fleet.settings import (
+    render_model,
+    render_placement,
+    render_settings,
+    render_version,
+)
 from baobabhinge_standins.tests.conftest import SMALL_PLAN, run_configured
 from baobabhinge_standins.tests.steps.completions import list_expected, send
 from baobabhinge_standins.weights.app import DEFAULT_BYTES, WeightFaults
@@ -22,22 +28,6 @@
     ),
     has_weights=True,
 )
-SETTINGS = """
-[region west]
-failure-domains = west-a
-[service llm]
-kind = model
-deadline = 60 s
-default-version = {default}
-[adapter llm covers]
-weights = llm/covers
-[placement llm west]
-replicas = 4 vms
-"""
-VERSION = """
-[version llm {version}]
-weights = llm/{version}
-"""
 PLACED_PLAN = msgspec.structs.replace(
     SMALL_PLAN,
     backends=tuple(
@@ -45,26 +35,14 @@
         for region in ('west', 'east')
     ),
 )
-PLACED_SETTINGS = """
-[region west]
-failure-domains = west-a
-[region east]
-failure-domains = east-a
-[service llm]
-kind = model
-deadline = 20 s
-default-version = v2
-[version llm v1]
-weights = llm/v1
-[version llm v2]
-weights = llm/v2
-[placement llm west]
-replicas = 1 vms
-versions = v1
-[placement llm east]
-replicas = 1 vms
-versions = v2
-"""
+PLACED_SETTINGS = render_settings(
+    msgspec.structs.replace(PLACED_PLAN, backends=()),
+    f'{render_model("20 s")}\ndefault-version = v2',
+    render_version('llm', 'v1'),
+    render_version('llm', 'v2'),
+    f'{render_placement("llm", "west")}\nversions = v1',
+    f'{render_placement("llm", "east")}\nversions = v2',
+)
 CALLERS = 6
 STREAM_TOKENS = 1500
 
@@ -89,7 +67,7 @@
     async def publish(self, versions, default):
         folder = self.folder / f'{default}-{len(versions)}'
         folder.mkdir()
-        (folder / '10.ini').write_text(render_settings(versions, default))
+        (folder / '10.ini').write_text(render_with_versions(versions, default))
         before = await self.read_generations()
         await self.running.publish_folder(folder)
 
@@ -155,9 +133,14 @@
         ]
 
 
-def render_settings(versions, default):
-    parts = [VERSION.format(version=version) for version in versions]
-    return SETTINGS.format(default=default) + ''.join(parts)
+def render_with_versions(versions, default):
+    """Return settings with ``versions``, of which one is the default."""
+    return render_settings(
+        PLAN,
+        f'{render_model("60 s")}\ndefault-version = {default}',
+        '[adapter llm covers]\nweights = llm/covers',
+        *(render_version('llm', version) for version in versions),
+    )
 
 
 def split(versions):
@@ -175,7 +158,7 @@
     'a region of four engines that hold version v1', target_fixture='rollout'
 )
 def start(launch, loop, http, tmp_path):
-    running = launch(PLAN, render_settings(['v1'], 'v1'))
+    running = launch(PLAN, render_with_versions(['v1'], 'v1'))
     rollout = Rollout(running, http, tmp_path)
     loop.run(rollout.wait_held(['v1']))
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_weight_store.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_weight_store.py
@@ -11,6 +11,10 @@
 from baobabhinge_standins.fleet import Role
 from baobabhinge_standins.fleet.plans import BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_until
+from baobabhinge_standins.fleet.settings import (
+    render_settings,
+    render_version,
+)
 from baobabhinge_standins.tests.conftest import SMALL_PLAN
 from baobabhinge_standins.tests.steps.completions import list_expected, send
 from baobabhinge_standins.weights.app import DEFAULT_BYTES, WeightFaults
@@ -26,38 +30,25 @@
     ),
     has_weights=True,
 )
-REGION = """
-[region {region}]
-failure-domains = {region}-a
-"""
-SERVICE = """
-[service {service}]
-kind = model
-deadline = 20 s
-default-version = v1
-[placement {service} west]
-replicas = 2 vms
-[placement {service} east]
-replicas = 2 vms
-"""
-VERSION = """
-[version {service} {version}]
-weights = {service}/{version}
-"""
 SLOW = WeightFaults(bytes_per_second=DEFAULT_BYTES // 4)
 
 scenarios('weight_store.feature')
 
 
-def render_settings(*versions):
-    regions = [REGION.format(region=region) for region in REGIONS]
-    services = [SERVICE.format(service=service) for service in SERVICES]
+def render_with_versions(*versions):
+    services = [
+        f'[service {service}]\n'
+        'kind = model\n'
+        'deadline = 20 s\n'
+        'default-version = v1'
+        for service in SERVICES
+    ]
     parts = [
-        VERSION.format(service=service, version=version)
+        render_version(service, version)
         for service in SERVICES
         for version in versions
     ]
-    return ''.join(regions + services + parts)
+    return render_settings(PLAN, *services, *parts)
 
 
 class Loading:
@@ -131,7 +122,7 @@
     target_fixture='loading',
 )
 def start(launch, loop, http):
-    loading = Loading(launch(PLAN, render_settings('v1')), http)
+    loading = Loading(launch(PLAN, render_with_versions('v1')), http)
     loop.run(loading.wait_held('v1'))
 
     async def are_answered():
@@ -164,7 +155,7 @@
 def publish(loading, loop, callers, tmp_path):
     folder = tmp_path / 'second'
     folder.mkdir()
-    (folder / '10.ini').write_text(render_settings('v1', 'v2'))
+    (folder / '10.ini').write_text(render_with_versions('v1', 'v2'))
 
     async def begin():
         callers.append(asyncio.create_task(loading.call_on()))
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_whole_answer.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_whole_answer.py
@@ -10,17 +10,17 @@
 from baobabhinge_standins.fleet import Role
 from baobabhinge_standins.fleet.plans import BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_until
+from baobabhinge_standins.fleet.settings import (
+    render_model,
+    render_plain,
+    render_settings,
+)
 from baobabhinge_standins.tests.conftest import SMALL_PLAN
 from baobabhinge_standins.tests.steps.completions import (
     ask,
     list_expected,
     send,
 )
-from baobabhinge_standins.tests.steps.settings import (
-    render_model,
-    render_plain,
-    render_settings,
-)
 
 scenarios('whole_answer.feature')
 
