Start the deployments and sessions of scenarios from one fixture

Six test files opened a deployment by hand beside the fixture `serve`, two of them a client session too; three listed the engines that ran a prompt, and two wrote the head of a completion on a raw connection. conftest.py and steps/completions.py now hold each once. ProcessGroup tells its folder, which two of the files kept apart for the logs.

test_crash_in_regions.py keeps its own start: it runs the stage of the soak. The heads of test_graceful_shutdown.py and test_leaving_backend.py are alike in their imports alone and stay. No assertion, scenario or row is touched.

--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/processes.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/processes.py
@@ -17,19 +17,24 @@
     ----------
     folder : Path
         Folder of the output files, ``<name>.log``.
+
+    Attributes
+    ----------
+    folder : Path
+        The same folder.
     """
 
-    __slots__ = ('_children', '_folder')
+    __slots__ = ('_children', 'folder')
 
     def __init__(self, folder: Path) -> None:
         """Start without children."""
-        self._folder = folder
+        self.folder = folder
         self._children: dict[str, Child] = {}
 
     async def start(self, name: str, module: str, *options: str) -> Child:
         """Run ``python -m module options`` as the child called ``name``."""
         line = CommandLine(module, options)
-        with (self._folder / f'{name}.log').open('ab') as output:
+        with (self.folder / f'{name}.log').open('ab') as output:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
@@ -49,7 +54,7 @@
 
     def read_last_line(self, name: str) -> str:
         """Return the last line that the child called ``name`` wrote."""
-        lines = (self._folder / f'{name}.log').read_text().splitlines()
+        lines = (self.folder / f'{name}.log').read_text().splitlines()
         return lines[-1] if lines else ''
 
     async def restart(self, name: str) -> Child:
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/conftest.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/conftest.py
@@ -114,16 +114,20 @@
         yield start(LEDGER_PLAN, LEDGER_SETTINGS)
 
 
-@pytest.fixture
-def http(loop):
-    async def open_session():
+def open_session(loop):
+    """Yield a client session; a module can make it a fixture of its own."""
+
+    async def create():
         return aiohttp.ClientSession()
 
-    session = loop.run(open_session())
+    session = loop.run(create())
     yield session
     loop.run(session.close())
 
 
+http = pytest.fixture(open_session)
+
+
 @pytest.fixture
 def confirmation(ledger, http, loop):
     confirmation = Confirmation(ledger, http)
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/completions.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/steps/completions.py
@@ -1,9 +1,12 @@
 """Completions as a caller sends and checks them."""
 
+import asyncio
+
 import aiohttp
 import msgspec
 
 from baobabhinge_standins.engine.messages import EngineRequest
+from baobabhinge_standins.fleet import Role
 
 DONE = b'data: [DONE]'
 DATA = b'data: '
@@ -57,6 +60,31 @@
     return received
 
 
+async def find_runs(running, prompt):
+    """Return the engines that were given ``prompt``, and their runs of it."""
+    return [
+        (engine, run)
+        for engine in running.roster.list_by(Role.engine)
+        for run in await running.backends.read_engine_runs(engine)
+        if run.prompt == prompt
+    ]
+
+
+async def open_call(address, *headers, body=b''):
+    """Begin a completion by hand and return both ends of its connection."""
+    host, _, port = address.partition(':')
+    lines = [
+        'POST /v1/completions HTTP/1.1',
+        'Host: gateway',
+        *headers,
+        '\r\n',
+    ]
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write('\r\n'.join(lines).encode() + body)
+    await writer.drain()
+    return reader, writer
+
+
 async def _read(answer, received, on_token):
     if answer.content_type != 'text/event-stream':
         _take_whole(await answer.json(content_type=None), received)
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_configuration.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_configuration.py
@@ -3,7 +3,6 @@
 import re
 import sys
 
-import aiohttp
 import msgspec
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
@@ -22,7 +21,7 @@
 from baobabhinge_standins.tests.conftest import (
     SMALL_PLAN,
     SMALL_SETTINGS,
-    run_configured,
+    open_session,
 )
 from baobabhinge_standins.tests.steps.operators import (
     Generations,
@@ -38,24 +37,12 @@
 TEXT = '[workspace {name}]\nhome = {home}\n'
 NUMBERS = itertools.count(1)
 NEWER_KIND = '[shape west]\nsides = 3 sides\n'
+http = pytest.fixture(scope='module')(open_session)
 
 
 @pytest.fixture(scope='module')
-def running(loop, tmp_path_factory):
-    folder = tmp_path_factory.mktemp('configuration')
-    context = run_configured(PLAN, SMALL_SETTINGS, folder)
-    yield loop.run(context.__aenter__())
-    loop.run(context.__aexit__(None, None, None))
-
-
-@pytest.fixture(scope='module')
-def http(loop):
-    async def open_session():
-        return aiohttp.ClientSession()
-
-    session = loop.run(open_session())
-    yield session
-    loop.run(session.close())
+def running(serve):
+    return serve(PLAN, SMALL_SETTINGS)
 
 
 @pytest.fixture(scope='module')
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_crashing_request.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_crashing_request.py
@@ -15,7 +15,6 @@
     render_settings,
 )
 from baobabhinge_standins.links import Impairment, LinkFault
-from baobabhinge_standins.tests.conftest import run_configured
 from baobabhinge_standins.tests.steps.completions import (
     ask,
     list_expected,
@@ -39,11 +38,8 @@
 
 
 @pytest.fixture(scope='module')
-def one_region(loop, tmp_path_factory):
-    folder = tmp_path_factory.mktemp('one-region')
-    context = run_configured(PLAN, SETTINGS, folder)
-    yield loop.run(context.__aenter__())
-    loop.run(context.__aexit__(None, None, None))
+def one_region(serve):
+    return serve(PLAN, SETTINGS)
 
 
 @given(
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_no_place_twice.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_no_place_twice.py
@@ -16,10 +16,12 @@
     render_settings,
 )
 from baobabhinge_standins.links import CUT, Impairment, LinkFault
-from baobabhinge_standins.tests.conftest import run_configured
+from baobabhinge_standins.tests.conftest import open_session
 from baobabhinge_standins.tests.steps.completions import (
     ask,
+    find_runs,
     list_expected,
+    open_call,
     send,
 )
 from baobabhinge_standins.tests.steps.operators import (
@@ -55,26 +57,12 @@
     )
 
 
-@pytest.fixture(scope='module')
-def folder(tmp_path_factory):
-    return tmp_path_factory.mktemp('three-regions')
-
-
-@pytest.fixture(scope='module')
-def three_regions(loop, folder):
-    context = run_configured(PLAN, place(ENGINE_REGIONS), folder)
-    yield loop.run(context.__aenter__())
-    loop.run(context.__aexit__(None, None, None))
+http = pytest.fixture(scope='module')(open_session)
 
 
 @pytest.fixture(scope='module')
-def http(loop):
-    async def open_session():
-        return aiohttp.ClientSession()
-
-    session = loop.run(open_session())
-    yield session
-    loop.run(session.close())
+def three_regions(serve):
+    return serve(PLAN, place(ENGINE_REGIONS))
 
 
 class Placements:
@@ -171,12 +159,7 @@
 
 async def list_regions(run, prompt):
     """Return the regions of the engines that were given ``prompt``."""
-    return [
-        engine.region
-        for engine in run.roster.list_by(Role.engine)
-        for entry in await run.backends.read_engine_runs(engine)
-        if entry.prompt == prompt
-    ]
+    return [engine.region for engine, _ in await find_runs(run, prompt)]
 
 
 async def send_forwarded(run, gateway, path):
@@ -322,7 +305,13 @@
     """Send a call that its entry decides about while they disagree."""
     kept, newest = apart
     asked = ask(f'apart {next(numbers)}', 2, stream=False)
-    reader, writer = await open_call(run, entry, msgspec.json.encode(asked))
+    body = msgspec.json.encode(asked)
+    reader, writer = await open_call(
+        run.roster.get(entry).caller_address,
+        'Connection: close',
+        f'Content-Length: {len(body)}',
+        body=body,
+    )
     # The entry reads the call before it answers a question that came later.
     await placements.generations.read(entry)
     status = await placements.generations.read(kept)
@@ -332,34 +321,21 @@
     async with asyncio.timeout(30):
         answer = await reader.read()
     writer.close()
-    head, _, body = answer.partition(b'\r\n\r\n')
-    told = msgspec.json.decode(body)
+    head, _, text = answer.partition(b'\r\n\r\n')
+    told = msgspec.json.decode(text)
     told['head'] = head.decode()
     return told, await list_regions(run, asked.prompt)
 
 
-async def open_call(run, entry, body):
-    host, _, port = run.roster.get(entry).caller_address.partition(':')
-    lines = [
-        'POST /v1/completions HTTP/1.1',
-        'Host: gateway',
-        'Connection: close',
-        f'Content-Length: {len(body)}',
-        '\r\n',
-    ]
-    reader, writer = await asyncio.open_connection(host, int(port))
-    writer.write('\r\n'.join(lines).encode() + body)
-    await writer.drain()
-    return reader, writer
-
-
 @then(parsers.parse('the regions that refused it did so once: {regions}'))
-def check_refusing(run, ended, folder, regions):
+def check_refusing(run, ended, regions):
     told, _ = ended
     refusing = [
         gateway.region
         for gateway in run.roster.list_by(Role.gateway)
-        for line in (folder / f'{gateway.name}.log').read_text().splitlines()
+        for line in (run.processes.folder / f'{gateway.name}.log')
+        .read_text()
+        .splitlines()
         if is_refusal(json.loads(line), told)
     ]
     expected = [
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_region_bound.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_region_bound.py
@@ -20,7 +20,6 @@
     render_run_once,
     render_settings,
 )
-from baobabhinge_standins.tests.conftest import run_configured
 from baobabhinge_standins.tests.steps.bound import (
     MARK,
     SERVICE,
@@ -29,7 +28,7 @@
     list_digests,
     take_key,
 )
-from baobabhinge_standins.tests.steps.completions import ask, send
+from baobabhinge_standins.tests.steps.completions import ask, open_call, send
 
 scenarios('region_bound.feature')
 
@@ -80,11 +79,8 @@
 
 
 @pytest.fixture(scope='module')
-def deployed(loop, tmp_path_factory):
-    folder = tmp_path_factory.mktemp('three-regions')
-    context = run_configured(PLAN, SETTINGS, folder)
-    yield loop.run(context.__aenter__()), folder
-    loop.run(context.__aexit__(None, None, None))
+def three_regions(serve):
+    return serve(PLAN, SETTINGS)
 
 
 @pytest.fixture(scope='module')
@@ -97,9 +93,9 @@
     'three regions with a data rule for the dealers of west',
     target_fixture='run',
 )
-def start(deployed, loop):
-    loop.run(deployed[0].links.heal())
-    return deployed[0]
+def start(three_regions, loop):
+    loop.run(three_regions.links.heal())
+    return three_regions
 
 
 async def fail(run, failure):
@@ -204,17 +200,12 @@
 
 async def check_unread(run, entry, headers):
     """Check that the refusal comes before any byte of the body is sent."""
-    host, _, port = run.roster.get(entry).caller_address.partition(':')
-    lines = [
-        'POST /v1/completions HTTP/1.1',
-        'Host: gateway',
+    reader, writer = await open_call(
+        run.roster.get(entry).caller_address,
         'Content-Length: 1000',
         'Expect: 100-continue',
         *(f'{name}: {text}' for name, text in headers.items()),
-        '\r\n',
-    ]
-    reader, writer = await asyncio.open_connection(host, int(port))
-    writer.write('\r\n'.join(lines).encode())
+    )
     async with asyncio.timeout(10):
         status = await reader.readline()
     assert b' 421 ' in status, status
@@ -301,8 +292,7 @@
     'every log, journal and memory outside west is searched',
     target_fixture='found',
 )
-def search(deployed, digests):
-    run, folder = deployed
+def search(run, digests):
     texts = [
         MARK,
         *digests,
@@ -313,10 +303,10 @@
         name_binding(SERVICE, 'dealers', BOUND_KEY),
     ]
     found = {
-        member.name: find_texts(run, folder, member.name, texts)
+        member.name: find_texts(run, run.processes.folder, member.name, texts)
         for member in run.roster.list_all()
     }
-    found['keyvalue'] = find_texts(run, folder, 'keyvalue', texts)
+    found['keyvalue'] = find_texts(run, run.processes.folder, 'keyvalue', texts)
     return found
 
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_versions.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_versions.py
@@ -16,8 +16,12 @@
     render_settings,
     render_version,
 )
-from baobabhinge_standins.tests.conftest import SMALL_PLAN, run_configured
-from baobabhinge_standins.tests.steps.completions import list_expected, send
+from baobabhinge_standins.tests.conftest import SMALL_PLAN
+from baobabhinge_standins.tests.steps.completions import (
+    find_runs,
+    list_expected,
+    send,
+)
 from baobabhinge_standins.weights.app import DEFAULT_BYTES, WeightFaults
 
 PLAN = msgspec.structs.replace(
@@ -125,12 +129,7 @@
         await wait_until(is_answered)
 
     async def find_runs(self, prompt):
-        return [
-            (engine, run)
-            for engine in self.engines
-            for run in await self.running.backends.read_engine_runs(engine)
-            if run.prompt == prompt
-        ]
+        return await find_runs(self.running, prompt)
 
 
 def render_with_versions(versions, default):
@@ -298,14 +297,11 @@
 
 
 @pytest.fixture(scope='module')
-def two_regions(loop, tmp_path_factory):
-    folder = tmp_path_factory.mktemp('versions-by-region')
-    context = run_configured(PLACED_PLAN, PLACED_SETTINGS, folder)
-    running = loop.run(context.__aenter__())
+def two_regions(serve, loop):
+    running = serve(PLACED_PLAN, PLACED_SETTINGS)
     engines = running.roster.list_by(Role.engine)
     loop.run(running.backends.wait_loaded(engines))
-    yield running
-    loop.run(context.__aexit__(None, None, None))
+    return running
 
 
 @given(
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_whole_answer.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_whole_answer.py
@@ -18,6 +18,7 @@
 from baobabhinge_standins.tests.conftest import SMALL_PLAN
 from baobabhinge_standins.tests.steps.completions import (
     ask,
+    find_runs,
     list_expected,
     send,
 )
@@ -55,16 +56,6 @@
     return three_regions
 
 
-async def find_runs(run, prompt):
-    """Return the engines that were given ``prompt``, and their runs of it."""
-    found = []
-    for engine in run.roster.list_by(Role.engine):
-        for entry in await run.backends.read_engine_runs(engine):
-            if entry.prompt == prompt:
-                found.append((engine, entry))
-    return found
-
-
 async def break_links(run, source):
     """Reset every open connection of ``source``."""
     names = [
