--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/conftest.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/conftest.py
@@ -8,16 +8,16 @@
 
 from baobabhinge_standins.fleet import DeploymentPlan, Role, run_deployment
 from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
+from baobabhinge_standins.fleet.settings import (
+    render_model,
+    render_plain,
+    render_settings,
+)
 from baobabhinge_standins.tests.steps.confirmations import (
     LEDGER_PLAN,
     LEDGER_SETTINGS,
     Confirmation,
 )
-from baobabhinge_standins.tests.steps.settings import (
-    render_model,
-    render_plain,
-    render_settings,
-)
 
 SMALL_PLAN = DeploymentPlan(
     name='small',
@@ -114,16 +114,20 @@
         yield start(LEDGER_PLAN, LEDGER_SETTINGS)
 
 
-@pytest.fixture
-def http(loop):
-    async def open_session():
+def open_session(loop):
+    """Yield a client session; a module can make it a fixture of its own."""
+
+    async def create():
         return aiohttp.ClientSession()
 
-    session = loop.run(open_session())
+    session = loop.run(create())
     yield session
     loop.run(session.close())
 
 
+http = pytest.fixture(open_session)
+
+
 @pytest.fixture
 def confirmation(ledger, http, loop):
     confirmation = Confirmation(ledger, http)
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_no_place_twice.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_no_place_twice.py
@@ -10,12 +10,21 @@
 from baobabhinge_standins.fleet import DeploymentPlan, Role
 from baobabhinge_standins.fleet.plans import WAN_LATENCY, BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_until
+from baobabhinge_standins.fleet.settings import (
+    render_model,
+    render_placement,
+    render_plain,
+    render_settings,
+)
 from baobabhinge_standins.links import CUT, Impairment, LinkFault
-from baobabhinge_standins.tests.conftest import run_configured
+from baobabhinge_standins.tests.conftest import open_session
 from baobabhinge_standins.tests.steps.completions import (
     ask,
+    find_runs,
     list_expected,
+    open_call,
     send,
+    set_engines,
 )
 from baobabhinge_standins.tests.steps.operators import (
     Generations,
@@ -24,27 +33,6 @@
 
 scenarios('no_place_twice.feature')
 
-SETTINGS = """
-[region west]
-failure-domains = west-a
-[region east]
-failure-domains = east-a
-[region south]
-failure-domains = south-a
-[service llm]
-kind = model
-deadline = 20 s
-[service ledger]
-kind = plain
-deadline = 5 s
-[placement ledger west]
-replicas = 1 vms
-[placement ledger east]
-replicas = 1 vms
-[placement ledger south]
-replicas = 1 vms
-"""
-PLACEMENT = '[placement llm {region}]\nreplicas = 1 vms\n'
 ENGINE_REGIONS = ('west', 'south')
 PLAN = DeploymentPlan(
     name='three-regions',
@@ -64,30 +52,21 @@
 
 def place(regions):
     """Return settings that place completions in ``regions``."""
-    placements = [PLACEMENT.format(region=region) for region in regions]
-    return ''.join((SETTINGS, *placements))
-
-
-@pytest.fixture(scope='module')
-def folder(tmp_path_factory):
-    return tmp_path_factory.mktemp('three-regions')
+    return render_settings(
+        msgspec.structs.replace(PLAN, backends=()),
+        render_model('20 s'),
+        render_plain('5 s'),
+        *(render_placement('ledger', region) for region in PLAN.gateways),
+        *(render_placement('llm', region) for region in regions),
+    )
 
 
-@pytest.fixture(scope='module')
-def three_regions(loop, folder):
-    context = run_configured(PLAN, place(ENGINE_REGIONS), folder)
-    yield loop.run(context.__aenter__())
-    loop.run(context.__aexit__(None, None, None))
+http = pytest.fixture(scope='module')(open_session)
 
 
 @pytest.fixture(scope='module')
-def http(loop):
-    async def open_session():
-        return aiohttp.ClientSession()
-
-    session = loop.run(open_session())
-    yield session
-    loop.run(session.close())
+def three_regions(serve):
+    return serve(PLAN, place(ENGINE_REGIONS))
 
 
 class Placements:
@@ -184,12 +163,7 @@
 
 async def list_regions(run, prompt):
     """Return the regions of the engines that were given ``prompt``."""
-    return [
-        engine.region
-        for engine in run.roster.list_by(Role.engine)
-        for entry in await run.backends.read_engine_runs(engine)
-        if entry.prompt == prompt
-    ]
+    return [engine.region for engine, _ in await find_runs(run, prompt)]
 
 
 async def send_forwarded(run, gateway, path):
@@ -278,11 +252,6 @@
     return asked, received, await list_regions(run, asked.prompt)
 
 
-async def set_engines(run, faults):
-    for engine in run.roster.list_by(Role.engine):
-        await run.backends.set_faults(engine, faults)
-
-
 async def break_used(run, prompt):
     """Break every connection of the entry to the region that runs it."""
     region = (await list_regions(run, prompt))[-1]
@@ -342,7 +311,13 @@
     """Send a call that its entry decides about while they disagree."""
     kept, newest = apart
     asked = ask(f'apart {next(numbers)}', 2, stream=False)
-    reader, writer = await open_call(run, entry, msgspec.json.encode(asked))
+    body = msgspec.json.encode(asked)
+    reader, writer = await open_call(
+        run.roster.get(entry).caller_address,
+        'Connection: close',
+        f'Content-Length: {len(body)}',
+        body=body,
+    )
     # The entry reads the call before it answers a question that came later.
     await placements.generations.read(entry)
     status = await placements.generations.read(kept)
@@ -352,34 +327,21 @@
     async with asyncio.timeout(30):
         answer = await reader.read()
     writer.close()
-    head, _, body = answer.partition(b'\r\n\r\n')
-    told = msgspec.json.decode(body)
+    head, _, text = answer.partition(b'\r\n\r\n')
+    told = msgspec.json.decode(text)
     told['head'] = head.decode()
     return told, await list_regions(run, asked.prompt)
 
 
-async def open_call(run, entry, body):
-    host, _, port = run.roster.get(entry).caller_address.partition(':')
-    lines = [
-        'POST /v1/completions HTTP/1.1',
-        'Host: gateway',
-        'Connection: close',
-        f'Content-Length: {len(body)}',
-        '\r\n',
-    ]
-    reader, writer = await asyncio.open_connection(host, int(port))
-    writer.write('\r\n'.join(lines).encode() + body)
-    await writer.drain()
-    return reader, writer
-
-
 @then(parsers.parse('the regions that refused it did so once: {regions}'))
-def check_refusing(run, ended, folder, regions):
+def check_refusing(run, ended, regions):
     told, _ = ended
     refusing = [
         gateway.region
         for gateway in run.roster.list_by(Role.gateway)
-        for line in (folder / f'{gateway.name}.log').read_text().splitlines()
+        for line in (run.processes.folder / f'{gateway.name}.log')
+        .read_text()
+        .splitlines()
         if is_refusal(json.loads(line), told)
     ]
     expected = [
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_whole_answer.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_whole_answer.py
@@ -10,16 +10,18 @@
 from baobabhinge_standins.fleet import Role
 from baobabhinge_standins.fleet.plans import BackendPlan
 from baobabhinge_standins.fleet.readiness import wait_until
+from baobabhinge_standins.fleet.settings import (
+    render_model,
+    render_plain,
+    render_settings,
+)
 from baobabhinge_standins.tests.conftest import SMALL_PLAN
 from baobabhinge_standins.tests.steps.completions import (
     ask,
+    find_runs,
     list_expected,
     send,
-)
-from baobabhinge_standins.tests.steps.settings import (
-    render_model,
-    render_plain,
-    render_settings,
+    set_engines,
 )
 
 scenarios('whole_answer.feature')
@@ -64,21 +66,6 @@
     return three_regions
 
 
-async def set_engines(run, faults):
-    for engine in run.roster.list_by(Role.engine):
-        await run.backends.set_faults(engine, faults)
-
-
-async def find_runs(run, prompt):
-    """Return the engines that were given ``prompt``, and their runs of it."""
-    found = []
-    for engine in run.roster.list_by(Role.engine):
-        for entry in await run.backends.read_engine_runs(engine):
-            if entry.prompt == prompt:
-                found.append((engine, entry))
-    return found
-
-
 async def break_links(run, source):
     """Reset every open connection of ``source``."""
     names = [
