Compare counts, and list watchers, as of one moment

The calls that the gateways report and those that the store counts were read one after another; a call made in between, at each of four readings, counted against the bound of one for each gateway. They are now read until no gateway has made a call meanwhile; the bound is the same. The two watchers of a region were listed once to see that they are two and once more to cut them off; the list that was seen is now the one that is used. A gateway that doesn't answer the status for 2 s ended two steps with a TypeError; it is now asked again, and what it does answer is checked as before.

--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_configuration.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_configuration.py
@@ -311,14 +311,19 @@
             for name in list_gateways(running, region)
         ]
         return [
-            status['vm'] for status in statuses if status['watches_manifest']
+            status['vm']
+            for status in statuses
+            if status and status['watches_manifest']
         ]
 
+    found = []
+
     async def are_two():
-        return len(await list_watchers()) == 2
+        found.append(await list_watchers())
+        return len(found[-1]) == 2
 
     await wait_until(are_two)
-    return await list_watchers()
+    return found[-1]
 
 
 FALLING_BEHIND = {
@@ -357,9 +362,11 @@
         assert all(
             status['generation'] == state['before']['generation']
             for status in statuses
+            if status
         )
         return all(
-            status['refused_generation'] == state['newer']
+            status
+            and status['refused_generation'] == state['newer']
             and 'unknown-section' in status['refused_faults'][0]
             for status in statuses
         )
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_store_outage.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_store_outage.py
@@ -123,7 +123,17 @@
 @then('the gateways report the calls that the key-value service counted')
 def compare(running, gateways, loop):
     async def count_both():
-        return await count_reported(gateways), (await count_served(running))[0]
+        """Return both counts from a moment at which no call was made."""
+        counts = []
+
+        async def is_quiet():
+            reported = await count_reported(gateways)
+            served, _ = await count_served(running)
+            counts.append((reported, served))
+            return await count_reported(gateways) == reported
+
+        await wait_until(is_quiet)
+        return counts[-1]
 
     reported, served = loop.run(count_both())
 
