--- a/packages/baobabhinge-caller/src/baobabhinge_caller/client.py
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/client.py
@@ -4,7 +4,7 @@
 
 from baobabhinge_caller.chunks import Token, read_token
 from baobabhinge_caller.completions import build_whole
-from baobabhinge_caller.errors import OutcomeUnknownError
+from baobabhinge_caller.errors import NotRunError, OutcomeUnknownError
 from baobabhinge_caller.exchange import Answer
 from baobabhinge_caller.keys import KeyPurse
 from baobabhinge_caller.outgoing import build_key_order, build_service_call
@@ -98,7 +98,11 @@
         used = key or await self._take_key()
         try:
             return await self._sender.send(build_service_call(asked, used))
+        except NotRunError:
+            self._keys.drop()
+            raise
         except OutcomeUnknownError as unknown:
+            self._keys.drop()
             raise OutcomeUnknownError(unknown.problem, used) from unknown
 
     async def _take_key(self) -> str:
--- a/packages/baobabhinge-caller/src/baobabhinge_caller/keys.py
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/keys.py
@@ -32,6 +32,10 @@
             self._keys.clear()
         return self._keys.popleft() if self._keys else None
 
+    def drop(self) -> None:
+        """Forget the keys: the gateway that would run them may be gone."""
+        self._keys.clear()
+
     def fill(self, body: bytes) -> None:
         """Keep the keys of an answer to ``POST /v1/keys``.
 
--- a/packages/baobabhinge-caller/src/baobabhinge_caller/moving.py
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/moving.py
@@ -16,6 +16,8 @@
 MAX_ATTEMPTS = 6
 LONGEST_PAUSE = timedelta(seconds=30)
 SERVED_ELSEWHERE = frozenset(('wrong-region', 'draining', 'no-connection'))
+# Its key is closed for good, at every gateway.
+KEY_CLOSED = 'not-run'
 NEVER_REPEATED = frozenset(('crashing-request', 'engine-crashed'))
 PASSING_STATUSES = frozenset(
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.MISDIRECTED_REQUEST),
@@ -43,7 +45,8 @@
     Raises
     ------
     NotRunError
-        If the attempts are used up and the call was not run.
+        If the call was not run, and the attempts are used up or its key is
+        closed.
     RefusedError
         If the call would be refused again.
     OutcomeUnknownError
@@ -54,7 +57,7 @@
     may_repeat = is_repeatable and problem.code not in NEVER_REPEATED
     if problem.outcome != NOT_RUN and not may_repeat:
         raise OutcomeUnknownError(problem)
-    if attempts >= MAX_ATTEMPTS:
+    if attempts >= MAX_ATTEMPTS or problem.code == KEY_CLOSED:
         raise name_failure(problem)
     if problem.code in SERVED_ELSEWHERE:
         return Move(timedelta())
--- /dev/null
+++ b/packages/baobabhinge-caller/src/baobabhinge_caller/tests/test_run_once.py
@@ -0,0 +1,74 @@
+"""Keys whose owner can't run them any more."""
+
+from contextlib import asynccontextmanager
+from http import HTTPMethod
+
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+
+from baobabhinge_caller import (
+    NotRunError,
+    OutcomeUnknownError,
+    ServiceCall,
+    open_client,
+)
+
+TRADE = ServiceCall('ledger', '/trades/1', HTTPMethod.POST, b'a')
+SEALED = ('not-run', 'not-run', NotRunError)
+LOST = ('outcome-unknown', 'unknown', OutcomeUnknownError)
+
+
+class Region:
+    """A gateway whose first batch of keys belongs to one that is gone."""
+
+    def __init__(self, code, outcome):
+        self.problem = {'code': code, 'outcome': outcome, 'status': 503}
+        self.batches = 0
+        self.sent = []
+
+    async def give_keys(self, request):
+        self.batches += 1
+        keys = [f'{self.batches}-{number}' for number in range(3)]
+        return web.json_response({'keys': keys, 'ttl_seconds': 300})
+
+    async def run(self, request):
+        key = request.headers['Baobabhinge-Key']
+        self.sent.append(key)
+        if key.startswith('1-'):
+            return web.json_response(
+                self.problem,
+                status=503,
+                content_type='application/problem+json',
+            )
+        return web.json_response({})
+
+
+@asynccontextmanager
+async def run_region(code, outcome):
+    region = Region(code, outcome)
+    app = web.Application()
+    app.router.add_post('/v1/keys', region.give_keys)
+    app.router.add_post('/services/{path:.*}', region.run)
+    async with (
+        TestServer(app) as server,
+        open_client([f'{server.host}:{server.port}']) as client,
+    ):
+        yield region, client
+
+
+async def test_a_key_that_is_sealed_is_not_sent_again():
+    async with run_region(*SEALED[:2]) as (region, client):
+        with pytest.raises(NotRunError):
+            await client.run_once(TRADE)
+    assert region.sent == ['1-0']
+
+
+@pytest.mark.parametrize(('code', 'outcome', 'error'), [SEALED, LOST])
+async def test_the_next_call_takes_a_key_of_another_batch(code, outcome, error):
+    async with run_region(code, outcome) as (region, client):
+        with pytest.raises(error):
+            await client.run_once(TRADE)
+        answer = await client.run_once(TRADE)
+    assert answer.status == 200
+    assert region.sent[-1] == '2-0'
