Let operators set how long run-once keys are good, and thaw gateways after it

Nothing shortened the retention of run-once keys, so no scenario of processes could pause a gateway past it. The process setting key-age (20 s to 15 min, 5 min if missing, as before) scales it: epochs span a fifth of it, and witnesses keep them 1.6 times as long, as before. The lower bound leaves a renewal, each tenth of the age, twice the second at which it is looked for; the upper one stays well below the hour for which bindings of Idempotency-Keys are kept.

New rows of the process settings: 4 bad texts, 2 bounds.

--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/__init__.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/__init__.py
@@ -67,6 +67,7 @@
 from baobabhinge_coordination.runonce.owner import Action as Action
 from baobabhinge_coordination.runonce.owner import Instruction as Instruction
 from baobabhinge_coordination.runonce.owner import Owner as Owner
+from baobabhinge_coordination.runonce.retention import KEY_AGE as KEY_AGE
 from baobabhinge_coordination.runonce.retention import Retention as Retention
 from baobabhinge_coordination.runonce.signing import KeySigner as KeySigner
 from baobabhinge_coordination.runonce.witness import Witness as Witness
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/retention.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/runonce/retention.py
@@ -5,8 +5,8 @@
 import msgspec
 
 KEY_AGE = timedelta(minutes=5)
-EPOCH_SPAN = timedelta(minutes=1)
-EPOCH_AGE = timedelta(minutes=8)
+SPAN_SHARE = 0.2
+EPOCH_FACTOR = 1.6
 KEYS_PER_EPOCH = 2000
 MAX_EPOCHS = 256
 MAX_ANSWER_BYTES = 64 << 10
@@ -38,9 +38,14 @@
     """
 
     key_age: timedelta = KEY_AGE
-    epoch_span: timedelta = EPOCH_SPAN
-    epoch_age: timedelta = EPOCH_AGE
+    epoch_span: timedelta = KEY_AGE * SPAN_SHARE
+    epoch_age: timedelta = KEY_AGE * EPOCH_FACTOR
     keys_per_epoch: int = KEYS_PER_EPOCH
     max_epochs: int = MAX_EPOCHS
     max_answer_bytes: int = MAX_ANSWER_BYTES
     max_kept_bytes: int = MAX_KEPT_BYTES
+
+    @classmethod
+    def scale(cls, key_age: timedelta) -> 'Retention':
+        """Return the bounds at which keys can be used for ``key_age``."""
+        return cls(key_age, key_age * SPAN_SHARE, key_age * EPOCH_FACTOR)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/daemon.py
@@ -84,6 +84,7 @@
             platform,
             self._lifecycle,
             self._active,
+            self._settings.identity.key_age,
         )
         await self.add_runtime_dependency(run_once)
         calls = build_call_server(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/process/settings.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/process/settings.py
@@ -1,9 +1,11 @@
 """Addresses, region and failure domain of one gateway process."""
 
+from datetime import timedelta
 from pathlib import Path
 
 import msgspec
 
+from baobabhinge_coordination.runonce import KEY_AGE
 from baobabhinge_gateway.errors import GatewayError
 from baobabhinge_settings import (
     Key,
@@ -11,12 +13,20 @@
     SettingsError,
     read_single,
 )
+from baobabhinge_settings.codes import FaultCode
+from baobabhinge_settings.errors import FieldError
 from baobabhinge_settings.schema.addresses import (
     parse_address,
     parse_addresses,
     parse_url,
 )
 from baobabhinge_settings.schema.names import parse_name
+from baobabhinge_settings.schema.numbers import parse_duration
+
+# Epochs are renewed each tenth of the age, and looked at each second.
+SHORTEST_KEY_AGE = timedelta(seconds=20)
+# Bindings of Idempotency-Keys are kept for an hour.
+LONGEST_KEY_AGE = timedelta(minutes=15)
 
 
 class ProcessSettingsError(GatewayError):
@@ -37,6 +47,8 @@
     seeds : str, optional
         ``host:port`` of gateways of the region, separated by commas; by them
         this one finds the others when the list of vms can't be read.
+    key_age : timedelta, optional
+        How long run-once keys that it makes can be used.
     """
 
     name: str
@@ -45,6 +57,7 @@
     caller_address: str
     peer_address: str
     seeds: str = ''
+    key_age: timedelta = KEY_AGE
 
     def list_seeds(self) -> list[str]:
         """Return the addresses of ``seeds`` one by one."""
@@ -66,6 +79,23 @@
     platform: PlatformAddresses
 
 
+def parse_key_age(text: str) -> timedelta:
+    """Return how long a run-once key can be used.
+
+    Raises
+    ------
+    FieldError
+        If it is not a duration, or too short or too long.
+    """
+    age = parse_duration(text)
+    if SHORTEST_KEY_AGE <= age <= LONGEST_KEY_AGE:
+        return age
+    raise FieldError(
+        FaultCode.out_of_range,
+        f'"{text}" is too short or too long; allowed: 20 s to 15 min',
+    )
+
+
 PROCESS = SectionForm(
     'process',
     (
@@ -75,6 +105,7 @@
         Key('caller-address', parse_address),
         Key('peer-address', parse_address),
         Key('seeds', parse_addresses, is_required=False),
+        Key('key-age', parse_key_age, is_required=False),
     ),
 )
 PLATFORM = SectionForm(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/process/tests/test_settings.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/process/tests/test_settings.py
@@ -2,6 +2,7 @@
 
 import subprocess
 import sys
+from datetime import timedelta
 
 import pytest
 
@@ -42,6 +43,10 @@
     ('bad-address', 7, ('[platform]', 'seeds = 10.0.0.6\n[platform]')),
     ('bad-address', 8, ('http://store.example:8500', '10.0.0.9:8500')),
     ('bad-address', 8, ('http://store.example:8500', 'http://')),
+    ('out-of-range', 7, ('[platform]', 'key-age = 19 s\n[platform]')),
+    ('out-of-range', 7, ('[platform]', 'key-age = 16 min\n[platform]')),
+    ('wrong-unit', 7, ('[platform]', 'key-age = 20 days\n[platform]')),
+    ('number-without-unit', 7, ('[platform]', 'key-age = 20\n[platform]')),
 )
 
 
@@ -67,9 +72,17 @@
     assert settings.platform.vm_list == 'http://platform.example:8600/vms'
 
 
-def test_seeds_may_be_left_out(tmp_path):
+def test_seeds_and_key_age_may_be_left_out(tmp_path):
     settings = read_process_settings(write(tmp_path, GOOD))
     assert not settings.identity.list_seeds()
+    assert settings.identity.key_age == timedelta(minutes=5)
+
+
+@pytest.mark.parametrize(('text', 'seconds'), [('20 s', 20), ('15 min', 900)])
+def test_key_age_within_its_bounds(text, seconds, tmp_path):
+    lines = change('[platform]', f'key-age = {text}\n[platform]')
+    settings = read_process_settings(write(tmp_path, lines))
+    assert settings.identity.key_age == timedelta(seconds=seconds)
 
 
 @pytest.mark.parametrize(('code', 'line', 'changed'), BAD)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/assembly.py
@@ -1,5 +1,6 @@
 """Putting together the parts for run-once calls of one gateway."""
 
+from datetime import timedelta
 from random import SystemRandom
 
 from baobabhinge_coordination.clock import SystemClock
@@ -21,8 +22,23 @@
     platform: Platform,
     lifecycle: Lifecycle,
     active: ActiveConfiguration,
+    key_age: timedelta,
 ) -> RunOnceParts:
-    """Return the parts; they start with the service."""
+    """Return the parts; they start with the service.
+
+    Parameters
+    ----------
+    fleet : FleetView
+        Gateways and backend servers.
+    platform : Platform
+        Clients of the platform's services.
+    lifecycle : Lifecycle
+        Stage of this process.
+    active : ActiveConfiguration
+        Configuration in force.
+    key_age : timedelta
+        How long keys made here can be used.
+    """
     environment = Environment(
         platform.http,
         fleet,
@@ -34,6 +50,7 @@
         lifecycle.incarnation,
         environment.clock,
         environment.random,
+        key_age,
     )
     store = platform.open_store(STORE_ROLE)
     binder = KeyBinder(store, memory, active)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/memory.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/runonce/memory.py
@@ -1,5 +1,6 @@
 """What one gateway remembers about run-once calls."""
 
+from datetime import timedelta
 from random import Random
 
 from baobabhinge_coordination.clock import Clock
@@ -29,6 +30,8 @@
         Clock of the ages.
     random : Random
         Generator of keys; one that can't be predicted.
+    key_age : timedelta
+        How long own keys can be used.
 
     Attributes
     ----------
@@ -48,10 +51,11 @@
         incarnation: str,
         clock: Clock,
         random: Random,
+        key_age: timedelta,
     ) -> None:
         """Start without keys and epochs."""
         party = Party(hop.gateway, incarnation)
-        self.retention = Retention()
+        self.retention = Retention.scale(key_age)
         self._signer = KeySigner(random)
         self.owner = Owner(party, clock, self.retention)
         self.witness = Witness(party, clock, self.retention)
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/deployment.py
@@ -69,7 +69,11 @@
         self._folder = folder
         self._http = http
         self.backends = Backends(http)
-        self.platform = Platform(http, has_weights=plan.has_weights)
+        self.platform = Platform(
+            http,
+            plan.process_lines,
+            has_weights=plan.has_weights,
+        )
         self.processes = processes
         self.roster = Roster(plan.failure_domains)
         self.links = Links(http, self.platform.links_address)
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/plans.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/plans.py
@@ -48,6 +48,8 @@
         One-way latency between the failure domains of a region.
     failure_domains : int
         Failure domains of each region.
+    process_lines : tuple of str
+        More lines of the section ``[process]`` of every gateway.
     link_bits_per_second : int
         Bandwidth of each link between two regions.
     store_region : str
@@ -74,6 +76,7 @@
     has_weights: bool = False
     domain_latency: timedelta = timedelta()
     failure_domains: int = 1
+    process_lines: tuple[str, ...] = ()
 
     @property
     def home_of_store(self) -> str:
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/platform.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/fleet/platform.py
@@ -1,7 +1,7 @@
 """The platform's stand-ins of one deployment."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import aiohttp
 import msgspec
@@ -56,16 +56,18 @@
         Weight store, if the deployment has one.
     """
 
-    __slots__ = ('_ports', 'lists', 'store', 'weights')
+    __slots__ = ('_ports', '_process_lines', 'lists', 'store', 'weights')
 
     def __init__(
         self,
         http: aiohttp.ClientSession,
+        process_lines: Sequence[str],
         *,
         has_weights: bool,
     ) -> None:
         """Choose ports; start nothing yet."""
         self._ports = choose_ports(has_weights=has_weights)
+        self._process_lines = process_lines
         self.lists = ControlClient(http, self._ports[LISTS].address)
         self.store = ControlClient(http, self.store_address)
         self.weights = None
@@ -128,6 +130,7 @@
                 f'caller-address = {member.caller_address}',
                 f'peer-address = {member.address}',
                 f'seeds = {addresses}',
+                *self._process_lines,
                 '[platform]',
                 f'key-value = {store}',
                 f'vm-list = {lists}/vms/{member.name}',
