--- a/packages/baobabhinge-operator/src/baobabhinge_operator/reaching.py
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/reaching.py
@@ -15,6 +15,7 @@
     VmListUnreachableError,
 )
 from baobabhinge_platform.machines import VmList, VmListError
+from baobabhinge_platform.sessions import build_session
 from baobabhinge_platform.store import ConsulStore, ConsulTransport
 
 READ_TIMEOUT = timedelta(seconds=5)
@@ -30,7 +31,7 @@
         Address that goes before that of the settings file.
     """
     address = read_addresses().choose_store(given)
-    async with aiohttp.ClientSession() as http:
+    async with build_session() as http:
         yield ConsulStore(ConsulTransport(http, address))
 
 
