Give four things of routing and execution a name of their own

Read as a newcomer, some names stood for two things. Accounts was both the counts of a gateway and the protocol of the open calls by workspace, which is OpenCalls now. judge was three: it marks a candidate that a limit blocks (mark_blocked), builds the candidates (_build_candidates) and tells a circuit how an exchange ended (_note_end). Failures had add and note, of which one counts (count_failure, note_refusal), and _is_told beside told, though it asks whether engines of another region crashed (_has_crashed_elsewhere).

No behaviour is changed.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/attempts.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/attempts.py
@@ -92,9 +92,9 @@
         if isinstance(failure, NoBackendServerError):
             return
         if isinstance(failure, ModelNotLoadedError) and not target.is_remote:
-            self._failures.note(failure)
+            self._failures.note_refusal(failure)
             return
-        self._failures.add(failure)
+        self._failures.count_failure(failure)
         self._ranked = ()
         if target.is_remote:
             passed = Hop(target.vm.name, target.vm.region)
@@ -121,7 +121,7 @@
         try:
             return self._isolation.choose(self.call, unspent)
         except CrashingRequestError as refused:
-            raise self._failures.combine(refused) from refused
+            raise self._failures.choose_told(refused) from refused
 
     def _decide(self) -> Decision:
         try:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/failures.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/failures.py
@@ -34,17 +34,18 @@
         self.told: CallError | None = None
         self.is_final = False
 
-    def add(self, failure: CallError) -> None:
+    def count_failure(self, failure: CallError) -> None:
         """Note one more failure."""
         self.count += 1
-        self.told = self.combine(failure)
-        self.is_final = failure.code in FINAL_CODES or _is_told(failure)
+        self.told = self.choose_told(failure)
+        has_final_code = failure.code in FINAL_CODES
+        self.is_final = has_final_code or _has_crashed_elsewhere(failure)
 
-    def note(self, refusal: CallError) -> None:
+    def note_refusal(self, refusal: CallError) -> None:
         """Note a refusal that costs nothing; it does not count as failure."""
-        self.told = self.combine(refusal)
+        self.told = self.choose_told(refusal)
 
-    def combine(self, failure: CallError) -> CallError:
+    def choose_told(self, failure: CallError) -> CallError:
         """Return what is to be told after ``failure`` and those before it.
 
         A call that may have run once is never told to be not run.
@@ -56,7 +57,7 @@
         return self.told
 
 
-def _is_told(failure: CallError) -> bool:
+def _has_crashed_elsewhere(failure: CallError) -> bool:
     """Tell whether the call crashed engines of another region.
 
     That region has run it again as far as it may; a further region would
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/dispatch.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/dispatch.py
@@ -65,7 +65,7 @@
             If a candidate was reached and its answer broke.
         """
         async with AsyncExitStack() as stack:
-            stack.enter_context(self._tracker.accounts.track(call))
+            stack.enter_context(self._tracker.open_calls.track(call))
             yield await self._reach_first(stack, call, candidates)
 
     async def _reach_first(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/estimated.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/estimated.py
@@ -39,17 +39,17 @@
 
     def rank(self, call: Call, targets: Sequence[Target]) -> Decision:
         """Return the candidates, those that a limit blocks apart."""
-        judged = self._judge(call, targets)
-        home = self._rank_home(call, judged)
-        away = _select(judged, is_remote=True)
+        candidates = self._build_candidates(call, targets)
+        home = self._rank_home(call, candidates)
+        away = _select(candidates, is_remote=True)
         if self._may_leave(call, home, away):
             ranked = (away[0], *home, *away[1:])
         else:
             ranked = (*home, *away)
-        blocked = [candidate for candidate in judged if candidate.blocked]
+        blocked = [candidate for candidate in candidates if candidate.blocked]
         return Decision(ranked, tuple(blocked))
 
-    def _judge(
+    def _build_candidates(
         self,
         call: Call,
         targets: Sequence[Target],
@@ -58,16 +58,19 @@
         shuffled = self._parts.random.sample(targets, len(targets))
         estimates = self._parts.estimator.estimate(shuffled)
         return [
-            self._parts.limits.judge(call, _weigh(target, estimate, objective))
+            self._parts.limits.mark_blocked(
+                call,
+                _weigh(target, estimate, objective),
+            )
             for target, estimate in zip(shuffled, estimates, strict=True)
         ]
 
     def _rank_home(
         self,
         call: Call,
-        judged: Sequence[Candidate],
+        candidates: Sequence[Candidate],
     ) -> list[Candidate]:
-        home = _select(judged, is_remote=False)
+        home = _select(candidates, is_remote=False)
         prefix = compute_prefix(call)
         if prefix is None:
             return home
@@ -105,13 +108,13 @@
 
 
 def _select(
-    judged: Sequence[Candidate],
+    candidates: Sequence[Candidate],
     *,
     is_remote: bool,
 ) -> list[Candidate]:
     fitting = [
         candidate
-        for candidate in judged
+        for candidate in candidates
         if candidate.target.is_remote is is_remote and not candidate.blocked
     ]
     return sorted(fitting, key=_order)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/gates.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/gates.py
@@ -14,8 +14,8 @@
         """Let ``call`` pass or raise a `CallError`."""
 
 
-class Accounts(Protocol):
-    """Counts of open calls by their owner."""
+class OpenCalls(Protocol):
+    """Counts of open calls by their workspace."""
 
     def track(self, call: Call) -> AbstractContextManager[None]:
         """Count ``call`` while the context is open."""
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/limits.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/limits.py
@@ -29,7 +29,7 @@
         self._circuits = circuits
         self._links = links
 
-    def judge(self, call: Call, candidate: Candidate) -> Candidate:
+    def mark_blocked(self, call: Call, candidate: Candidate) -> Candidate:
         """Return the candidate, marked with the limit that blocks it."""
         limit = self._find_limit(call, candidate)
         if limit:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/tracking.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/tracking.py
@@ -13,7 +13,7 @@
 from baobabhinge_gateway.routing.circuits import Circuits
 from baobabhinge_gateway.routing.counters import InFlight
 from baobabhinge_gateway.routing.decisions import Candidate
-from baobabhinge_gateway.routing.gates import Accounts
+from baobabhinge_gateway.routing.gates import OpenCalls
 from baobabhinge_gateway.routing.links import LinkBudget, LinkRates
 from baobabhinge_gateway.routing.observations import Observations
 from baobabhinge_gateway.routing.timing import ExchangeTimer
@@ -32,24 +32,24 @@
         Bytes that may leave the region.
     observations : Observations
         Finished exchanges.
-    accounts : Accounts
+    open_calls : OpenCalls
         Calls open by workspace.
     """
 
     __slots__ = (
         '_clock',
-        'accounts',
         'circuits',
         'in_flight',
         'links',
         'observations',
+        'open_calls',
     )
 
     def __init__(
         self,
         clock: Clock,
         rates: LinkRates,
-        accounts: Accounts,
+        open_calls: OpenCalls,
     ) -> None:
         """Start without exchanges."""
         self._clock = clock
@@ -57,7 +57,7 @@
         self.circuits = Circuits(clock)
         self.links = LinkBudget(clock, rates)
         self.observations = Observations(clock)
-        self.accounts = accounts
+        self.open_calls = open_calls
 
     @contextmanager
     def track(
@@ -75,11 +75,12 @@
             target.place,
             candidate.wait,
         )
-        with self.in_flight.track(target.vm.name), self._judge(target.place):
+        with self.in_flight.track(target.vm.name), self._note_end(target.place):
             yield timer
 
     @contextmanager
-    def _judge(self, place: str) -> Iterator[None]:
+    def _note_end(self, place: str) -> Iterator[None]:
+        """Tell the circuit of ``place`` how the exchange ends."""
         try:
             yield
         except (NotReachedError, OutcomeUnknownError, RelayedProblemError):
