Spread the times at which refused connections come back

Cause: refusals of connections, and of requests that can't be read, are written without the renderer of problems and told 1 s to each caller; docs/errors.md says that the time is drawn at random, so that callers do not return together.

Now the server of an address holds the renderer, and both ways describe a problem in one place, 1 to 3 s for these.

Red before: test_refused_connections_are_told_to_come_back_at_other_times, 1 failed. Green after: the tests of the gateway package.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/connections.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/connections.py
@@ -1,14 +1,16 @@
 """Connections: their number, slow ones, and requests that can't be read."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from http import HTTPStatus
-from typing import cast
+from typing import Any, cast
 
 import structlog
 from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
 
+from baobabhinge_gateway.callers.problems import ProblemRenderer
 from baobabhinge_gateway.callers.serializing import serialize_error
 from baobabhinge_gateway.calls.headers import create_request_id
 from baobabhinge_gateway.errors import (
@@ -25,6 +27,34 @@
 log = structlog.get_logger(__name__)
 
 
+class GuardedServer(web.Server):
+    """The connections of one address.
+
+    Parameters
+    ----------
+    problems : ProblemRenderer
+        Describes refusals, also of what never becomes a request.
+    answer : callable
+        Answers requests.
+    **kwargs
+        As of `aiohttp.web.Server`.
+    """
+
+    def __init__(
+        self,
+        problems: ProblemRenderer,
+        answer: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        **kwargs: Any,
+    ) -> None:
+        """Keep the parts; no connection is made."""
+        super().__init__(answer, **kwargs)
+        self.problems = problems
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the handler of one connection."""
+        return GuardedConnection(self, loop=self._loop, **self._kwargs)
+
+
 class GuardedConnection(web.RequestHandler):
     """A connection that is refused or ended with problem details."""
 
@@ -33,8 +63,7 @@
         super().connection_made(transport)
         loop = asyncio.get_running_loop()
         loop.call_later(HEADER_PATIENCE.total_seconds(), self._check_arrival)
-        manager = cast(web.Server, self._manager)
-        if len(manager.connections) > MAX_CONNECTIONS:
+        if len(self._server.connections) > MAX_CONNECTIONS:
             self._end(TooManyConnectionsError('too many open connections'))
 
     def handle_error(
@@ -51,6 +80,10 @@
         self._end(error)
         return web.Response(status=error.status)
 
+    @property
+    def _server(self) -> GuardedServer:
+        return cast(GuardedServer, self._manager)
+
     def _check_arrival(self) -> None:
         if not self._request_count:
             self._end(SlowRequestError('no request arrived in time'))
@@ -63,5 +96,6 @@
                 code=error.code,
                 request_id=request_id,
             )
-            self.transport.write(serialize_error(error, request_id))
+            problem = self._server.problems.describe(error, request_id)
+            self.transport.write(serialize_error(error, problem))
             self.transport.close()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/problems.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/problems.py
@@ -1,7 +1,6 @@
 """Answering errors as problem details."""
 
 from collections.abc import Awaitable, Callable
-from datetime import timedelta
 from http import HTTPStatus
 from random import Random
 
@@ -17,7 +16,11 @@
 )
 from baobabhinge_gateway.errors import CallError, InternalError
 from baobabhinge_gateway.errors.http import describe_http_error
-from baobabhinge_gateway.errors.problem import PROBLEM_TYPE, describe_problem
+from baobabhinge_gateway.errors.problem import (
+    PROBLEM_TYPE,
+    Problem,
+    describe_problem,
+)
 
 RETRY_AFTER = 'Retry-After'
 ALLOW = 'Allow'
@@ -42,10 +45,14 @@
         """Keep the generator."""
         self._random = random
 
+    def describe(self, error: CallError, request_id: str) -> Problem:
+        """Return the problem details, with a time of its own to come back."""
+        pause = error.retry_after * self._random.uniform(1, 1 + SPREAD)
+        return describe_problem(error, request_id, pause)
+
     def render(self, error: CallError, request_id: str = '') -> web.Response:
         """Return the HTTP answer for ``error``."""
-        pause = self._spread(error.retry_after)
-        problem = describe_problem(error, request_id, pause)
+        problem = self.describe(error, request_id)
         return web.Response(
             status=error.status,
             body=msgspec.json.encode(problem),
@@ -80,9 +87,6 @@
             response.headers[ALLOW] = fault.headers[ALLOW]
         return response
 
-    def _spread(self, pause: timedelta) -> timedelta:
-        return pause * self._random.uniform(1, 1 + SPREAD)
-
 
 def _describe(fault: Exception) -> CallError:
     if isinstance(fault, CallError):
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/runner.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/runner.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from baobabhinge_gateway.callers.connections import GuardedConnection
+from baobabhinge_gateway.callers.connections import GuardedServer
 from baobabhinge_gateway.callers.problems import ProblemRenderer
 
 IDLE_PATIENCE = timedelta(seconds=75)
@@ -26,7 +26,8 @@
             problems.answer_problems,
             handler=plain.request_handler,
         )
-        return _GuardedServer(
+        return GuardedServer(
+            problems,
             answer,
             request_factory=plain.request_factory,
             handler_cancellation=True,
@@ -34,8 +35,3 @@
             keepalive_timeout=IDLE_PATIENCE.total_seconds(),
             auto_decompress=False,
         )
-
-
-class _GuardedServer(web.Server):
-    def __call__(self) -> web.RequestHandler:
-        return GuardedConnection(self, loop=self._loop, **self._kwargs)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/serializing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/serializing.py
@@ -4,12 +4,19 @@
 
 from baobabhinge_gateway.calls.headers import OUTCOME, REQUEST_ID
 from baobabhinge_gateway.errors import CallError
-from baobabhinge_gateway.errors.problem import PROBLEM_TYPE, describe_problem
+from baobabhinge_gateway.errors.problem import PROBLEM_TYPE, Problem
 
 
-def serialize_error(error: CallError, request_id: str) -> bytes:
-    """Return a whole HTTP answer that closes the connection."""
-    problem = describe_problem(error, request_id)
+def serialize_error(error: CallError, problem: Problem) -> bytes:
+    """Return a whole HTTP answer that closes the connection.
+
+    Parameters
+    ----------
+    error : CallError
+        The refusal.
+    problem : Problem
+        What is told of it.
+    """
     body = msgspec.json.encode(problem)
     status = error.status
     lines = (
@@ -17,7 +24,7 @@
         f'Content-Type: {PROBLEM_TYPE}',
         f'Content-Length: {len(body)}',
         f'Retry-After: {problem.retry_after_seconds}',
-        f'{REQUEST_ID}: {request_id}',
+        f'{REQUEST_ID}: {problem.request_id}',
         f'{OUTCOME}: {error.outcome}',
         'Connection: close',
         '',
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/tests/test_connections.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/tests/test_connections.py
@@ -119,6 +119,11 @@
         assert await answer.read() == body
 
 
+async def test_refused_connections_are_told_to_come_back_at_other_times(port):
+    problems = [await exchange(port, b'not http\r\n\r\n') for _ in range(40)]
+    assert {each['retry_after_seconds'] for each in problems} == {2, 3}
+
+
 async def test_the_log_names_a_refusal_and_none_of_its_text(port):
     with structlog.testing.capture_logs() as lines:
         problem = await exchange(port, b'POST /secret nonsense\r\n\r\n')
