Let the stream outlast the loading, and ask each gateway first

The stream whose engine is killed took 15 s; changing the settings and loading on four engines had to be over before, else its engine was no longer 'running'. Its first engine now takes 60 s for it. The scenarios began once one gateway had answered; a stream through the other, which had not yet heard of an engine with the version, would have waited for its first token for ever. They now begin once each gateway has answered. What is expected is the same.

Not brought about.

--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_versions.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_versions.py
@@ -6,6 +6,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from baobabhinge_standins.control import ControlClient
+from baobabhinge_standins.engine.faults import EngineFaults
 from baobabhinge_standins.engine.messages import EngineRequest
 from baobabhinge_standins.fleet import Role
 from baobabhinge_standins.fleet.plans import BackendPlan
@@ -66,7 +67,9 @@
 versions = v2
 """
 CALLERS = 6
-STREAM_TOKENS = 1500
+STREAM_TOKENS = 1000
+# The engine that begins a stream takes 60 s for it, which outlasts loading.
+SLOW = EngineFaults(slowdown=6)
 
 scenarios('versions.feature')
 
@@ -146,6 +149,10 @@
 
         await wait_until(is_answered)
 
+    async def set_engines(self, faults):
+        for engine in self.engines:
+            await self.running.backends.set_faults(engine, faults)
+
     async def find_runs(self, prompt):
         return [
             (engine, run)
@@ -179,10 +186,13 @@
     rollout = Rollout(running, http, tmp_path)
     loop.run(rollout.wait_held(['v1']))
 
-    async def is_answered():
-        return (await rollout.call('llm')).is_done
+    gateways = running.roster.list_by(Role.gateway)
+
+    async def are_answered():
+        answers = [await rollout.call('llm') for _ in gateways]
+        return all(answer.is_done for answer in answers)
 
-    loop.run(wait_until(is_answered))
+    loop.run(wait_until(are_answered))
     rollout.calls.clear()
     return rollout
 
@@ -271,7 +281,9 @@
         )
         await begun.wait()
 
+    loop.run(rollout.set_engines(SLOW))
     loop.run(begin())
+    loop.run(rollout.set_engines(EngineFaults()))
     rollout.stream = asked
 
 
