--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/connections.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/connections.py
@@ -6,13 +6,10 @@
 from http import HTTPStatus
 from typing import Any, cast
 
-import structlog
 from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
 
 from baobabhinge_gateway.callers.problems import ProblemRenderer
-from baobabhinge_gateway.callers.serializing import serialize_error
-from baobabhinge_gateway.calls.headers import create_request_id
 from baobabhinge_gateway.errors import (
     CallError,
     HeadersTooLargeError,
@@ -24,8 +21,6 @@
 MAX_CONNECTIONS = 4096
 HEADER_PATIENCE = timedelta(seconds=10)
 
-log = structlog.get_logger(__name__)
-
 
 class GuardedServer(web.Server):
     """The connections of one address.
@@ -90,12 +85,6 @@
 
     def _end(self, error: CallError) -> None:
         if self.transport is not None and not self.transport.is_closing():
-            request_id = create_request_id()
-            log.info(
-                'connection-refused',
-                code=error.code,
-                request_id=request_id,
-            )
-            problem = self._server.problems.describe(error, request_id)
-            self.transport.write(serialize_error(error, problem))
+            answer = self._server.problems.refuse_connection(error)
+            self.transport.write(answer)
             self.transport.close()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/problems.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/problems.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from baobabhinge_gateway.callers.keyed import weaken_refusal
+from baobabhinge_gateway.callers.serializing import serialize_error
 from baobabhinge_gateway.calls.headers import (
     OUTCOME,
     REQUEST_ID,
@@ -45,14 +46,15 @@
         """Keep the generator."""
         self._random = random
 
-    def describe(self, error: CallError, request_id: str) -> Problem:
-        """Return the problem details, with a time of its own to come back."""
-        pause = error.retry_after * self._random.uniform(1, 1 + SPREAD)
-        return describe_problem(error, request_id, pause)
+    def refuse_connection(self, error: CallError) -> bytes:
+        """Return the whole HTTP answer to what never became a request."""
+        request_id = create_request_id()
+        log.info('connection-refused', code=error.code, request_id=request_id)
+        return serialize_error(error, self._describe(error, request_id))
 
     def render(self, error: CallError, request_id: str = '') -> web.Response:
         """Return the HTTP answer for ``error``."""
-        problem = self.describe(error, request_id)
+        problem = self._describe(error, request_id)
         return web.Response(
             status=error.status,
             body=msgspec.json.encode(problem),
@@ -78,8 +80,13 @@
         except Exception as fault:
             return self._refuse(request, fault)
 
+    def _describe(self, error: CallError, request_id: str) -> Problem:
+        """Return the problem details, with a time of its own to come back."""
+        pause = error.retry_after * self._random.uniform(1, 1 + SPREAD)
+        return describe_problem(error, request_id, pause)
+
     def _refuse(self, request: web.Request, fault: Exception) -> web.Response:
-        error = weaken_refusal(request, _describe(fault))
+        error = weaken_refusal(request, _name_fault(fault))
         request_id = request.get('request_id') or create_request_id()
         log.info('call-refused', code=error.code, request_id=request_id)
         response = self.render(error, request_id)
@@ -88,7 +95,7 @@
         return response
 
 
-def _describe(fault: Exception) -> CallError:
+def _name_fault(fault: Exception) -> CallError:
     if isinstance(fault, CallError):
         return fault
     if isinstance(fault, web.HTTPException):
