--- a/packages/baobabhinge-operator/src/baobabhinge_operator/tests/test_addresses.py
+++ b/packages/baobabhinge-operator/src/baobabhinge_operator/tests/test_addresses.py
@@ -5,8 +5,8 @@
 
 GOOD = """[operator]
 author = mika
-key-value = http://10.0.0.9:8500
-vm-list = http://10.0.0.7:8600/vms
+key-value = http://store.example:8500
+vm-list = http://platform.example:8600/vms
 gateways = 10.0.1.4:8080, 10.0.2.4:8080
 """
 
@@ -22,8 +22,8 @@
     path.write_text(GOOD)
     addresses = read_addresses()
     assert addresses.publisher == 'mika'
-    assert addresses.choose_store(None) == 'http://10.0.0.9:8500'
-    assert addresses.choose_vm_list(None) == 'http://10.0.0.7:8600/vms'
+    assert addresses.choose_store(None) == 'http://store.example:8500'
+    assert addresses.choose_vm_list(None) == 'http://platform.example:8600/vms'
     assert addresses.list_gateways(None) == ['10.0.1.4:8080', '10.0.2.4:8080']
 
 
@@ -42,7 +42,7 @@
         ('duplicate-key', 3, 'key-value', 'author'),
         ('malformed-line', 2, 'author =', 'author:'),
         ('bad-address', 3, 'http://', ''),
-        ('bad-address', 4, 'http://10.0.0.7', '10.0.0.7'),
+        ('bad-address', 4, 'http://platform.example', 'platform.example'),
         ('bad-address', 5, '10.0.2.4:8080', '10.0.2.4'),
     ],
 )
