Serve callers of the users' platform by a thin whole path

Cause: the gateway ran on our own stand-ins only. The platform's callers send opaque HTTP requests with terms in headers, so the path of completions and keyed calls does not fit them.

New in the product: deployment (routes, services, servers), forwarding (calls sent on as they are), neighbours (heartbeats between gateways).

--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/clock/system.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/clock/system.py
@@ -16,3 +16,17 @@
     def read_monotonic(self) -> timedelta:
         """Return the monotonic time of this machine."""
         return timedelta(seconds=time.monotonic())
+
+
+class BootClock:
+    """Read the wall clock, and a clock that goes on while the vm sleeps."""
+
+    __slots__ = ()
+
+    def read_instant(self) -> datetime:
+        """Return the current instant in UTC."""
+        return datetime.now(UTC)
+
+    def read_monotonic(self) -> timedelta:
+        """Return the time since the start of this machine, sleep included."""
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/choosing.py
@@ -0,0 +1,143 @@
+"""Choosing the target of the next attempt."""
+
+from collections.abc import Collection, Sequence
+from datetime import timedelta
+from random import Random
+
+from baobabhinge_coordination.clock import Clock
+from baobabhinge_gateway.forwarding.call import Call
+from baobabhinge_gateway.forwarding.estimates import Prospect
+from baobabhinge_gateway.forwarding.lending import (
+    choose_region,
+    find_best_wait,
+)
+from baobabhinge_gateway.forwarding.placement import (
+    Placement,
+    Ranking,
+)
+from baobabhinge_gateway.forwarding.problems import NotServedError
+from baobabhinge_gateway.forwarding.protocols import GatewayListing
+from baobabhinge_gateway.forwarding.targets import Target
+from baobabhinge_gateway.forwarding.warmup import WarmUpPace, choose_sender
+
+# A refused caller may come back when a call of usual length has ended.
+RETRY_AFTER = timedelta(milliseconds=500)
+
+
+class Surroundings:
+    """Regions around this gateway, and the gateways in them.
+
+    Parameters
+    ----------
+    own_name, home : str
+        This gateway and its region.
+    gateways : GatewayListing
+        Live gateways.
+    """
+
+    __slots__ = ('gateways', 'home', 'own_name', 'regions')
+
+    def __init__(
+        self,
+        own_name: str,
+        home: str,
+        regions: Sequence[str],
+        gateways: GatewayListing,
+    ) -> None:
+        """Keep the parts."""
+        self.own_name = own_name
+        self.home = home
+        self.regions = regions
+        self.gateways = gateways
+
+    def list_away(self, call: Call) -> Sequence[str]:
+        """Return the other regions that may serve and can be reached."""
+        if call.is_lent:
+            return []
+        return [
+            region
+            for region in self.regions
+            if region != self.home
+            and call.route.allows(region)
+            and self.gateways.list_addresses(region)
+        ]
+
+
+class Chooser:
+    """Choose targets from prospects.
+
+    Parameters
+    ----------
+    placement : Placement
+        Prospects in each region.
+    surroundings : Surroundings
+        Regions that may be asked.
+    warmup : WarmUpPace
+        Pace of cold servers.
+    ranking : callable
+        Order of the prospects at home.
+    random : Random
+        Generator of the choice among equals.
+    """
+
+    __slots__ = ('_around', '_placement', '_random', '_ranking', '_warmup')
+
+    def __init__(
+        self,
+        placement: Placement,
+        surroundings: Surroundings,
+        warmup: WarmUpPace,
+        ranking: Ranking,
+        random: Random,
+    ) -> None:
+        """Keep the parts."""
+        self._placement = placement
+        self._around = surroundings
+        self._warmup = warmup
+        self._ranking = ranking
+        self._random = random
+
+    def choose(self, call: Call, tried: Collection[str]) -> Target:
+        """Return the target of the next attempt of ``call``.
+
+        Raises
+        ------
+        NotServedError
+            If no backend server can take it.
+        """
+        home = self._around.home
+        prospects: Sequence[Prospect] = ()
+        if call.route.allows(home):
+            prospects = self._placement.list_prospects(call, home, tried)
+        waits = {home: find_best_wait(prospects)}
+        for region in self._around.list_away(call):
+            found = self._placement.list_prospects(call, region, tried)
+            waits[region] = find_best_wait(found)
+        choice = choose_region(home, waits, call.route.objective)
+        if choice is None:
+            return self._choose_cold(call, tried)
+        if choice.region == home:
+            return self._take(self._ranking(prospects, self._random)[0])
+        addresses = self._around.gateways.list_addresses(choice.region)
+        return Target(self._random.choice(addresses), choice.region)
+
+    def _choose_cold(self, call: Call, tried: Collection[str]) -> Target:
+        home = self._around.home
+        if call.route.allows(home):
+            for prospect in self._placement.list_cold(call, home, tried):
+                if self._may_warm(prospect):
+                    self._warmup.take(prospect.server.name, 1.0)
+                    return self._take(prospect)
+        raise NotServedError(
+            f'no backend server of {call.service} takes calls now',
+            RETRY_AFTER,
+        )
+
+    def _may_warm(self, prospect: Prospect) -> bool:
+        names = self._around.gateways.list_names(self._around.home)
+        sender = choose_sender(prospect.server, names)
+        is_sender = sender == self._around.own_name
+        return is_sender and self._warmup.is_open(prospect.server.name)
+
+    def _take(self, prospect: Prospect) -> Target:
+        return Target(prospect.server.address, self._around.home, prospect)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/health.py
@@ -0,0 +1,111 @@
+"""Health checks of backend servers that may have failed or restarted."""
+
+import asyncio
+from datetime import timedelta
+
+import aiohttp
+import structlog
+from mode import Service
+
+from baobabhinge_gateway.deployment import BackendServer
+from baobabhinge_gateway.errors import NotReachedError
+from baobabhinge_gateway.forwarding.exchange import (
+    Outbound,
+    open_exchange,
+    read_whole,
+)
+from baobabhinge_gateway.forwarding.placement import Knowledge
+from baobabhinge_gateway.forwarding.problems import ForwardingError
+from baobabhinge_gateway.forwarding.protocols import BackendProtocol, Health
+
+# Servers that are back are taken again within this time.
+PERIOD = timedelta(milliseconds=300)
+# Longer than a healthy server takes, also with a full queue before the check.
+CHECK_LIMIT = timedelta(milliseconds=800)
+
+log = structlog.get_logger(__name__)
+
+
+class HealthChecker(Service):
+    """Check the servers that are not trusted until one check is good.
+
+    Parameters
+    ----------
+    http : aiohttp.ClientSession
+        Session that the caller owns.
+    backends : BackendProtocol
+        How a server is asked.
+    knowledge : Knowledge
+        Tells whom to check and takes the results.
+    region : str
+        Only servers of this region can be reached.
+    """
+
+    def __init__(
+        self,
+        http: aiohttp.ClientSession,
+        backends: BackendProtocol,
+        knowledge: Knowledge,
+        region: str,
+    ) -> None:
+        """Check nothing yet."""
+        super().__init__()
+        self._http = http
+        self._backends = backends
+        self._known = knowledge
+        self._region = region
+
+    async def on_start(self) -> None:
+        """Begin."""
+        self.add_future(self._check_forever())
+
+    async def _check_forever(self) -> None:
+        while not self.should_stop:
+            due = [server for server in self._list_due()]
+            await asyncio.gather(*map(self._check, due))
+            await self.sleep(PERIOD.total_seconds())
+
+    def _list_due(self) -> list[BackendServer]:
+        known = self._known
+        return [
+            server
+            for server in known.catalogue.list_all()
+            if server.name in known.trust.unchecked
+            and known.regions.get(server.failure_domain) == self._region
+            and not server.is_leaving
+        ]
+
+    async def _check(self, server: BackendServer) -> None:
+        health = await self._ask(server)
+        if not health.is_good:
+            return
+        if health.cold_for > timedelta():
+            self._known.warmup.note_cold(server.name, health.cold_for)
+        else:
+            self._known.warmup.note_warm(server.name)
+        self._known.trust.clear(server.name)
+
+    async def _ask(self, server: BackendServer) -> Health:
+        revision = self._known.holder.revision
+        service = revision.services.get(server.service) if revision else None
+        if service is None:
+            return Health(is_good=False)
+        outbound = Outbound(
+            'GET',
+            server.address,
+            service.health_path,
+            self._backends.compose_check(server),
+            b'',
+            CHECK_LIMIT,
+        )
+        try:
+            async with open_exchange(self._http, outbound) as response:
+                await read_whole(response)
+                return self._backends.judge_health(server, response)
+        except (NotReachedError, ForwardingError) as failure:
+            log.debug(
+                'health-check-failed',
+                server=server.name,
+                reason=repr(failure),
+            )
+            return Health(is_good=False)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop.py
@@ -0,0 +1,96 @@
+"""Calls that one gateway forwards to another."""
+
+from datetime import timedelta
+
+import aiohttp
+import msgspec
+
+from baobabhinge_gateway.deployment import Route
+from baobabhinge_gateway.forwarding.call import Call, CallHead
+from baobabhinge_gateway.forwarding.exchange import Outbound
+from baobabhinge_gateway.forwarding.problems import MalformedCallError
+from baobabhinge_gateway.forwarding.protocols import Verdict
+
+HOP_PATH = '/calls'
+VERDICT = 'Hop-Verdict'
+LENGTH_BYTES = 4
+MICROSECOND = timedelta(microseconds=1)
+
+
+class Envelope(msgspec.Struct, array_like=True):
+    """A call without its body, as it crosses.
+
+    Parameters
+    ----------
+    left : int
+        Time that is left, in microseconds.
+    """
+
+    head: CallHead
+    route: Route
+    service: str
+    left: int
+    attempts_left: int
+    last_event: str | None
+
+
+class HopProtocol:
+    """Send calls to other gateways and read their verdicts."""
+
+    __slots__ = ()
+
+    def compose(self, call: Call, address: str, left: timedelta) -> Outbound:
+        """Return the request by which ``call`` is forwarded."""
+        envelope = msgspec.msgpack.encode(
+            Envelope(
+                call.head,
+                call.route,
+                call.service,
+                left // MICROSECOND,
+                call.attempts_left,
+                call.last_event,
+            ),
+        )
+        length = len(envelope).to_bytes(LENGTH_BYTES, 'big')
+        body = b''.join((length, envelope, call.body))
+        return Outbound('POST', address, HOP_PATH, (), body, left)
+
+    def judge(self, call: Call, response: aiohttp.ClientResponse) -> Verdict:
+        """Return what the other gateway says of the run of ``call``."""
+        try:
+            return Verdict(response.headers.get(VERDICT, ''))
+        except ValueError:
+            return Verdict.unknown
+
+
+def open_envelope(body: bytes, now: timedelta) -> Call:
+    """Return the call that a request of another gateway carries.
+
+    Parameters
+    ----------
+    body : bytes
+        Body of the request.
+    now : timedelta
+        Monotonic time of the arrival.
+
+    Raises
+    ------
+    MalformedCallError
+        If it can't be read.
+    """
+    end = LENGTH_BYTES + int.from_bytes(body[:LENGTH_BYTES], 'big')
+    try:
+        envelope = msgspec.msgpack.decode(body[LENGTH_BYTES:end], type=Envelope)
+    except msgspec.MsgspecError as unreadable:
+        raise MalformedCallError('unreadable envelope') from unreadable
+    return Call(
+        head=envelope.head,
+        body=body[end:],
+        route=envelope.route,
+        service=envelope.service,
+        arrival=now,
+        deadline=now + envelope.left * MICROSECOND,
+        attempts_left=envelope.attempts_left,
+        is_lent=True,
+        last_event=envelope.last_event,
+    )
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/lending.py
@@ -0,0 +1,77 @@
+"""Whether a call is served at home or in another region.
+
+Load pattern: a region at its peak beside neighbours with room.
+"""
+
+from collections.abc import Mapping, Sequence
+from datetime import timedelta
+
+import msgspec
+
+from baobabhinge_gateway.forwarding.estimates import Prospect
+
+# Both ways between regions, as both sheets tell.
+ROUND_TRIP = timedelta(milliseconds=160)
+# Home is late when its estimate takes this share of the objective; the rest is
+# for what the estimate does not see.
+LATE_SHARE = 0.6
+# Away must be better than home by this much, so that two regions do not send
+# their calls to each other on stale figures.
+MARGIN = timedelta(milliseconds=100)
+# What is not served at home at all waits no longer than this.
+ENDLESS = timedelta(hours=1)
+
+
+class RegionChoice(msgspec.Struct, frozen=True):
+    """Where a call is to be served.
+
+    Parameters
+    ----------
+    region : str
+        Chosen region.
+    wait : timedelta
+        Estimated time to the first piece of the answer, the way included.
+    home_wait : timedelta
+        The same at home.
+    """
+
+    region: str
+    wait: timedelta
+    home_wait: timedelta
+
+
+def find_best_wait(prospects: Sequence[Prospect]) -> timedelta:
+    """Return the shortest wait, or `ENDLESS` for no prospect."""
+    return min((one.wait for one in prospects), default=ENDLESS)
+
+
+def choose_region(
+    home: str,
+    waits: Mapping[str, timedelta],
+    objective: timedelta,
+) -> RegionChoice | None:
+    """Return where a call is served best, or ``None`` if nowhere.
+
+    Parameters
+    ----------
+    home : str
+        Region of this gateway.
+    waits : mapping of str to timedelta
+        Shortest wait in each region that may serve the call.
+    objective : timedelta
+        Time within which the answer is in time.
+    """
+    home_wait = waits.get(home, ENDLESS)
+    ways = {
+        region: wait + ROUND_TRIP
+        for region, wait in waits.items()
+        if region != home and wait < ENDLESS
+    }
+    away = min(ways, key=lambda region: ways[region], default=None)
+    if away is None or home_wait <= objective * LATE_SHARE:
+        if home_wait >= ENDLESS:
+            return None
+        return RegionChoice(home, home_wait, home_wait)
+    if ways[away] + MARGIN < home_wait:
+        return RegionChoice(away, ways[away], home_wait)
+    return RegionChoice(home, home_wait, home_wait)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/limits.py
@@ -0,0 +1,24 @@
+"""What is left of a call's time, and whether it may be sent again."""
+
+from datetime import timedelta
+
+from baobabhinge_coordination.clock import Clock
+from baobabhinge_gateway.forwarding.call import Call
+from baobabhinge_gateway.forwarding.problems import NotServedError
+
+# Below this a backend server can't answer anything in time.
+SHORTEST_SEND = timedelta(milliseconds=20)
+
+
+def measure_left(call: Call, clock: Clock) -> timedelta:
+    """Return the time left for ``call``.
+
+    Raises
+    ------
+    NotServedError
+        If there is too little of it to send the call anywhere.
+    """
+    left = call.deadline - clock.read_monotonic()
+    if left < SHORTEST_SEND:
+        raise NotServedError('the time limit passed before the call was sent')
+    return left
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/meters.py
@@ -0,0 +1,59 @@
+"""Counters and latencies of forwarded calls."""
+
+from datetime import timedelta
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+# Around the objectives of both deployments, 400 ms to 1,200 ms.
+LATENCY_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.5, 5.0, 10.0)
+
+
+class CallMeters:
+    """What a gateway counts of its calls.
+
+    Attributes
+    ----------
+    open_calls : int
+        Calls that have no final answer yet.
+    """
+
+    __slots__ = ('_ended', '_latency', '_open', '_registry', 'open_calls')
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.open_calls = 0
+        self._registry = CollectorRegistry()
+        self._ended = Counter(
+            'baobabhinge_calls_ended',
+            'Calls by outcome',
+            ('outcome',),
+            registry=self._registry,
+        )
+        self._latency = Histogram(
+            'baobabhinge_call_seconds',
+            'Time from arrival to the end of the answer',
+            ('outcome',),
+            buckets=LATENCY_BUCKETS,
+            registry=self._registry,
+        )
+        self._open = Gauge(
+            'baobabhinge_calls_open',
+            'Calls without a final answer',
+            registry=self._registry,
+        )
+
+    def count(self, outcome: str, elapsed: timedelta) -> None:
+        """Count the end of one call."""
+        self._ended.labels(outcome).inc()
+        self._latency.labels(outcome).observe(elapsed.total_seconds())
+
+    def render(self) -> bytes:
+        """Return all meters in the text format of Prometheus."""
+        self._open.set(self.open_calls)
+        return generate_latest(self._registry)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/protocols.py
@@ -0,0 +1,122 @@
+"""What adapters say of calls, answers and health checks."""
+
+import enum
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import Protocol
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from baobabhinge_gateway.deployment import BackendServer
+from baobabhinge_gateway.errors import CallError
+from baobabhinge_gateway.forwarding.call import Call, CallHead, Headers
+
+
+class Verdict(enum.Enum):
+    """What an answer proves about the run of the call."""
+
+    answered = 'answered'
+    failed = 'failed'
+    declined = 'declined'
+    misplaced = 'misplaced'
+    foreign = 'foreign'
+    unknown = 'unknown'
+
+
+class Health(msgspec.Struct, frozen=True):
+    """Result of a health check.
+
+    Parameters
+    ----------
+    is_good : bool
+        Whether the expected incarnation answered and takes calls.
+    cold_for : timedelta
+        How much longer it is cold.
+    """
+
+    is_good: bool
+    cold_for: timedelta = timedelta()
+
+
+class CallerProtocol(Protocol):
+    """How callers speak to this gateway."""
+
+    def read_head(self, request: web.BaseRequest) -> CallHead:
+        """Return the terms of a request.
+
+        Raises
+        ------
+        MalformedCallError
+            If the head breaks the protocol.
+        """
+
+    def describe_refusal(self, error: CallError) -> Headers:
+        """Return the headers of a final answer of the gateway's own."""
+
+
+class BackendProtocol(Protocol):
+    """How calls are sent to a backend server."""
+
+    def compose_headers(
+        self,
+        call: Call,
+        server: BackendServer,
+        left: timedelta,
+    ) -> Headers:
+        """Return all headers of the request."""
+
+    def judge(self, call: Call, response: aiohttp.ClientResponse) -> Verdict:
+        """Return what the head of an answer proves."""
+
+    def compose_check(self, server: BackendServer) -> Headers:
+        """Return the headers of a health check."""
+
+    def judge_health(
+        self,
+        server: BackendServer,
+        response: aiohttp.ClientResponse,
+    ) -> Health:
+        """Return what the answer to a health check says."""
+
+    def split_events(self, pending: bytes) -> tuple[bytes, bytes]:
+        """Return the whole events of ``pending``, and the rest."""
+
+    def read_last_event(self, events: bytes) -> str | None:
+        """Return the identity of the last of whole ``events``."""
+
+
+class Responder(Protocol):
+    """Way back to the caller."""
+
+    @property
+    def has_started(self) -> bool:
+        """Whether the head of an answer was sent."""
+
+    async def send_whole(
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes,
+    ) -> None:
+        """Send a whole answer."""
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of a stream."""
+
+    async def write(self, piece: bytes) -> None:
+        """Send a piece of a stream."""
+
+    async def finish(self) -> None:
+        """End a stream as complete."""
+
+
+class GatewayListing(Protocol):
+    """Live gateways, as far as this one knows."""
+
+    def list_names(self, region: str) -> Sequence[str]:
+        """Return the live gateways of ``region``, this one included."""
+
+    def list_addresses(self, region: str) -> Sequence[str]:
+        """Return where other ready gateways of ``region`` take calls."""
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/serving.py
@@ -0,0 +1,70 @@
+"""Listening sockets of the forwarding gateway."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import structlog
+from aiohttp import web
+from mode import Service
+
+from baobabhinge_gateway.errors import AddressTakenError
+from baobabhinge_gateway.forwarding.sockets import listen
+
+Answer = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+# Above the idle time of every configuration seen; callers reuse a connection
+# after up to four fifths of the limit in force.
+IDLE_LIMIT = timedelta(seconds=60)
+MAX_HEAD_BYTES = 16384
+
+log = structlog.get_logger(__name__)
+
+
+class HttpListener(Service):
+    """Serve one address.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``.
+    answer : callable
+        Answers requests.
+    """
+
+    def __init__(self, address: str, answer: Answer) -> None:
+        """Listen nowhere yet."""
+        super().__init__()
+        self._address = address
+        self._runner = web.ServerRunner(
+            web.Server(
+                answer,
+                handler_cancellation=True,
+                access_log=None,
+                keepalive_timeout=IDLE_LIMIT.total_seconds(),
+                max_line_size=MAX_HEAD_BYTES,
+                max_field_size=MAX_HEAD_BYTES,
+                auto_decompress=False,
+            ),
+            shutdown_timeout=0.1,
+        )
+
+    async def on_start(self) -> None:
+        """Bind the socket.
+
+        Raises
+        ------
+        AddressTakenError
+            If the address is in use, or is not one of this vm.
+        """
+        await self._runner.setup()
+        host, _, port = self._address.rpartition(':')
+        try:
+            opened = listen(host, int(port))
+        except OSError as failure:
+            log.error('address-taken', address=self._address)
+            raise AddressTakenError(self._address) from failure
+        await web.SockSite(self._runner, opened).start()
+
+    async def on_stop(self) -> None:
+        """Close the socket and the idle connections."""
+        await self._runner.cleanup()
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/trust.py
@@ -0,0 +1,87 @@
+"""Which backend servers deserve calls, by what they did lately.
+
+Load pattern: servers that fail part of their calls while their health check is
+good, and servers whose connections broke and that may have restarted.
+"""
+
+from datetime import timedelta
+
+import msgspec
+import structlog
+
+from baobabhinge_coordination.clock import Clock
+
+# Weight of the newest outcome: about the last ten count.
+NEWEST_SHARE = 0.1
+# A failure is forgotten in this time, so that a server is tried again.
+HALF_LIFE = timedelta(seconds=4)
+# A server that fails all of its calls looks this much slower than its peers.
+FULL_PENALTY = timedelta(seconds=4)
+
+log = structlog.get_logger(__name__)
+
+
+class _Record(msgspec.Struct):
+    rate: float
+    noted: timedelta
+
+
+class ServerTrust:
+    """Failure rates, and servers that must pass a health check first.
+
+    Parameters
+    ----------
+    clock : Clock
+        Dates the outcomes.
+
+    Attributes
+    ----------
+    unchecked : set of str
+        Servers that get nothing until a health check is good.
+    """
+
+    __slots__ = ('_clock', '_records', 'unchecked')
+
+    def __init__(self, clock: Clock) -> None:
+        """Trust every server."""
+        self._clock = clock
+        self._records: dict[str, _Record] = {}
+        self.unchecked: set[str] = set()
+
+    def is_trusted(self, server: str) -> bool:
+        """Whether calls may go to ``server``."""
+        return server not in self.unchecked
+
+    def suspect(self, server: str, reason: str) -> None:
+        """Send nothing to ``server`` until a health check is good."""
+        if server not in self.unchecked:
+            log.info('backend-server-suspected', server=server, reason=reason)
+            self.unchecked.add(server)
+
+    def clear(self, server: str) -> None:
+        """Take a good health check."""
+        if server in self.unchecked:
+            log.info('backend-server-cleared', server=server)
+            self.unchecked.discard(server)
+
+    def note(self, server: str, *, has_failed: bool) -> None:
+        """Take the outcome of one call."""
+        rate = self._read_rate(server)
+        rate += NEWEST_SHARE * (float(has_failed) - rate)
+        self._records[server] = _Record(rate, self._clock.read_monotonic())
+
+    def read_penalty(self, server: str) -> timedelta:
+        """Return the time by which failures make ``server`` look slower."""
+        return FULL_PENALTY * self._read_rate(server)
+
+    def forget(self, server: str) -> None:
+        """Drop what is known of a server that is gone."""
+        self._records.pop(server, None)
+        self.unchecked.discard(server)
+
+    def _read_rate(self, server: str) -> float:
+        record = self._records.get(server)
+        if record is None:
+            return 0.0
+        age = self._clock.read_monotonic() - record.noted
+        return record.rate * 0.5 ** (age / HALF_LIFE)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/warmup.py
@@ -0,0 +1,82 @@
+"""How fast cold backend servers may be sent calls.
+
+Load pattern: a region whose servers come back together, all cold, while its
+callers press.
+"""
+
+from collections.abc import Sequence
+from datetime import timedelta
+
+import xxhash
+
+from baobabhinge_coordination.clock import Clock
+from baobabhinge_gateway.deployment import BackendServer
+
+# Two gateways that disagree about who may send stay below the limit together.
+PACE_SHARE = 0.7
+SECOND = timedelta(seconds=1)
+
+
+class WarmUpPace:
+    """Which servers are cold, and when the next call may go to each.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of the pace.
+    """
+
+    __slots__ = ('_clock', '_cold_until', '_next')
+
+    def __init__(self, clock: Clock) -> None:
+        """Know no cold server."""
+        self._clock = clock
+        self._cold_until: dict[str, timedelta] = {}
+        self._next: dict[str, timedelta] = {}
+
+    def note_cold(self, server: str, cold_for: timedelta) -> None:
+        """Note how much longer ``server`` is cold."""
+        if cold_for > timedelta():
+            until = self._clock.read_monotonic() + cold_for
+            known = self._cold_until.get(server, timedelta())
+            self._cold_until[server] = max(known, until)
+
+    def note_warm(self, server: str) -> None:
+        """Note that ``server`` says that it is not cold."""
+        self._cold_until.pop(server, None)
+
+    def is_cold(self, server: str) -> bool:
+        """Whether ``server`` is cold as far as known."""
+        until = self._cold_until.get(server)
+        return until is not None and self._clock.read_monotonic() < until
+
+    def is_open(self, server: str) -> bool:
+        """Whether a call may go to the cold ``server`` now."""
+        now = self._clock.read_monotonic()
+        return now >= self._next.get(server, timedelta())
+
+    def take(self, server: str, rate: float) -> None:
+        """Count a call to the cold ``server`` that bears ``rate`` a second."""
+        pause = SECOND / max(rate * PACE_SHARE, 1 / 60)
+        self._next[server] = self._clock.read_monotonic() + pause
+
+
+def choose_sender(server: BackendServer, gateways: Sequence[str]) -> str:
+    """Return the gateway that alone may send to a cold ``server``.
+
+    Parameters
+    ----------
+    server : BackendServer
+        A cold server.
+    gateways : sequence of str
+        Names of the live gateways of its region.
+
+    Notes
+    -----
+    Rendezvous hashing: gateways that see the same members agree without a
+    message.
+    """
+    return max(
+        gateways,
+        key=lambda name: xxhash.xxh3_64_intdigest(f'{server.name}/{name}'),
+    )
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
@@ -0,0 +1,39 @@
+"""What one gateway tells another."""
+
+import msgspec
+
+from baobabhinge_gateway.forwarding.loads import ServerLoad
+
+
+class Heartbeat(msgspec.Struct, array_like=True):
+    """State of one gateway.
+
+    Parameters
+    ----------
+    name : str
+        Name of its vm.
+    incarnation : str
+        Random identity of its process.
+    sequence : int
+        Grows by one with each heartbeat.
+    region : str
+        Where it stands.
+    caller_address, hop_address : str
+        Where callers, and where other gateways send calls.
+    is_ready : bool
+        Whether callers may use it.
+    version : int
+        Configuration in force.
+    loads : dict of str to ServerLoad
+        Calls that it has in flight, by backend server.
+    """
+
+    name: str
+    incarnation: str
+    sequence: int
+    region: str
+    caller_address: str
+    hop_address: str
+    is_ready: bool
+    version: int
+    loads: dict[str, ServerLoad]
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/table.py
@@ -0,0 +1,119 @@
+"""Live gateways, by their heartbeats."""
+
+from collections.abc import Sequence
+from datetime import timedelta
+
+import msgspec
+import structlog
+
+from baobabhinge_coordination.clock import Clock
+from baobabhinge_gateway.neighbours.messages import Heartbeat
+
+# Ten heartbeats of the own region, three of another: silence beyond it means
+# that the gateway or the way to it is gone.
+SILENCE_LIMIT = timedelta(seconds=3)
+
+log = structlog.get_logger(__name__)
+
+
+class Contact(msgspec.Struct, frozen=True):
+    """Where a gateway takes heartbeats.
+
+    Parameters
+    ----------
+    name, region : str
+        Name of its vm, and where it stands.
+    host : str
+        Address of the vm.
+    port : int
+        Port for datagrams.
+    """
+
+    name: str
+    region: str
+    host: str
+    port: int
+
+
+class GatewayTable:
+    """Other gateways, and this one.
+
+    Parameters
+    ----------
+    own : Contact
+        This gateway.
+    clock : Clock
+        Dates the heartbeats.
+
+    Attributes
+    ----------
+    contacts : dict of str to Contact
+        Other gateways by name, live or not.
+    """
+
+    __slots__ = ('_beats', '_clock', '_heard', 'contacts', 'own')
+
+    def __init__(self, own: Contact, clock: Clock) -> None:
+        """Know this gateway alone."""
+        self.own = own
+        self.contacts: dict[str, Contact] = {}
+        self._clock = clock
+        self._beats: dict[str, Heartbeat] = {}
+        self._heard: dict[str, timedelta] = {}
+
+    def add_contact(self, contact: Contact) -> None:
+        """Learn where another gateway is."""
+        if contact.name != self.own.name:
+            self.contacts[contact.name] = contact
+
+    def hear(self, beat: Heartbeat) -> bool:
+        """Take a heartbeat unless a newer one of its process is known."""
+        known = self._beats.get(beat.name)
+        if known and known.incarnation == beat.incarnation:
+            if beat.sequence <= known.sequence:
+                return False
+        if known is None or known.is_ready != beat.is_ready:
+            log.info('gateway-heard', gateway=beat.name, is_ready=beat.is_ready)
+        self._beats[beat.name] = beat
+        self._heard[beat.name] = self._clock.read_monotonic()
+        return True
+
+    def list_names(self, region: str) -> Sequence[str]:
+        """Return the live gateways of ``region``, this one included."""
+        names = [beat.name for beat in self._list_live(region)]
+        if region == self.own.region:
+            names.append(self.own.name)
+        return sorted(names)
+
+    def list_addresses(self, region: str) -> Sequence[str]:
+        """Return where other ready gateways of ``region`` take calls."""
+        return [
+            beat.hop_address
+            for beat in self._list_live(region)
+            if beat.is_ready
+        ]
+
+    def list_entries(self, region: str) -> Sequence[str]:
+        """Return where ready gateways of ``region`` take callers."""
+        return [
+            beat.caller_address
+            for beat in self._list_live(region)
+            if beat.is_ready
+        ]
+
+    def count_live(self) -> int:
+        """Return the number of live gateways, this one included."""
+        return 1 + len(self._list_live(None))
+
+    def list_regions(self) -> Sequence[str]:
+        """Return the regions of live gateways."""
+        return sorted({beat.region for beat in self._list_live(None)})
+
+    def _list_live(self, region: str | None) -> Sequence[Heartbeat]:
+        oldest = self._clock.read_monotonic() - SILENCE_LIMIT
+        return [
+            beat
+            for beat in self._beats.values()
+            if self._heard[beat.name] >= oldest
+            and region in {None, beat.region}
+        ]
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/telemetry/bounded.py
@@ -0,0 +1,101 @@
+"""Logs on standard output that are bounded and never block."""
+
+import logging
+import os
+from datetime import timedelta
+
+import structlog
+
+from baobabhinge_coordination.clock import Clock, SystemClock
+from baobabhinge_gateway.telemetry.crashes import CrashHandler
+
+# A call takes two or three lines; at 100 calls a second all are written.
+LINES_PER_SECOND = 400
+BURST_LINES = 800
+STANDARD_OUTPUT = 1
+
+
+class BoundedWriter:
+    """Write lines while they are few and the reader keeps up.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of the rate.
+    descriptor : int, optional
+        File descriptor; it is set not to block.
+
+    Attributes
+    ----------
+    dropped : int
+        Lines that were not written.
+    """
+
+    __slots__ = ('_allowance', '_clock', '_descriptor', '_updated', 'dropped')
+
+    def __init__(
+        self,
+        clock: Clock,
+        descriptor: int = STANDARD_OUTPUT,
+    ) -> None:
+        """Set the descriptor not to block."""
+        os.set_blocking(descriptor, False)
+        self._clock = clock
+        self._descriptor = descriptor
+        self._allowance = float(BURST_LINES)
+        self._updated = clock.read_monotonic()
+        self.dropped = 0
+
+    def msg(self, line: str) -> None:
+        """Write one line, or count it as dropped."""
+        if not self._take():
+            self.dropped += 1
+            return
+        if self.dropped:
+            line = f'{line}\n{{"event": "lines-dropped", "count": {self.dropped}}}'
+        try:
+            os.write(self._descriptor, f'{line}\n'.encode())
+        except BlockingIOError:
+            self.dropped += 1
+            return
+        self.dropped = 0
+
+    debug = info = warning = error = critical = msg
+
+    def _take(self) -> bool:
+        now = self._clock.read_monotonic()
+        elapsed = (now - self._updated) / timedelta(seconds=1)
+        self._updated = now
+        grown = self._allowance + elapsed * LINES_PER_SECOND
+        self._allowance = min(BURST_LINES, grown)
+        if self._allowance < 1:
+            return False
+        self._allowance -= 1
+        return True
+
+
+def set_up_bounded_logs(vm: str) -> None:
+    """Write JSON lines that carry the name of this vm.
+
+    Parameters
+    ----------
+    vm : str
+        Name of the vm.
+    """
+    writer = BoundedWriter(SystemClock())
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=lambda *_: writer,
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(vm=vm)
+    logging.basicConfig(
+        level=logging.WARNING,
+        handlers=[CrashHandler()],
+    )
