--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/attempt.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/attempt.py
@@ -44,6 +44,16 @@
     body: bytes
 
 
+@asynccontextmanager
+async def _uncounted(call: Call, runs: int) -> AsyncIterator[None]:
+    # A call that provably did not run leaves the count of runs as it was.
+    try:
+        yield
+    except (NotReachedError, DeclinedError):
+        call.runs = runs
+        raise
+
+
 class Attempts:
     """Exchanges with backend servers and other gateways.
 
@@ -108,7 +118,13 @@
     ) -> FailedAnswer | None:
         left = measure_left(call, self._known.clock)
         outbound = self._hop.compose(call, target.address, left)
-        async with open_exchange(self._http, outbound) as response:
+        runs = call.runs
+        # Until the other gateway tells, all attempts may have been made.
+        call.runs = call.attempts_left
+        async with _uncounted(call, runs), open_exchange(
+            self._http, outbound
+        ) as response:
+            call.runs = runs + self._hop.read_runs(response, call)
             verdict = self._hop.judge(call, response)
             return await self._conclude(
                 call, response, verdict, responder, None
@@ -125,9 +141,12 @@
         if demand is not None:
             self._known.prefixes.note(server.name, demand)
         load = self._placement.measure(call, prospect)
+        runs = call.runs
+        call.runs += 1
         with self._known.loads.hold(server.name, load) as held:
             try:
-                failed = await self._exchange(call, server, responder, held)
+                async with _uncounted(call, runs):
+                    failed = await self._exchange(call, server, responder, held)
             except NotReachedError:
                 self._known.trust.suspect(server.name, 'not reached')
                 raise
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
@@ -97,6 +97,8 @@
         Whether another gateway forwarded it to this one.
     last_event : str or None
         Event after which its stream goes on, if it was resumed.
+    runs : int
+        Backend servers that may have begun to run it.
     """
 
     head: CallHead
@@ -108,6 +110,7 @@
     attempts_left: int
     is_lent: bool = False
     last_event: str | None = None
+    runs: int = 0
 
     @property
     def is_repeatable(self) -> bool:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
@@ -54,9 +54,9 @@
 )
 
 CHECK_INTERVAL = timedelta(milliseconds=50)
-# Callers that keep a list of gateways three times as long as told use this
-# one until then.
-LEAVING_TIME = timedelta(seconds=6)
+# Most callers have asked for gateways again by then (they are told to after
+# 2 s); a stream that begins later might not end within the grace period.
+LEAVING_TIME = timedelta(milliseconds=2500)
 # The rest of the grace period is for the end of the process.
 GRACE_RESERVE = timedelta(milliseconds=700)
 
@@ -134,6 +134,11 @@
             regions=settings.regions,
         )
         self._has_servers = False
+        self._heartbeats = HeartbeatService(
+            self._table,
+            self._compose,
+            self._known.loads.hear,
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -189,6 +194,10 @@
         """Note that the store fails, so that entries may lapse by mistake."""
         self._known.catalogue.note_unsteady()
 
+    def limit_retries(self, terms: BudgetTerms) -> None:
+        """Take changed terms of the retry budget."""
+        self._budget.terms = terms
+
     def add_contact(self, contact: Contact) -> None:
         """Learn where another gateway is."""
         self._table.add_contact(contact)
@@ -216,21 +225,24 @@
                 http, self._backends, known, self._settings.own.region
             ),
         )
-        await self.add_runtime_dependency(
-            HeartbeatService(self._table, self._compose, known.loads.hear),
-        )
+        await self.add_runtime_dependency(self._heartbeats)
         await self._listen(dispatcher)
 
-    async def on_stop(self) -> None:
-        """Leave: be unready, serve what comes, end when nothing is open."""
+    async def drain(self) -> None:
+        """Be unready, serve what comes, then only what is open.
+
+        Returns when nothing is open, or the grace period is nearly over.
+        """
         self._lifecycle.is_draining = True
         log.info('draining', open_calls=self._meters.open_calls)
-        start = self._clock.read_monotonic()
-        latest = start + self._settings.grace - GRACE_RESERVE
-        earliest = start + LEAVING_TIME
-        while self._clock.read_monotonic() < latest:
-            is_past = self._clock.read_monotonic() >= earliest
-            if is_past and not self._meters.open_calls:
+        self._heartbeats.tell()
+        latest = self._clock.read_monotonic()
+        latest += self._settings.grace - GRACE_RESERVE
+        await asyncio.sleep(LEAVING_TIME.total_seconds())
+        await self._entrance.close_entrance()
+        log.info('entrance-closed', open_calls=self._meters.open_calls)
+        while self._meters.open_calls:
+            if self._clock.read_monotonic() >= latest:
                 break
             await asyncio.sleep(CHECK_INTERVAL.total_seconds())
         log.info('stopping', open_calls=self._meters.open_calls)
@@ -256,11 +268,14 @@
         )
         callers = CallerIngress(reception, self._callers, dispatcher)
         hops = HopIngress(reception, dispatcher)
-        for address, answer in (
-            (self._settings.hop_address, hops.answer),
-            (self._settings.caller_address, callers.answer),
-        ):
-            await self.add_runtime_dependency(HttpListener(address, answer))
+        self._entrance = HttpListener(
+            self._settings.caller_address,
+            callers.answer,
+        )
+        await self.add_runtime_dependency(
+            HttpListener(self._settings.hop_address, hops.answer),
+        )
+        await self.add_runtime_dependency(self._entrance)
 
     def _compose(self, sequence: int) -> Heartbeat:
         self._budget.gateways = self._table.count_live()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/dispatch.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/dispatch.py
@@ -34,8 +34,6 @@
     ----------
     sends : int
         Attempts that were made.
-    runs : int
-        Attempts that may have run.
     tried : set of str
         Targets that are not tried again.
     answer : FailedAnswer or None
@@ -43,7 +41,6 @@
     """
 
     sends: int = 0
-    runs: int = 0
     tried: set[str] = msgspec.field(default_factory=set)
     answer: FailedAnswer | None = None
 
@@ -92,13 +89,13 @@
             try:
                 target = self._choose(call, progress)
             except NotServedError as refusal:
-                await self._give_up(progress, refusal, responder)
+                await self._give_up(call, progress, refusal, responder)
                 return
             failure = await self._try(call, target, progress, responder)
             if failure is None:
                 return
             if not self._may_repeat(call, progress, failure):
-                await self._give_up(progress, failure, responder)
+                await self._give_up(call, progress, failure, responder)
                 return
 
     def _choose(self, call: Call, progress: Progress) -> Target:
@@ -135,12 +132,10 @@
             TimeLimitError,
             StreamBrokenError,
         ) as lost:
-            progress.runs += 1
             progress.tried.add(target.name)
             return lost
         if failed is None:
             return None
-        progress.runs += 1
         progress.tried.add(target.name)
         progress.answer = failed
         return UnknownOutcomeError('the backend server failed the call')
@@ -154,7 +149,7 @@
         if isinstance(failure, TimeLimitError):
             return False
         has_run = not isinstance(failure, DeclinedError)
-        if has_run and not _may_run_again(call, progress, failure):
+        if has_run and not _may_run_again(call):
             return False
         if progress.sends >= MAX_SENDS:
             return False
@@ -162,6 +157,7 @@
 
     async def _give_up(
         self,
+        call: Call,
         progress: Progress,
         failure: ForwardingError,
         responder: Responder,
@@ -174,26 +170,17 @@
                 answer.body,
             )
             return
-        if progress.runs and isinstance(failure, NotServedError):
+        if call.runs and isinstance(failure, NotServedError):
             raise UnknownOutcomeError(
                 'an earlier attempt may have run',
             ) from failure
         raise failure
 
 
-def _may_run_again(
-    call: Call,
-    progress: Progress,
-    failure: ForwardingError,
-) -> bool:
-    if progress.runs >= call.attempts_left:
+def _may_run_again(call: Call) -> bool:
+    if call.runs >= call.attempts_left:
         return False
-    if call.is_repeatable:
-        return True
-    return call.route.kind.is_resumable and not isinstance(
-        failure,
-        TimeLimitError,
-    )
+    return call.is_repeatable or call.route.kind.is_resumable
 
 
 def _to_ms(target: Target) -> int | None:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop.py
@@ -13,6 +13,7 @@
 
 HOP_PATH = '/calls'
 VERDICT = 'Hop-Verdict'
+RUNS = 'Hop-Runs'
 LENGTH_BYTES = 4
 MICROSECOND = timedelta(microseconds=1)
 
@@ -47,7 +48,7 @@
                 call.route,
                 call.service,
                 left // MICROSECOND,
-                call.attempts_left,
+                call.attempts_left - call.runs,
                 call.last_event,
             ),
         )
@@ -55,6 +56,11 @@
         body = b''.join((length, envelope, call.body))
         return Outbound('POST', address, HOP_PATH, (), body, left)
 
+    def read_runs(self, response: aiohttp.ClientResponse, call: Call) -> int:
+        """Return how many backend servers may have begun to run ``call``."""
+        told = response.headers.get(RUNS, '')
+        return int(told) if told.isdecimal() else call.attempts_left
+
     def judge(self, call: Call, response: aiohttp.ClientResponse) -> Verdict:
         """Return what the other gateway says of the run of ``call``."""
         try:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
@@ -18,7 +18,7 @@
 from baobabhinge_gateway.errors import CallError, Outcome
 from baobabhinge_gateway.forwarding.call import Call, CallHead, Headers
 from baobabhinge_gateway.forwarding.dispatch import Dispatcher
-from baobabhinge_gateway.forwarding.hop import VERDICT, open_envelope
+from baobabhinge_gateway.forwarding.hop import RUNS, VERDICT, open_envelope
 from baobabhinge_gateway.forwarding.meters import CallMeters
 from baobabhinge_gateway.forwarding.problems import (
     BodyTooLargeError,
@@ -178,6 +178,7 @@
         self._reception.meters.open_calls += 1
         try:
             call = open_envelope(await request.content.read(), now)
+            responder.call = call
             await self._dispatcher.serve(call, responder)
         except CallError as refusal:
             if responder.has_started:
@@ -192,11 +193,12 @@
 class _VerdictResponder(HttpResponder):
     """Way back to a gateway, which is told what the answer proves."""
 
-    __slots__ = ('verdict',)
+    __slots__ = ('call', 'verdict')
 
     def __init__(self, request: web.BaseRequest) -> None:
         super().__init__(request, is_last=False)
         self.verdict: Verdict | None = None
+        self.call: Call | None = None
 
     async def _send_head(
         self,
@@ -204,7 +206,8 @@
         headers: Headers,
     ) -> None:
         verdict = self.verdict or _judge_status(response.status)
-        marked = (*headers, (VERDICT, verdict.value))
+        runs = self.call.runs if self.call else 0
+        marked = (*headers, (VERDICT, verdict.value), (RUNS, str(runs)))
         await super()._send_head(response, marked)
 
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/retries.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/retries.py
@@ -43,13 +43,20 @@
         Budget of all gateways.
     clock : Clock
         Clock of the window.
+
+    Attributes
+    ----------
+    gateways : int
+        Live gateways that share the slack.
+    terms : BudgetTerms
+        Terms in force.
     """
 
-    __slots__ = ('_clock', '_fresh', '_repeats', '_terms', 'gateways')
+    __slots__ = ('_clock', '_fresh', '_repeats', 'gateways', 'terms')
 
     def __init__(self, terms: BudgetTerms, clock: Clock) -> None:
         """Start with nothing spent."""
-        self._terms = terms
+        self.terms = terms
         self._clock = clock
         self._fresh: defaultdict[str, deque[timedelta]] = defaultdict(deque)
         self._repeats: defaultdict[str, deque[timedelta]] = defaultdict(deque)
@@ -64,15 +71,15 @@
         """Count one repeat if the budget allows it."""
         repeats = self._trim(self._repeats[service])
         fresh = len(self._trim(self._fresh[service]))
-        slack = self._terms.slack / max(1, self.gateways)
-        allowed = OWN_SHARE * (self._terms.ratio * fresh + slack)
+        slack = self.terms.slack / max(1, self.gateways)
+        allowed = OWN_SHARE * (self.terms.ratio * fresh + slack)
         if len(repeats) + 1 > allowed:
             return False
         repeats.append(self._clock.read_monotonic())
         return True
 
     def _trim(self, times: deque[timedelta]) -> deque[timedelta]:
-        start = self._clock.read_monotonic() - self._terms.window
+        start = self._clock.read_monotonic() - self.terms.window
         while times and times[0] < start:
             times.popleft()
         return times
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/serving.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/serving.py
@@ -65,6 +65,13 @@
             raise AddressTakenError(self._address) from failure
         await web.SockSite(self._runner, opened).start()
 
+    async def close_entrance(self) -> None:
+        """Take no new connection, close idle ones, serve what is open."""
+        for site in tuple(self._runner.sites):
+            await site.stop()
+        if self._runner.server is not None:
+            self._runner.server.pre_shutdown()
+
     async def on_stop(self) -> None:
-        """Close the socket and the idle connections."""
+        """Close the socket and all connections."""
         await self._runner.cleanup()
