--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/holder.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/holder.py
@@ -2,7 +2,7 @@
 
 import structlog
 
-from baobabhinge_gateway.deployment.model import Revision
+from baobabhinge_gateway.deployment.revision import Revision
 from baobabhinge_gateway.deployment.table import RouteTable
 
 log = structlog.get_logger(__name__)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/table.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/table.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from baobabhinge_gateway.deployment.model import Route
+from baobabhinge_gateway.deployment.routes import Route
 
 
 class RouteTable:
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/assembly.py
@@ -0,0 +1,52 @@
+"""Putting the parts of a gateway together."""
+
+import aiohttp
+
+from baobabhinge_gateway.forwarding.choosing import Chooser
+from baobabhinge_gateway.forwarding.core import GatewayCore
+from baobabhinge_gateway.forwarding.delivery import Delivery
+from baobabhinge_gateway.forwarding.dispatch import Dispatcher
+from baobabhinge_gateway.forwarding.hopsending import HopSender
+from baobabhinge_gateway.forwarding.placement import Placement
+from baobabhinge_gateway.forwarding.protocols import BackendProtocol
+from baobabhinge_gateway.forwarding.rankings import find_ranking
+from baobabhinge_gateway.forwarding.senders import Senders
+from baobabhinge_gateway.forwarding.sending import ServerSender
+from baobabhinge_gateway.forwarding.surroundings import Surroundings
+
+
+def build_dispatcher(
+    core: GatewayCore,
+    http: aiohttp.ClientSession,
+    backends: BackendProtocol,
+) -> Dispatcher:
+    """Return what has calls answered over ``http``."""
+    known = core.knowledge
+    delivery = Delivery(backends)
+    senders = Senders(
+        ServerSender(http, delivery, known, backends),
+        HopSender(http, delivery, known),
+    )
+    return Dispatcher(
+        build_chooser(core),
+        senders,
+        core.budget,
+        known.clock,
+    )
+
+
+def build_chooser(core: GatewayCore) -> Chooser:
+    """Return what chooses the targets of calls."""
+    own = core.settings.own
+    return Chooser(
+        Placement(core.knowledge),
+        Surroundings(
+            own.name,
+            own.region,
+            core.settings.list_regions(),
+            core.gateways,
+        ),
+        core.knowledge.warmup,
+        find_ranking(core.settings.ranking),
+        core.reception.random,
+    )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
@@ -113,6 +113,8 @@
     runs: int = 0
 
     @property
-    def is_repeatable(self) -> bool:
-        """Whether it may run again after it may have run."""
-        return self.route.kind.is_repeatable
+    def may_run_again(self) -> bool:
+        """Whether one more run does no harm and is within the limit."""
+        kind = self.route.kind
+        is_harmless = kind.is_repeatable or kind.is_resumable
+        return is_harmless and self.runs < self.attempts_left
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/choosing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/choosing.py
@@ -1,22 +1,21 @@
 """Choosing the target of the next attempt."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from datetime import timedelta
 from random import Random
 
-from baobabhinge_coordination.clock import Clock
 from baobabhinge_gateway.forwarding.call import Call
 from baobabhinge_gateway.forwarding.estimates import Prospect
+from baobabhinge_gateway.forwarding.failures import (
+    NotServedError,
+)
 from baobabhinge_gateway.forwarding.lending import (
     choose_region,
     find_best_wait,
 )
-from baobabhinge_gateway.forwarding.placement import (
-    Placement,
-    Ranking,
-)
-from baobabhinge_gateway.forwarding.problems import NotServedError
-from baobabhinge_gateway.forwarding.protocols import GatewayListing
+from baobabhinge_gateway.forwarding.placement import Placement
+from baobabhinge_gateway.forwarding.rankings import Ranking
+from baobabhinge_gateway.forwarding.surroundings import Surroundings
 from baobabhinge_gateway.forwarding.targets import Target
 from baobabhinge_gateway.forwarding.warmup import WarmUpPace, choose_sender
 
@@ -24,45 +23,6 @@
 RETRY_AFTER = timedelta(milliseconds=500)
 
 
-class Surroundings:
-    """Regions around this gateway, and the gateways in them.
-
-    Parameters
-    ----------
-    own_name, home : str
-        This gateway and its region.
-    gateways : GatewayListing
-        Live gateways.
-    """
-
-    __slots__ = ('gateways', 'home', 'own_name', 'regions')
-
-    def __init__(
-        self,
-        own_name: str,
-        home: str,
-        regions: Sequence[str],
-        gateways: GatewayListing,
-    ) -> None:
-        """Keep the parts."""
-        self.own_name = own_name
-        self.home = home
-        self.regions = regions
-        self.gateways = gateways
-
-    def list_away(self, call: Call) -> Sequence[str]:
-        """Return the other regions that may serve and can be reached."""
-        if call.is_lent:
-            return []
-        return [
-            region
-            for region in self.regions
-            if region != self.home
-            and call.route.allows(region)
-            and self.gateways.list_addresses(region)
-        ]
-
-
 class Chooser:
     """Choose targets from prospects.
 
@@ -108,11 +68,9 @@
         home = self._around.home
         prospects: Sequence[Prospect] = ()
         if call.route.allows(home):
-            prospects = self._placement.list_prospects(call, home, tried)
+            prospects = self._placement.list_warm(call, home, tried)
         waits = {home: find_best_wait(prospects)}
-        for region in self._around.list_away(call):
-            found = self._placement.list_prospects(call, region, tried)
-            waits[region] = find_best_wait(found)
+        waits.update(self._estimate_away(call, tried))
         choice = choose_region(home, waits, call.route.objective)
         if choice is None:
             return self._choose_cold(call, tried)
@@ -121,12 +79,24 @@
         addresses = self._around.gateways.list_addresses(choice.region)
         return Target(self._random.choice(addresses), choice.region)
 
+    def _estimate_away(
+        self,
+        call: Call,
+        tried: Collection[str],
+    ) -> Mapping[str, timedelta]:
+        return {
+            region: find_best_wait(
+                self._placement.list_warm(call, region, tried),
+            )
+            for region in self._around.list_away(call)
+        }
+
     def _choose_cold(self, call: Call, tried: Collection[str]) -> Target:
         home = self._around.home
         if call.route.allows(home):
             for prospect in self._placement.list_cold(call, home, tried):
                 if self._may_warm(prospect):
-                    self._warmup.take(prospect.server.name, 1.0)
+                    self._warmup.take(prospect.server.name, 1)
                     return self._take(prospect)
         raise NotServedError(
             f'no backend server of {call.service} takes calls now',
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
@@ -0,0 +1,95 @@
+"""Parts of a gateway that decide and remember, without listeners."""
+
+from collections.abc import Sequence
+from random import Random, SystemRandom
+
+from baobabhinge_coordination.clock import BootClock
+from baobabhinge_gateway.forwarding.knowledge import create_knowledge
+from baobabhinge_gateway.forwarding.meters import CallMeters
+from baobabhinge_gateway.forwarding.reception import Reception
+from baobabhinge_gateway.forwarding.retries import SharedRetryBudget
+from baobabhinge_gateway.forwarding.settings import ForwardingSettings
+from baobabhinge_gateway.lifecycle import Lifecycle
+from baobabhinge_gateway.neighbours import GatewayTable, Heartbeat
+
+
+class GatewayCore:
+    """State of one gateway, and the decisions on it.
+
+    Parameters
+    ----------
+    settings : ForwardingSettings
+        Settings of the process.
+
+    Attributes
+    ----------
+    budget : SharedRetryBudget
+        Bound on repeats.
+    gateways : GatewayTable
+        Live gateways.
+    knowledge : Knowledge
+        Configuration, servers and loads.
+    reception : Reception
+        Parts that calls pass.
+    settings : ForwardingSettings
+        Settings of the process.
+    """
+
+    __slots__ = (
+        'budget',
+        'gateways',
+        'knowledge',
+        'reception',
+        'settings',
+    )
+
+    def __init__(self, settings: ForwardingSettings) -> None:
+        """Know nothing."""
+        clock = BootClock()
+        self.settings = settings
+        self.budget = SharedRetryBudget(settings.budget, clock)
+        self.gateways = GatewayTable(settings.own, clock)
+        self.knowledge = create_knowledge(clock, settings.regions)
+        self.reception = Reception(
+            clock,
+            self.knowledge.holder,
+            Random(SystemRandom().getrandbits(64)),
+            Lifecycle(clock),
+            CallMeters(),
+        )
+
+    def is_ready(self) -> bool:
+        """Whether callers may use this gateway."""
+        if self.reception.lifecycle.is_draining:
+            return False
+        has_servers = bool(self.knowledge.catalogue.list_all())
+        return self.knowledge.holder.revision is not None and has_servers
+
+    def list_entries(self, region: str) -> Sequence[str]:
+        """Return the gateways that a caller of ``region`` is to use."""
+        entries = self._list_region(region)
+        if not entries:
+            for other in self.settings.list_regions():
+                entries.extend(self._list_region(other))
+        return sorted(entries)
+
+    def compose(self, sequence: int) -> Heartbeat:
+        """Return the heartbeat of this number."""
+        self.budget.gateways = 1 + len(self.gateways.list_live())
+        return Heartbeat(
+            name=self.settings.own.name,
+            incarnation=self.reception.lifecycle.incarnation,
+            sequence=sequence,
+            region=self.settings.own.region,
+            caller_address=self.settings.caller_address,
+            hop_address=self.settings.hop_address,
+            is_ready=self.is_ready(),
+            version=self.knowledge.holder.version,
+            loads=self.knowledge.loads.own,
+        )
+
+    def _list_region(self, region: str) -> list[str]:
+        entries = list(self.gateways.list_entries(region))
+        if region == self.settings.own.region and self.is_ready():
+            entries.append(self.settings.caller_address)
+        return entries
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/exchange.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/exchange.py
@@ -1,7 +1,7 @@
 """One HTTP exchange with a backend server or another gateway."""
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from datetime import timedelta
 
 import aiohttp
@@ -10,7 +10,7 @@
 
 from baobabhinge_gateway.errors import NotReachedError
 from baobabhinge_gateway.forwarding.call import Headers
-from baobabhinge_gateway.forwarding.problems import (
+from baobabhinge_gateway.forwarding.failures import (
     TimeLimitError,
     UnknownOutcomeError,
 )
@@ -75,11 +75,8 @@
             timeout=limit,
             allow_redirects=False,
         ) as response:
-            try:
+            with _closing_unless_read(response):
                 yield response
-            finally:
-                if not response.content.is_eof():
-                    response.close()
     except (
         aiohttp.ClientConnectorError,
         aiohttp.ConnectionTimeoutError,
@@ -91,6 +88,15 @@
         raise UnknownOutcomeError(f'exchange broke: {broken!r}') from broken
 
 
+@contextmanager
+def _closing_unless_read(response: aiohttp.ClientResponse) -> Iterator[None]:
+    try:
+        yield
+    finally:
+        if not response.content.is_eof():
+            response.close()
+
+
 async def read_whole(response: aiohttp.ClientResponse) -> bytes:
     """Return the whole body of an answer.
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/headers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/headers.py
@@ -4,6 +4,7 @@
 
 from baobabhinge_gateway.forwarding.call import Headers
 
+NONE_MORE: frozenset[str] = frozenset()
 HOP_BY_HOP = frozenset(
     (
         'connection',
@@ -24,7 +25,7 @@
 
 def keep_end_to_end(
     pairs: Iterable[tuple[str, str]],
-    dropped: frozenset[str] = frozenset(),
+    dropped: frozenset[str] = NONE_MORE,
 ) -> Headers:
     """Drop the headers of one connection and those in ``dropped``.
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/health.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/health.py
@@ -14,8 +14,10 @@
     open_exchange,
     read_whole,
 )
-from baobabhinge_gateway.forwarding.placement import Knowledge
-from baobabhinge_gateway.forwarding.problems import ForwardingError
+from baobabhinge_gateway.forwarding.knowledge import Knowledge
+from baobabhinge_gateway.forwarding.problems import (
+    ForwardingError,
+)
 from baobabhinge_gateway.forwarding.protocols import BackendProtocol, Health
 
 # Servers that are back are taken again within this time.
@@ -86,8 +88,7 @@
         self._known.trust.clear(server.name)
 
     async def _ask(self, server: BackendServer) -> Health:
-        revision = self._known.holder.revision
-        service = revision.services.get(server.service) if revision else None
+        service = self._known.find_service(server.service)
         if service is None:
             return Health(is_good=False)
         outbound = Outbound(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop.py
@@ -8,7 +8,9 @@
 from baobabhinge_gateway.deployment import Route
 from baobabhinge_gateway.forwarding.call import Call, CallHead
 from baobabhinge_gateway.forwarding.exchange import Outbound
-from baobabhinge_gateway.forwarding.problems import MalformedCallError
+from baobabhinge_gateway.forwarding.problems import (
+    MalformedCallError,
+)
 from baobabhinge_gateway.forwarding.protocols import Verdict
 
 HOP_PATH = '/calls'
@@ -56,13 +58,13 @@
         body = b''.join((length, envelope, call.body))
         return Outbound('POST', address, HOP_PATH, (), body, left)
 
-    def read_runs(self, response: aiohttp.ClientResponse, call: Call) -> int:
+    def read_runs(self, call: Call, response: aiohttp.ClientResponse) -> int:
         """Return how many backend servers may have begun to run ``call``."""
         told = response.headers.get(RUNS, '')
         return int(told) if told.isdecimal() else call.attempts_left
 
-    def judge(self, call: Call, response: aiohttp.ClientResponse) -> Verdict:
-        """Return what the other gateway says of the run of ``call``."""
+    def judge(self, response: aiohttp.ClientResponse) -> Verdict:
+        """Return what the other gateway says of the run of the call."""
         try:
             return Verdict(response.headers.get(VERDICT, ''))
         except ValueError:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
@@ -1,48 +1,26 @@
-"""Requests of callers and of other gateways, turned into calls."""
+"""Requests of callers, turned into calls and answered."""
 
 import asyncio
 from datetime import timedelta
-from http import HTTPStatus
-from random import Random
 
 import msgspec
-import structlog
 from aiohttp import web
 
-from baobabhinge_coordination.clock import Clock
-from baobabhinge_gateway.deployment import (
-    ConfigurationHolder,
-    RequestLimits,
-    Route,
+from baobabhinge_gateway.errors import CallError
+from baobabhinge_gateway.forwarding.bodies import (
+    choose_service,
+    limit_patience,
+    read_body,
 )
-from baobabhinge_gateway.errors import CallError, Outcome
-from baobabhinge_gateway.forwarding.call import Call, CallHead, Headers
+from baobabhinge_gateway.forwarding.call import Call
 from baobabhinge_gateway.forwarding.dispatch import Dispatcher
-from baobabhinge_gateway.forwarding.hop import RUNS, VERDICT, open_envelope
-from baobabhinge_gateway.forwarding.meters import CallMeters
 from baobabhinge_gateway.forwarding.problems import (
-    BodyTooLargeError,
     NoConfigurationError,
     NoRouteError,
 )
-from baobabhinge_gateway.forwarding.protocols import CallerProtocol, Verdict
+from baobabhinge_gateway.forwarding.protocols import CallerProtocol
+from baobabhinge_gateway.forwarding.reception import Reception
 from baobabhinge_gateway.forwarding.responding import HttpResponder
-from baobabhinge_gateway.lifecycle import Lifecycle
-
-LONGEST_PATIENCE = timedelta(minutes=10)
-LAST_SERVER_ERROR = 600
-
-log = structlog.get_logger(__name__)
-
-
-class Reception(msgspec.Struct):
-    """What a gateway needs to take calls in."""
-
-    clock: Clock
-    holder: ConfigurationHolder
-    random: Random
-    lifecycle: Lifecycle
-    meters: CallMeters
 
 
 class CallerIngress:
@@ -79,19 +57,22 @@
         try:
             call = await self._read_call(request, arrival)
         except CallError as refusal:
-            return await self._refuse(request, responder, refusal, None)
-        self._reception.meters.open_calls += 1
+            await self._refuse(responder, refusal, None)
+        else:
+            with self._reception.meters.hold():
+                await self._serve(call, responder)
+        return responder.response
+
+    async def _serve(self, call: Call, responder: HttpResponder) -> None:
         try:
             await self._dispatcher.serve(call, responder)
         except CallError as refusal:
-            return await self._refuse(request, responder, refusal, call)
+            await self._refuse(responder, refusal, call)
         except asyncio.CancelledError:
-            self._note(call, 'abandoned', 'caller left')
+            self._reception.note_end(call, 'abandoned', 'the caller left')
             raise
-        finally:
-            self._reception.meters.open_calls -= 1
-        self._note(call, 'answered', '')
-        return _take_response(responder)
+        else:
+            self._reception.note_end(call, 'answered', '')
 
     async def _read_call(
         self,
@@ -120,153 +101,23 @@
 
     async def _refuse(
         self,
-        request: web.BaseRequest,
         responder: HttpResponder,
         refusal: CallError,
         call: Call | None,
-    ) -> web.StreamResponse:
-        self._note(call, refusal.code, refusal.detail)
+    ) -> None:
+        self._reception.note_end(call, refusal.code, refusal.detail)
         if responder.has_started:
             responder.abort()
-            return _take_response(responder)
-        headers = self._protocol.describe_refusal(refusal)
+            return
         await responder.send_whole(
             refusal.status,
-            headers,
-            _describe(refusal),
-        )
-        return _take_response(responder)
-
-    def _note(self, call: Call | None, outcome: str, reason: str) -> None:
-        elapsed = timedelta()
-        if call is not None:
-            elapsed = self._reception.clock.read_monotonic() - call.arrival
-        self._reception.meters.count(outcome, elapsed)
-        log.info(
-            'call-ended',
-            attempt=call.head.attempt if call else None,
-            route=call.route.name if call else None,
-            outcome=outcome,
-            reason=reason,
-            elapsed_ms=round(elapsed.total_seconds() * 1000),
-            version=self._reception.holder.version,
+            self._protocol.describe_refusal(refusal),
+            describe(refusal),
         )
 
 
-class HopIngress:
-    """Take calls that other gateways forward.
-
-    Parameters
-    ----------
-    reception : Reception
-        Parts of the process.
-    dispatcher : Dispatcher
-        Has the calls answered in this region.
-    """
-
-    __slots__ = ('_dispatcher', '_reception')
-
-    def __init__(self, reception: Reception, dispatcher: Dispatcher) -> None:
-        """Keep the parts."""
-        self._reception = reception
-        self._dispatcher = dispatcher
-
-    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer one request of another gateway."""
-        responder = _VerdictResponder(request)
-        now = self._reception.clock.read_monotonic()
-        self._reception.meters.open_calls += 1
-        try:
-            call = open_envelope(await request.content.read(), now)
-            responder.call = call
-            await self._dispatcher.serve(call, responder)
-        except CallError as refusal:
-            if responder.has_started:
-                responder.abort()
-            else:
-                await _tell_refusal(responder, refusal)
-        finally:
-            self._reception.meters.open_calls -= 1
-        return _take_response(responder)
-
-
-class _VerdictResponder(HttpResponder):
-    """Way back to a gateway, which is told what the answer proves."""
-
-    __slots__ = ('call', 'verdict')
-
-    def __init__(self, request: web.BaseRequest) -> None:
-        super().__init__(request, is_last=False)
-        self.verdict: Verdict | None = None
-        self.call: Call | None = None
-
-    async def _send_head(
-        self,
-        response: web.StreamResponse,
-        headers: Headers,
-    ) -> None:
-        verdict = self.verdict or _judge_status(response.status)
-        runs = self.call.runs if self.call else 0
-        marked = (*headers, (VERDICT, verdict.value), (RUNS, str(runs)))
-        await super()._send_head(response, marked)
-
-
-async def _tell_refusal(
-    responder: _VerdictResponder,
-    refusal: CallError,
-) -> None:
-    is_safe = refusal.outcome is Outcome.not_run
-    responder.verdict = Verdict.declined if is_safe else Verdict.unknown
-    await responder.send_whole(refusal.status, (), _describe(refusal))
-
-
-def _judge_status(status: int) -> Verdict:
-    is_failure = HTTPStatus.INTERNAL_SERVER_ERROR <= status < LAST_SERVER_ERROR
-    return Verdict.failed if is_failure else Verdict.answered
-
-
-async def read_body(request: web.BaseRequest, limits: RequestLimits) -> bytes:
-    """Return the whole body of a request.
-
-    Raises
-    ------
-    BodyTooLargeError
-        If it exceeds the limit in force.
-    """
-    pieces = []
-    length = 0
-    async for piece in request.content.iter_any():
-        length += len(piece)
-        if length > limits.body_bytes:
-            raise BodyTooLargeError('the body exceeds the limit')
-        pieces.append(piece)
-    return b''.join(pieces)
-
-
-def limit_patience(head: CallHead, route: Route) -> timedelta:
-    """Return the sooner of the caller's patience and the route's limit."""
-    limits = [head.patience, route.time_limit]
-    return min(
-        (limit for limit in limits if limit),
-        default=LONGEST_PATIENCE,
-    )
-
-
-def choose_service(route: Route, random: Random) -> str:
-    """Draw one service of ``route`` by the weights of its splits."""
-    if len(route.splits) == 1:
-        return route.splits[0].service
-    weights = [split.weight for split in route.splits]
-    return random.choices(route.splits, weights)[0].service
-
-
-def _describe(refusal: CallError) -> bytes:
+def describe(refusal: CallError) -> bytes:
+    """Return the body of a final answer of the gateway's own."""
     return msgspec.json.encode(
         {'code': refusal.code, 'detail': refusal.detail},
     )
-
-
-def _take_response(responder: HttpResponder) -> web.StreamResponse:
-    return responder.response or web.Response(
-        status=HTTPStatus.INTERNAL_SERVER_ERROR,
-    )
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/knowledge.py
@@ -0,0 +1,60 @@
+"""What a gateway knows when it places a call."""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from baobabhinge_coordination.clock import Clock
+from baobabhinge_gateway.deployment import (
+    ConfigurationHolder,
+    Engine,
+    ServerCatalogue,
+    Service,
+)
+from baobabhinge_gateway.forwarding.loads import LoadTable
+from baobabhinge_gateway.forwarding.prefixes import PrefixHistory
+from baobabhinge_gateway.forwarding.trust import ServerTrust
+from baobabhinge_gateway.forwarding.warmup import WarmUpPace
+
+
+class Knowledge(msgspec.Struct):
+    """Configuration, servers, loads, prefixes, failures and warm-up.
+
+    Parameters
+    ----------
+    regions : mapping of str to str
+        Region of each failure domain.
+    """
+
+    clock: Clock
+    holder: ConfigurationHolder
+    catalogue: ServerCatalogue
+    loads: LoadTable
+    prefixes: PrefixHistory
+    trust: ServerTrust
+    warmup: WarmUpPace
+    regions: Mapping[str, str]
+
+    def find_service(self, name: str) -> Service | None:
+        """Return the service called ``name`` in the configuration in force."""
+        revision = self.holder.revision
+        return revision.services.get(name) if revision else None
+
+    def find_engine(self, name: str) -> Engine | None:
+        """Return the size of the engines of a service, if it has any."""
+        service = self.find_service(name)
+        return service.engine if service else None
+
+
+def create_knowledge(clock: Clock, regions: Mapping[str, str]) -> Knowledge:
+    """Return the knowledge of a gateway that starts now."""
+    return Knowledge(
+        clock=clock,
+        holder=ConfigurationHolder(),
+        catalogue=ServerCatalogue(clock),
+        loads=LoadTable(clock),
+        prefixes=PrefixHistory(clock),
+        trust=ServerTrust(clock),
+        warmup=WarmUpPace(clock),
+        regions=regions,
+    )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/loads.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/loads.py
@@ -1,6 +1,5 @@
 """How busy each backend server is, seen by all gateways together."""
 
-from collections import defaultdict
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from datetime import timedelta
@@ -13,7 +12,7 @@
 OTHERS_FRESH = timedelta(seconds=2)
 
 
-class ServerLoad(msgspec.Struct, array_like=True):
+class ServerLoad(msgspec.Struct, array_like=True, frozen=True):
     """Calls at one backend server.
 
     Parameters
@@ -30,22 +29,23 @@
     unread: int = 0
     memory: int = 0
 
-    def add(self, other: 'ServerLoad') -> None:
-        """Add the calls of ``other``."""
-        self.calls += other.calls
-        self.unread += other.unread
-        self.memory += other.memory
-
-    def subtract(self, other: 'ServerLoad') -> None:
-        """Take the calls of ``other`` off."""
-        self.calls -= other.calls
-        self.unread -= other.unread
-        self.memory -= other.memory
+    def add(self, other: 'ServerLoad', sign: int = 1) -> 'ServerLoad':
+        """Return the load with the calls of ``other``, or without them."""
+        return ServerLoad(
+            self.calls + sign * other.calls,
+            self.unread + sign * other.unread,
+            self.memory + sign * other.memory,
+        )
 
 
 Loads = dict[str, ServerLoad]
 
 
+class _Told(msgspec.Struct, frozen=True):
+    heard: timedelta
+    loads: Mapping[str, ServerLoad]
+
+
 class LoadTable:
     """Loads of servers, the own calls and those that other gateways tell.
 
@@ -65,57 +65,72 @@
     def __init__(self, clock: Clock) -> None:
         """Know no load."""
         self._clock = clock
-        self.own: defaultdict[str, ServerLoad] = defaultdict(ServerLoad)
-        self._others: dict[str, tuple[timedelta, Mapping[str, ServerLoad]]] = {}
+        self.own: Loads = {}
+        self._others: dict[str, _Told] = {}
 
     def hear(self, gateway: str, loads: Mapping[str, ServerLoad]) -> None:
         """Take what another gateway has in flight."""
-        self._others[gateway] = (self._clock.read_monotonic(), loads)
+        self._others[gateway] = _Told(self._clock.read_monotonic(), loads)
 
     def read(self, server: str) -> ServerLoad:
         """Return the load of ``server`` by all gateways."""
-        total = ServerLoad()
-        if server in self.own:
-            total.add(self.own[server])
+        total = self.own.get(server, NO_LOAD)
         oldest = self._clock.read_monotonic() - OTHERS_FRESH
-        for heard, loads in self._others.values():
-            if heard >= oldest and server in loads:
-                total.add(loads[server])
+        for told in self._others.values():
+            if told.heard >= oldest:
+                total = total.add(told.loads.get(server, NO_LOAD))
         return total
 
-    def snapshot(self) -> Loads:
-        """Return the own loads that are not zero."""
-        return {name: load for name, load in self.own.items() if load.calls > 0}
+    def change(self, server: str, load: ServerLoad, sign: int) -> None:
+        """Add ``load`` to the own load of ``server``, or take it off."""
+        changed = self.own.get(server, NO_LOAD).add(load, sign)
+        if changed.calls > 0:
+            self.own[server] = changed
+        else:
+            self.own.pop(server, None)
 
     @contextmanager
     def hold(self, server: str, load: ServerLoad) -> Iterator['HeldLoad']:
         """Count a call at ``server`` while the context is open."""
-        held = HeldLoad(self.own[server], load)
+        held = HeldLoad(self, server, load)
         try:
             yield held
         finally:
             held.release()
-            if self.own[server].calls <= 0:
-                self.own.pop(server)
 
 
 class HeldLoad:
-    """The share of one call in the load of its server."""
+    """The share of one call in the load of its server.
 
-    __slots__ = ('_load', '_server')
+    Parameters
+    ----------
+    table : LoadTable
+        Loads of all servers.
+    server : str
+        Server of the call.
+    load : ServerLoad
+        The share.
+    """
+
+    __slots__ = ('_load', '_server', '_table')
 
-    def __init__(self, server: ServerLoad, load: ServerLoad) -> None:
-        """Add ``load``."""
+    def __init__(self, table: LoadTable, server: str, load: ServerLoad) -> None:
+        """Add the share."""
+        self._table = table
         self._server = server
         self._load = load
-        server.add(load)
+        table.change(server, load, 1)
 
     def note_first_event(self) -> None:
-        """Count the prompt as read."""
-        read = ServerLoad(unread=self._load.unread)
-        self._server.subtract(read)
-        self._load.subtract(read)
+        """Count the prompt as read, once."""
+        if self._load.unread:
+            read = ServerLoad(unread=self._load.unread)
+            self._table.change(self._server, read, -1)
+            self._load = self._load.add(read, -1)
 
     def release(self) -> None:
         """Take the whole share off."""
-        self._server.subtract(self._load)
+        self._table.change(self._server, self._load, -1)
+
+
+NO_LOAD = ServerLoad()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/meters.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/meters.py
@@ -1,5 +1,7 @@
 """Counters and latencies of forwarded calls."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from datetime import timedelta
 
 from prometheus_client import (
@@ -48,6 +50,15 @@
             registry=self._registry,
         )
 
+    @contextmanager
+    def hold(self) -> Iterator[None]:
+        """Count a call as open while the context is."""
+        self.open_calls += 1
+        try:
+            yield
+        finally:
+            self.open_calls -= 1
+
     def count(self, outcome: str, elapsed: timedelta) -> None:
         """Count the end of one call."""
         self._ended.labels(outcome).inc()
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/noting.py
@@ -0,0 +1,32 @@
+"""What the failure of an exchange shows of its backend server."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from baobabhinge_gateway.errors import NotReachedError
+from baobabhinge_gateway.forwarding.failures import (
+    TimeLimitError,
+    UnknownOutcomeError,
+)
+from baobabhinge_gateway.forwarding.trust import ServerTrust
+
+
+@contextmanager
+def noting_failures(trust: ServerTrust, server: str) -> Iterator[None]:
+    """Tell ``trust`` how the exchange in the context fails.
+
+    A server whose connection broke may have restarted and be cold: it is
+    checked before it gets another call.
+    """
+    try:
+        yield
+    except NotReachedError:
+        trust.suspect(server, 'not reached')
+        raise
+    except UnknownOutcomeError as lost:
+        trust.note(server, has_failed=True)
+        trust.suspect(server, str(lost))
+        raise
+    except TimeLimitError:
+        trust.note(server, has_failed=True)
+        raise
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/problems.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/problems.py
@@ -1,8 +1,8 @@
-"""Final answers that are this gateway's own."""
+"""Refusals of requests that do not become calls."""
 
 from http import HTTPStatus
 
-from baobabhinge_gateway.errors import CallError, Outcome
+from baobabhinge_gateway.errors import CallError
 
 
 class ForwardingError(CallError):
@@ -35,40 +35,3 @@
 
     code = 'no-configuration'
     status = HTTPStatus.SERVICE_UNAVAILABLE
-
-
-class NotServedError(ForwardingError):
-    """No backend server can take the call in time; it was not run."""
-
-    code = 'not-served'
-    status = HTTPStatus.SERVICE_UNAVAILABLE
-
-
-class DeclinedError(NotServedError):
-    """A backend server or a gateway said that it did not run the call."""
-
-    code = 'declined'
-
-
-class UnknownOutcomeError(ForwardingError):
-    """The call was sent and its answer is lost."""
-
-    code = 'outcome-unknown'
-    status = HTTPStatus.BAD_GATEWAY
-    outcome = Outcome.unknown
-
-
-class TimeLimitError(ForwardingError):
-    """The time limit passed after the call was sent."""
-
-    code = 'time-limit'
-    status = HTTPStatus.GATEWAY_TIMEOUT
-    outcome = Outcome.unknown
-
-
-class StreamBrokenError(ForwardingError):
-    """A stream broke off after its first event reached the caller."""
-
-    code = 'stream-broken'
-    status = HTTPStatus.BAD_GATEWAY
-    outcome = Outcome.unknown
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/protocols.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/protocols.py
@@ -5,9 +5,8 @@
 from datetime import timedelta
 from typing import Protocol
 
-import aiohttp
 import msgspec
-from aiohttp import web
+from aiohttp import ClientResponse, web
 
 from baobabhinge_gateway.deployment import BackendServer
 from baobabhinge_gateway.errors import CallError
@@ -67,7 +66,7 @@
     ) -> Headers:
         """Return all headers of the request."""
 
-    def judge(self, call: Call, response: aiohttp.ClientResponse) -> Verdict:
+    def judge(self, call: Call, response: ClientResponse) -> Verdict:
         """Return what the head of an answer proves."""
 
     def compose_check(self, server: BackendServer) -> Headers:
@@ -76,12 +75,12 @@
     def judge_health(
         self,
         server: BackendServer,
-        response: aiohttp.ClientResponse,
+        response: ClientResponse,
     ) -> Health:
         """Return what the answer to a health check says."""
 
-    def split_events(self, pending: bytes) -> tuple[bytes, bytes]:
-        """Return the whole events of ``pending``, and the rest."""
+    def measure_events(self, pending: bytes) -> int:
+        """Return the length of the whole events at the start of a text."""
 
     def read_last_event(self, events: bytes) -> str | None:
         """Return the identity of the last of whole ``events``."""
@@ -90,9 +89,7 @@
 class Responder(Protocol):
     """Way back to the caller."""
 
-    @property
-    def has_started(self) -> bool:
-        """Whether the head of an answer was sent."""
+    has_started: bool
 
     async def send_whole(
         self,
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/reception.py
@@ -0,0 +1,52 @@
+"""What a gateway needs to take calls in, and how it counts their ends."""
+
+from datetime import timedelta
+from random import Random
+
+import msgspec
+import structlog
+
+from baobabhinge_coordination.clock import Clock
+from baobabhinge_gateway.deployment import ConfigurationHolder
+from baobabhinge_gateway.forwarding.call import Call
+from baobabhinge_gateway.forwarding.meters import CallMeters
+from baobabhinge_gateway.lifecycle import Lifecycle
+
+log = structlog.get_logger(__name__)
+
+
+class Reception(msgspec.Struct):
+    """Parts of the process that calls pass."""
+
+    clock: Clock
+    holder: ConfigurationHolder
+    random: Random
+    lifecycle: Lifecycle
+    meters: CallMeters
+
+    def note_end(self, call: Call | None, outcome: str, reason: str) -> None:
+        """Count and log the end of a call.
+
+        Parameters
+        ----------
+        call : Call or None
+            ``None`` if the request did not become a call.
+        outcome : str
+            ``answered``, ``abandoned`` or the code of the refusal.
+        reason : str
+            What decided it.
+        """
+        elapsed = timedelta()
+        if call is not None:
+            elapsed = self.clock.read_monotonic() - call.arrival
+        self.meters.count(outcome, elapsed)
+        log.info(
+            'call-ended',
+            attempt=call.head.attempt if call else None,
+            route=call.route.name if call else None,
+            outcome=outcome,
+            reason=reason,
+            elapsed_ms=round(elapsed.total_seconds() * 1000),
+            runs=call.runs if call else 0,
+            version=self.holder.version,
+        )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/relay.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/relay.py
@@ -1,16 +1,25 @@
 """Passing the events of a stream on as they arrive."""
 
+from collections.abc import Callable
+
 import aiohttp
 
 from baobabhinge_gateway.forwarding.call import Call
+from baobabhinge_gateway.forwarding.failures import (
+    StreamBrokenError,
+)
 from baobabhinge_gateway.forwarding.headers import keep_end_to_end
-from baobabhinge_gateway.forwarding.loads import HeldLoad
-from baobabhinge_gateway.forwarding.problems import StreamBrokenError
 from baobabhinge_gateway.forwarding.protocols import (
     BackendProtocol,
     Responder,
 )
 
+NoteFirstEvent = Callable[[], None]
+
+
+def note_nothing() -> None:
+    """Take no note of the first event."""
+
 
 class StreamRelay:
     """One stream on its way to the caller.
@@ -21,22 +30,22 @@
         Knows where events end.
     responder : Responder
         Way to the caller.
-    held : HeldLoad or None
-        Told when the first event has come.
+    note_first_event : callable
+        Told when the first piece has come.
     """
 
-    __slots__ = ('_backends', '_held', '_pending', '_responder')
+    __slots__ = ('_backends', '_note_first_event', '_pending', '_responder')
 
     def __init__(
         self,
         backends: BackendProtocol,
         responder: Responder,
-        held: HeldLoad | None,
+        note_first_event: NoteFirstEvent,
     ) -> None:
         """Pass nothing on yet."""
         self._backends = backends
         self._responder = responder
-        self._held = held
+        self._note_first_event = note_first_event
         self._pending = b''
 
     async def run(
@@ -71,23 +80,21 @@
         response: aiohttp.ClientResponse,
     ) -> None:
         async for piece in response.content.iter_any():
-            if self._held is not None:
-                self._held.note_first_event()
-                self._held = None
-            events, self._pending = self._backends.split_events(
-                self._pending + piece,
-            )
-            if not events:
-                continue
-            await self._start(response)
-            await self._responder.write(events)
-            last = self._backends.read_last_event(events)
-            if last is not None:
-                call.last_event = last
+            self._note_first_event()
+            self._pending += piece
+            whole = self._backends.measure_events(self._pending)
+            if whole:
+                await self._start(response)
+                await self._write(call, self._pending[:whole])
+                self._pending = self._pending[whole:]
+
+    async def _write(self, call: Call, events: bytes) -> None:
+        await self._responder.write(events)
+        last = self._backends.read_last_event(events)
+        if last is not None:
+            call.last_event = last
 
     async def _start(self, response: aiohttp.ClientResponse) -> None:
         if not self._responder.has_started:
             headers = keep_end_to_end(response.headers.items())
             await self._responder.start(response.status, headers)
-
-
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/responding.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/responding.py
@@ -1,9 +1,19 @@
 """Answers written to the connection of a request."""
 
+from collections.abc import Callable
+from http import HTTPStatus
+
 from aiohttp import web
 
 from baobabhinge_gateway.forwarding.call import Headers
 
+CompleteHeaders = Callable[[int, Headers], Headers]
+
+
+def keep_headers(status: int, headers: Headers) -> Headers:
+    """Return the headers of an answer as they are."""
+    return headers
+
 
 class HttpResponder:
     """Way back to whoever sent a request.
@@ -12,27 +22,42 @@
     ----------
     request : web.BaseRequest
         The request.
-    is_last : bool
+    is_last : bool, optional
         Whether the connection is to be closed after the answer.
+    complete : callable, optional
+        Returns the headers to send, given the status and those of the answer.
 
     Attributes
     ----------
-    response : web.StreamResponse or None
-        The answer, once its head was sent.
+    has_started : bool
+        Whether the head of an answer was sent.
+    response : web.StreamResponse
+        The answer; an error until one was started.
     """
 
-    __slots__ = ('_is_last', '_request', 'response')
+    __slots__ = (
+        '_complete',
+        '_is_last',
+        '_request',
+        'has_started',
+        'response',
+    )
 
-    def __init__(self, request: web.BaseRequest, *, is_last: bool) -> None:
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        *,
+        is_last: bool = False,
+        complete: CompleteHeaders = keep_headers,
+    ) -> None:
         """Send nothing yet."""
         self._request = request
         self._is_last = is_last
-        self.response: web.StreamResponse | None = None
-
-    @property
-    def has_started(self) -> bool:
-        """Whether the head of an answer was sent."""
-        return self.response is not None
+        self._complete = complete
+        self.response = web.StreamResponse(
+            status=HTTPStatus.INTERNAL_SERVER_ERROR,
+        )
+        self.has_started = False
 
     async def send_whole(
         self,
@@ -41,24 +66,21 @@
         body: bytes,
     ) -> None:
         """Send a whole answer."""
-        response = web.Response(status=status, body=body)
-        await self._send_head(response, headers)
-        await response.write_eof()
+        whole = web.Response(status=status, body=body)
+        await self._send_head(whole, headers)
+        await whole.write_eof()
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of a stream."""
-        response = web.StreamResponse(status=status)
-        await self._send_head(response, headers)
+        await self._send_head(web.StreamResponse(status=status), headers)
 
     async def write(self, piece: bytes) -> None:
         """Send a piece of a stream."""
-        if self.response is not None:
-            await self.response.write(piece)
+        await self.response.write(piece)
 
     async def finish(self) -> None:
         """End a stream as complete."""
-        if self.response is not None:
-            await self.response.write_eof()
+        await self.response.write_eof()
 
     def abort(self) -> None:
         """Break the connection, so that the answer can't look complete."""
@@ -70,11 +92,10 @@
         response: web.StreamResponse,
         headers: Headers,
     ) -> None:
-        for name, text in headers:
+        for name, text in self._complete(response.status, headers):
             response.headers.add(name, text)
         if self._is_last:
             response.force_close()
         self.response = response
+        self.has_started = True
         await response.prepare(self._request)
-
-
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/senders.py
@@ -0,0 +1,28 @@
+"""Ways to the two kinds of target."""
+
+import msgspec
+
+from baobabhinge_gateway.forwarding.call import Call
+from baobabhinge_gateway.forwarding.delivery import FailedAnswer
+from baobabhinge_gateway.forwarding.hopsending import HopSender
+from baobabhinge_gateway.forwarding.protocols import Responder
+from baobabhinge_gateway.forwarding.sending import ServerSender
+from baobabhinge_gateway.forwarding.targets import Target
+
+
+class Senders(msgspec.Struct):
+    """Send calls to backend servers, or to gateways of other regions."""
+
+    servers: ServerSender
+    hops: HopSender
+
+    async def send(
+        self,
+        call: Call,
+        target: Target,
+        responder: Responder,
+    ) -> FailedAnswer | None:
+        """Send ``call`` to ``target``; see `Delivery`."""
+        if target.prospect is None:
+            return await self.hops.send(call, target.address, responder)
+        return await self.servers.send(call, target.prospect, responder)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/sending.py
@@ -0,0 +1,104 @@
+"""One attempt of a call at one target."""
+
+import aiohttp
+
+from baobabhinge_gateway.deployment import BackendServer
+from baobabhinge_gateway.forwarding.call import Call
+from baobabhinge_gateway.forwarding.delivery import Delivery, FailedAnswer
+from baobabhinge_gateway.forwarding.estimates import Prospect
+from baobabhinge_gateway.forwarding.exchange import Outbound, open_exchange
+from baobabhinge_gateway.forwarding.knowledge import Knowledge
+from baobabhinge_gateway.forwarding.limits import count_runs, measure_left
+from baobabhinge_gateway.forwarding.noting import noting_failures
+from baobabhinge_gateway.forwarding.protocols import (
+    BackendProtocol,
+    Responder,
+    Verdict,
+)
+from baobabhinge_gateway.forwarding.relay import NoteFirstEvent
+
+
+class ServerSender:
+    """Send calls to backend servers.
+
+    Parameters
+    ----------
+    http : aiohttp.ClientSession
+        Session that the caller owns.
+    delivery : Delivery
+        Passes the answers on.
+    knowledge : Knowledge
+        Takes what the exchanges show.
+    backends : BackendProtocol
+        How backend servers are spoken to.
+    """
+
+    __slots__ = ('_backends', '_delivery', '_http', '_known')
+
+    def __init__(
+        self,
+        http: aiohttp.ClientSession,
+        delivery: Delivery,
+        knowledge: Knowledge,
+        backends: BackendProtocol,
+    ) -> None:
+        """Keep the parts."""
+        self._http = http
+        self._delivery = delivery
+        self._known = knowledge
+        self._backends = backends
+
+    async def send(
+        self,
+        call: Call,
+        prospect: Prospect,
+        responder: Responder,
+    ) -> FailedAnswer | None:
+        """Send ``call`` to a backend server; see `Delivery`."""
+        server = prospect.server
+        if call.head.demand is not None:
+            self._known.prefixes.note(server.name, call.head.demand)
+        with (
+            count_runs(call, 1),
+            noting_failures(self._known.trust, server.name),
+            self._known.loads.hold(server.name, prospect.added) as held,
+        ):
+            failed = await self._exchange(
+                call,
+                server,
+                responder,
+                held.note_first_event,
+            )
+        self._known.trust.note(server.name, has_failed=failed is not None)
+        return failed
+
+    async def _exchange(
+        self,
+        call: Call,
+        server: BackendServer,
+        responder: Responder,
+        note_first_event: NoteFirstEvent,
+    ) -> FailedAnswer | None:
+        outbound = self._compose(call, server)
+        async with open_exchange(self._http, outbound) as response:
+            verdict = self._backends.judge(call, response)
+            if verdict is Verdict.misplaced:
+                self._known.trust.suspect(server.name, 'other incarnation')
+            return await self._delivery.deliver(
+                call,
+                response,
+                verdict,
+                responder,
+                note_first_event,
+            )
+
+    def _compose(self, call: Call, server: BackendServer) -> Outbound:
+        left = measure_left(call, self._known.clock)
+        return Outbound(
+            call.head.method,
+            server.address,
+            call.head.target,
+            self._backends.compose_headers(call, server, left),
+            call.body,
+            left,
+        )
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/settings.py
@@ -0,0 +1,41 @@
+"""Settings of the gateway for forwarded calls."""
+
+from collections.abc import Mapping
+from datetime import timedelta
+
+import msgspec
+
+from baobabhinge_gateway.forwarding.retries import BudgetTerms
+from baobabhinge_gateway.neighbours import Contact
+
+
+class ForwardingSettings(msgspec.Struct, frozen=True):
+    """Settings of the gateway for forwarded calls.
+
+    Parameters
+    ----------
+    own : Contact
+        Name, region, and address for heartbeats.
+    caller_address, hop_address : str
+        ``host:port`` for callers and for other gateways.
+    regions : mapping of str to str
+        Region of each failure domain.
+    budget : BudgetTerms
+        Retry budget of all gateways together.
+    grace : timedelta
+        Time from SIGTERM to the end.
+    ranking : str
+        Name of the ranking of backend servers.
+    """
+
+    own: Contact
+    caller_address: str
+    hop_address: str
+    regions: Mapping[str, str]
+    budget: BudgetTerms
+    grace: timedelta
+    ranking: str = 'soonest'
+
+    def list_regions(self) -> list[str]:
+        """Return all regions in the order of their names."""
+        return sorted(set(self.regions.values()))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/targets.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/targets.py
@@ -1,9 +1,13 @@
 """Where one attempt of a call goes."""
 
+from datetime import timedelta
+
 import msgspec
 
 from baobabhinge_gateway.forwarding.estimates import Prospect
 
+MILLISECOND = timedelta(milliseconds=1)
+
 
 class Target(msgspec.Struct, frozen=True):
     """A backend server, or a gateway of another region.
@@ -26,3 +30,8 @@
     def name(self) -> str:
         """Name of the server, or the address of the gateway."""
         return self.prospect.server.name if self.prospect else self.address
+
+    @property
+    def wait_ms(self) -> int | None:
+        """Estimated wait in milliseconds, for a backend server."""
+        return self.prospect.wait // MILLISECOND if self.prospect else None
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/trust.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/trust.py
@@ -48,10 +48,6 @@
         self._records: dict[str, _Record] = {}
         self.unchecked: set[str] = set()
 
-    def is_trusted(self, server: str) -> bool:
-        """Whether calls may go to ``server``."""
-        return server not in self.unchecked
-
     def suspect(self, server: str, reason: str) -> None:
         """Send nothing to ``server`` until a health check is good."""
         if server not in self.unchecked:
@@ -74,14 +70,10 @@
         """Return the time by which failures make ``server`` look slower."""
         return FULL_PENALTY * self._read_rate(server)
 
-    def forget(self, server: str) -> None:
-        """Drop what is known of a server that is gone."""
-        self._records.pop(server, None)
-        self.unchecked.discard(server)
-
     def _read_rate(self, server: str) -> float:
         record = self._records.get(server)
         if record is None:
-            return 0.0
+            return 0
         age = self._clock.read_monotonic() - record.noted
-        return record.rate * 0.5 ** (age / HALF_LIFE)
+        kept: float = 0.5 ** (age / HALF_LIFE)
+        return record.rate * kept
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/warmup.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/warmup.py
@@ -78,5 +78,7 @@
     """
     return max(
         gateways,
-        key=lambda name: xxhash.xxh3_64_intdigest(f'{server.name}/{name}'),
+        key=lambda name: xxhash.xxh3_64_intdigest(
+            f'{server.name}/{name}'.encode()
+        ),
     )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
@@ -1,5 +1,7 @@
 """What one gateway tells another."""
 
+from collections.abc import Mapping
+
 import msgspec
 
 from baobabhinge_gateway.forwarding.loads import ServerLoad
@@ -36,4 +38,4 @@
     hop_address: str
     is_ready: bool
     version: int
-    loads: dict[str, ServerLoad]
+    loads: Mapping[str, ServerLoad]
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/service.py
@@ -19,15 +19,49 @@
 log = structlog.get_logger(__name__)
 
 
-class HeartbeatService(Service, asyncio.DatagramProtocol):
-    """Tell other gateways about this one, and hear about them.
+HearLoads = Callable[[str, Mapping[str, ServerLoad]], None]
+
+
+class HeartbeatReceiver(asyncio.DatagramProtocol):
+    """Take heartbeats of other gateways.
 
     Parameters
     ----------
     table : GatewayTable
         Takes what is heard.
+    hear_loads : callable
+        Takes the loads that a gateway tells.
+    """
+
+    def __init__(self, table: GatewayTable, hear_loads: HearLoads) -> None:
+        """Keep the parts."""
+        self._table = table
+        self._hear_loads = hear_loads
+
+    def datagram_received(self, datagram: bytes, source: object) -> None:
+        """Take one heartbeat."""
+        try:
+            beat = msgspec.msgpack.decode(datagram, type=Heartbeat)
+        except msgspec.MsgspecError as unreadable:
+            log.warning('heartbeat-unreadable', reason=str(unreadable))
+            return
+        if self._table.hear(beat):
+            self._hear_loads(beat.name, beat.loads)
+
+    def error_received(self, failure: Exception) -> None:
+        """Note that a datagram could not be sent."""
+        log.debug('heartbeat-not-sent', reason=repr(failure))
+
+
+class HeartbeatService(Service):
+    """Tell other gateways about this one, and hear about them.
+
+    Parameters
+    ----------
+    table : GatewayTable
+        Knows whom to tell.
     compose : callable
-        Returns the next heartbeat, given its number.
+        Returns the heartbeat of a number.
     hear_loads : callable
         Takes the loads that a gateway tells.
     """
@@ -36,13 +70,13 @@
         self,
         table: GatewayTable,
         compose: Callable[[int], Heartbeat],
-        hear_loads: Callable[[str, Mapping[str, ServerLoad]], None],
+        hear_loads: HearLoads,
     ) -> None:
         """Open no socket yet."""
         super().__init__()
         self._table = table
         self._compose = compose
-        self._hear_loads = hear_loads
+        self._receiver = HeartbeatReceiver(table, hear_loads)
         self._sequence = 0
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -50,10 +84,11 @@
         """Open the socket and begin."""
         own = self._table.own
         loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: self,
+        opened = await loop.create_datagram_endpoint(
+            lambda: self._receiver,
             local_addr=(own.host, own.port),
         )
+        self._transport = opened[0]
         self.add_future(self._beat_forever())
 
     async def on_stop(self) -> None:
@@ -61,23 +96,6 @@
         if self._transport is not None:
             self._transport.close()
 
-    def datagram_received(self, datagram: bytes, source: object) -> None:
-        """Take one heartbeat."""
-        try:
-            beat = msgspec.msgpack.decode(datagram, type=Heartbeat)
-        except msgspec.MsgspecError as unreadable:
-            log.warning('heartbeat-unreadable', reason=str(unreadable))
-            return
-        if beat.name == self._table.own.name:
-            return
-        if self._table.hear(beat):
-            self._hear_loads(beat.name, beat.loads)
-            self._learn_contact(beat)
-
-    def error_received(self, failure: Exception) -> None:
-        """Note that a datagram could not be sent."""
-        log.debug('heartbeat-not-sent', reason=repr(failure))
-
     def tell(self) -> None:
         """Send one heartbeat to every known gateway that is due."""
         self._sequence += 1
@@ -87,11 +105,6 @@
             if is_away_due or contact.region == self._table.own.region:
                 self._send(datagram, contact)
 
-    def _learn_contact(self, beat: Heartbeat) -> None:
-        host = beat.caller_address.rpartition(':')[0]
-        port = self._table.own.port
-        self._table.add_contact(Contact(beat.name, beat.region, host, port))
-
     def _send(self, datagram: bytes, contact: Contact) -> None:
         if self._transport is not None:
             self._transport.sendto(datagram, (contact.host, contact.port))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/table.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/table.py
@@ -68,6 +68,8 @@
 
     def hear(self, beat: Heartbeat) -> bool:
         """Take a heartbeat unless a newer one of its process is known."""
+        if beat.name == self.own.name:
+            return False
         known = self._beats.get(beat.name)
         if known and known.incarnation == beat.incarnation:
             if beat.sequence <= known.sequence:
@@ -76,11 +78,13 @@
             log.info('gateway-heard', gateway=beat.name, is_ready=beat.is_ready)
         self._beats[beat.name] = beat
         self._heard[beat.name] = self._clock.read_monotonic()
+        host = beat.caller_address.rpartition(':')[0]
+        self.add_contact(Contact(beat.name, beat.region, host, self.own.port))
         return True
 
     def list_names(self, region: str) -> Sequence[str]:
         """Return the live gateways of ``region``, this one included."""
-        names = [beat.name for beat in self._list_live(region)]
+        names = [beat.name for beat in self.list_live(region)]
         if region == self.own.region:
             names.append(self.own.name)
         return sorted(names)
@@ -88,28 +92,19 @@
     def list_addresses(self, region: str) -> Sequence[str]:
         """Return where other ready gateways of ``region`` take calls."""
         return [
-            beat.hop_address
-            for beat in self._list_live(region)
-            if beat.is_ready
+            beat.hop_address for beat in self.list_live(region) if beat.is_ready
         ]
 
     def list_entries(self, region: str) -> Sequence[str]:
         """Return where ready gateways of ``region`` take callers."""
         return [
             beat.caller_address
-            for beat in self._list_live(region)
+            for beat in self.list_live(region)
             if beat.is_ready
         ]
 
-    def count_live(self) -> int:
-        """Return the number of live gateways, this one included."""
-        return 1 + len(self._list_live(None))
-
-    def list_regions(self) -> Sequence[str]:
-        """Return the regions of live gateways."""
-        return sorted({beat.region for beat in self._list_live(None)})
-
-    def _list_live(self, region: str | None) -> Sequence[Heartbeat]:
+    def list_live(self, region: str | None = None) -> Sequence[Heartbeat]:
+        """Return the latest heartbeats of live gateways, of one region."""
         oldest = self._clock.read_monotonic() - SILENCE_LIMIT
         return [
             beat
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/telemetry/bounded.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/telemetry/bounded.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+from collections.abc import Callable
 from datetime import timedelta
 
 import structlog
@@ -13,6 +14,7 @@
 LINES_PER_SECOND = 400
 BURST_LINES = 800
 STANDARD_OUTPUT = 1
+LEVELS = frozenset(('debug', 'info', 'warning', 'error', 'critical'))
 
 
 class BoundedWriter:
@@ -52,7 +54,9 @@
             self.dropped += 1
             return
         if self.dropped:
-            line = f'{line}\n{{"event": "lines-dropped", "count": {self.dropped}}}'
+            line = (
+                f'{line}\n{{"event": "lines-dropped", "count": {self.dropped}}}'
+            )
         try:
             os.write(self._descriptor, f'{line}\n'.encode())
         except BlockingIOError:
@@ -60,7 +64,11 @@
             return
         self.dropped = 0
 
-    debug = info = warning = error = critical = msg
+    def __getattr__(self, level: str) -> Callable[[str], None]:
+        """Return the writer of lines of one level; all are the same."""
+        if level in LEVELS:
+            return self.msg
+        raise AttributeError(level)
 
     def _take(self) -> bool:
         now = self._clock.read_monotonic()
