--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
@@ -21,11 +21,11 @@
 from baobabhinge_gateway.neighbours import HeartbeatService
 
 CHECK_INTERVAL = timedelta(milliseconds=50)
-# Most callers have asked for gateways again by then (they are told to after
-# 2 s); a stream that begins later might not end within the grace period.
-LEAVING_TIME = timedelta(milliseconds=2500)
+# After 2.4 s of 8 s most callers have asked for gateways again (they are told
+# to after 2 s); a stream that begins later might not end in the grace period.
+LEAVING_SHARE = 0.3
 # The rest of the grace period is for the end of the process.
-GRACE_RESERVE = timedelta(milliseconds=700)
+OPEN_SHARE = 0.91
 
 log = structlog.get_logger(__name__)
 
@@ -86,9 +86,9 @@
         reception.lifecycle.is_draining = True
         log.info('draining', open_calls=reception.meters.open_calls)
         self._heartbeats.tell()
-        latest = reception.clock.read_monotonic()
-        latest += self._core.settings.grace - GRACE_RESERVE
-        await asyncio.sleep(LEAVING_TIME.total_seconds())
+        grace = self._core.settings.grace
+        latest = reception.clock.read_monotonic() + grace * OPEN_SHARE
+        await asyncio.sleep(grace.total_seconds() * LEAVING_SHARE)
         await self._entrance.close_entrance()
         log.info('entrance-closed', open_calls=reception.meters.open_calls)
         while reception.meters.open_calls:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/estimates.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/estimates.py
@@ -93,6 +93,6 @@
 
 def estimate_plain(server: BackendServer, load: ServerLoad) -> Prospect:
     """Return what an application worker would do for a call."""
-    rounds = max(1, (load.calls + 1) / max(1, server.slots))
-    wait = timedelta(milliseconds=PLAIN_MS * rounds)
+    rounds = (load.calls + 1) / max(1, server.slots)
+    wait = timedelta(milliseconds=PLAIN_MS * max(1, rounds))
     return Prospect(server, wait, ServerLoad(1), load.calls)
--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/scene.py
@@ -0,0 +1,124 @@
+"""A small deployment on the stand-in of the platform, in one process."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+
+from aiohttp import web
+
+from baobabhinge_hosting.program import Program
+from baobabhinge_standins.fleet.ports import reserve_port
+from baobabhinge_standins.host.addresses import SceneAddresses
+from baobabhinge_standins.host.calling import Received, send_call
+from baobabhinge_standins.host.configuration import build_configuration
+from baobabhinge_standins.host.server import HostServer
+from baobabhinge_standins.host.store import HostStore
+
+LOOPBACK = '127.0.0.1'
+WAIT_SECONDS = 20
+STEP_SECONDS = 0.02
+NO_HEADERS: dict[str, str] = {}
+
+
+class HostScene:
+    """Store, backend servers and gateways that run in this process.
+
+    Attributes
+    ----------
+    addresses : SceneAddresses
+        Where the gateways are.
+    store : HostStore
+        The store.
+    servers : dict of str to HostServer
+        Backend servers by name.
+    programs : dict of str to Program
+        Gateways by name of their vm.
+    """
+
+    def __init__(self, stack: AsyncExitStack) -> None:
+        """Run nothing yet."""
+        self._stack = stack
+        self.addresses = SceneAddresses()
+        self.store = HostStore()
+        self.servers: dict[str, HostServer] = {}
+        self.programs: dict[str, Program] = {}
+
+    async def serve(self, app: web.Application) -> str:
+        """Serve an application until the end; return its address."""
+        runner = web.AppRunner(
+            app,
+            handler_cancellation=True,
+            shutdown_timeout=0,
+        )
+        await runner.setup()
+        self._stack.push_async_callback(runner.cleanup)
+        port = reserve_port()
+        await web.TCPSite(runner, LOOPBACK, port).start()
+        return f'{LOOPBACK}:{port}'
+
+    async def add_server(
+        self,
+        name: str,
+        service: str,
+        zone: str,
+    ) -> HostServer:
+        """Serve one backend server and list it."""
+        server = HostServer(name, service, zone)
+        server.address = await self.serve(server.build_app())
+        self.servers[name] = server
+        self.store.put(f'servers/{name}', server.describe())
+        return server
+
+    async def add_gateway(self, name: str, zone: str) -> Program:
+        """Run one gateway until the end."""
+        program = Program(self.addresses.build_settings(name, zone))
+        await program.start()
+        self._stack.push_async_callback(program.stop)
+        self.programs[name] = program
+        return program
+
+    async def call(
+        self,
+        gateway: str,
+        path: str,
+        headers: dict[str, str] = NO_HEADERS,
+    ) -> Received:
+        """Send one call as a caller does."""
+        address = self.addresses.find(gateway, 'front')
+        return await send_call(f'http://{address}{path}', headers)
+
+
+async def wait_until(is_reached: Callable[[], bool]) -> None:
+    """Wait until a condition holds.
+
+    Raises
+    ------
+    TimeoutError
+        If it does not for `WAIT_SECONDS`.
+    """
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not is_reached():
+            await asyncio.sleep(STEP_SECONDS)
+
+
+@asynccontextmanager
+async def open_scene(**gateways: str) -> AsyncIterator[HostScene]:
+    """Run a deployment with a configuration, two regions and no servers.
+
+    Parameters
+    ----------
+    **gateways : str
+        Failure domain of each gateway by its name.
+
+    Yields
+    ------
+    HostScene
+        Servers are added by `HostScene.add_server`.
+    """
+    async with AsyncExitStack() as stack:
+        scene = HostScene(stack)
+        scene.addresses.store = await scene.serve(scene.store.build_app())
+        scene.store.put('op/config', build_configuration(1))
+        for name, zone in gateways.items():
+            await scene.add_gateway(name, zone)
+        yield scene
