End idle connections when the entrance closes

Ruled out: the grace period, which was not over. Each unused connection is closed now, and the end waits for busy ones. The test was red first (no end of the idle connection within 20 s).

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
@@ -91,7 +91,7 @@
         await asyncio.sleep(grace.total_seconds() * LEAVING_SHARE)
         await self._entrance.close_entrance()
         log.info('entrance-closed', open_calls=reception.meters.open_calls)
-        while reception.meters.open_calls:
+        while self._entrance.is_busy or reception.meters.open_calls:
             if reception.clock.read_monotonic() >= latest:
                 break
             await asyncio.sleep(CHECK_INTERVAL.total_seconds())
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/serving.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/serving.py
@@ -16,6 +16,8 @@
 # after up to four fifths of the limit in force.
 IDLE_LIMIT = timedelta(seconds=60)
 MAX_HEAD_BYTES = 16384
+# What is still open at the end of a process had the whole grace period.
+END_PATIENCE = timedelta(milliseconds=100)
 
 log = structlog.get_logger(__name__)
 
@@ -35,17 +37,20 @@
         """Listen nowhere yet."""
         super().__init__()
         self._address = address
+        self._answer = answer
+        self._busy: set[web.RequestHandler] = set()
+        self._server = web.Server(
+            self._answer_counted,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=IDLE_LIMIT.total_seconds(),
+            max_line_size=MAX_HEAD_BYTES,
+            max_field_size=MAX_HEAD_BYTES,
+            auto_decompress=False,
+        )
         self._runner = web.ServerRunner(
-            web.Server(
-                answer,
-                handler_cancellation=True,
-                access_log=None,
-                keepalive_timeout=IDLE_LIMIT.total_seconds(),
-                max_line_size=MAX_HEAD_BYTES,
-                max_field_size=MAX_HEAD_BYTES,
-                auto_decompress=False,
-            ),
-            shutdown_timeout=0.1,
+            self._server,
+            shutdown_timeout=END_PATIENCE.total_seconds(),
         )
 
     async def on_start(self) -> None:
@@ -65,13 +70,36 @@
             raise AddressTakenError(self._address) from failure
         await web.SockSite(self._runner, opened).start()
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being answered."""
+        return bool(self._busy)
+
     async def close_entrance(self) -> None:
-        """Take no new connection, close idle ones, serve what is open."""
+        """Take no new connection, end unused ones, finish running answers.
+
+        `web.Server.pre_shutdown` leaves idle connections open with nobody to
+        read them, so each is closed here.
+        """
         for site in tuple(self._runner.sites):
             await site.stop()
-        if self._runner.server is not None:
-            self._runner.server.pre_shutdown()
+        for connection in tuple(self._server.connections):
+            if connection in self._busy:
+                connection.close()
+            else:
+                connection.force_close()
 
     async def on_stop(self) -> None:
         """Close the socket and all connections."""
         await self._runner.cleanup()
+
+    async def _answer_counted(
+        self,
+        request: web.BaseRequest,
+    ) -> web.StreamResponse:
+        connection = request.protocol
+        self._busy.add(connection)
+        try:
+            return await self._answer(request)
+        finally:
+            self._busy.discard(connection)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_serving.py
@@ -0,0 +1,55 @@
+import asyncio
+
+from aiohttp import web
+
+from baobabhinge_gateway.forwarding.serving import HttpListener
+from baobabhinge_standins.fleet.ports import reserve_port
+
+HOST = '127.0.0.1'
+
+
+class Connection:
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+
+    def ask(self, path):
+        head = f'GET {path} HTTP/1.1\r\nHost: x\r\n\r\n'
+        self.writer.write(head.encode())
+
+    async def read_answer(self):
+        head = await self.reader.readuntil(b'\r\n\r\n')
+        assert head.startswith(b'HTTP/1.1 200')
+        return await self.reader.readexactly(2)
+
+
+async def connect(port):
+    return Connection(*await asyncio.open_connection(HOST, port))
+
+
+async def test_idle_connections_end_and_running_calls_do_not():
+    release = asyncio.Event()
+
+    async def answer(request):
+        if request.path == '/slow':
+            await release.wait()
+        return web.Response(body=b'ok')
+
+    port = reserve_port()
+    listener = HttpListener(f'{HOST}:{port}', answer)
+    async with asyncio.timeout(20), listener:
+        idle = await connect(port)
+        idle.ask('/quick')
+        assert await idle.read_answer() == b'ok'
+        silent = await connect(port)
+        busy = await connect(port)
+        busy.ask('/slow')
+        while not listener.is_busy:
+            await asyncio.sleep(0.01)
+        await listener.close_entrance()
+        for unused in (idle, silent):
+            assert await unused.reader.read() == b''
+        release.set()
+        assert await busy.read_answer() == b'ok'
+        assert await busy.reader.read() == b''
+        assert not listener.is_busy
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/calling.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/calling.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 import msgspec
+from yarl import URL
 
 from baobabhinge_standins.host.configuration import HOST
 
@@ -58,7 +59,7 @@
 ) -> Received:
     async with http.request(
         method,
-        url,
+        URL(url, encoded=True),
         data=body,
         headers=headers,
     ) as response:
