--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_serving.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_serving.py
@@ -68,8 +68,10 @@
         crossing = await connect(port)
         crossing.ask('/first')
         await crossing.read_answer()
-        (connection,) = listener.connections
+        connection = listener.connections[0]
         connection.data_received(b'GET /second HTTP/1.1\r\nHost: x\r\n\r\n')
+        # One turn of the loop: the request is taken, its handler not begun.
+        await asyncio.sleep(0)
         await listener.close_entrance()
         assert await crossing.reader.read() == b''
     assert answered == ['/first']
