--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/choosing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/choosing.py
@@ -6,18 +6,17 @@
 
 from baobabhinge_gateway.forwarding.call import Call
 from baobabhinge_gateway.forwarding.estimates import Prospect
-from baobabhinge_gateway.forwarding.failures import (
-    NotServedError,
-)
+from baobabhinge_gateway.forwarding.failures import NotServedError
 from baobabhinge_gateway.forwarding.lending import (
     choose_region,
     find_best_wait,
 )
 from baobabhinge_gateway.forwarding.placement import Placement
 from baobabhinge_gateway.forwarding.rankings import Ranking
+from baobabhinge_gateway.forwarding.shedding import check_in_time
 from baobabhinge_gateway.forwarding.surroundings import Surroundings
 from baobabhinge_gateway.forwarding.targets import Target
-from baobabhinge_gateway.forwarding.warmup import WarmUpPace, choose_sender
+from baobabhinge_gateway.forwarding.warmup import WarmUpPace
 
 # A refused caller may come back when a call of usual length has ended.
 RETRY_AFTER = timedelta(milliseconds=500)
@@ -74,10 +73,10 @@
         choice = choose_region(home, waits, call.route.objective)
         if choice is None:
             return self._choose_cold(call, tried)
+        check_in_time(choice, call.route.objective, self._random)
         if choice.region == home:
-            return self._take(self._ranking(prospects, self._random)[0])
-        addresses = self._around.gateways.list_addresses(choice.region)
-        return Target(self._random.choice(addresses), choice.region)
+            return self._around.aim(self._ranking(prospects, self._random)[0])
+        return self._around.aim_away(choice.region, self._random)
 
     def _estimate_away(
         self,
@@ -97,17 +96,12 @@
             for prospect in self._placement.list_cold(call, home, tried):
                 if self._may_warm(prospect):
                     self._warmup.take(prospect.server.name, 1)
-                    return self._take(prospect)
+                    return self._around.aim(prospect)
         raise NotServedError(
             f'no backend server of {call.service} takes calls now',
             RETRY_AFTER,
         )
 
     def _may_warm(self, prospect: Prospect) -> bool:
-        names = self._around.gateways.list_names(self._around.home)
-        sender = choose_sender(prospect.server, names)
-        is_sender = sender == self._around.own_name
+        is_sender = self._around.is_sender(prospect.server)
         return is_sender and self._warmup.is_open(prospect.server.name)
-
-    def _take(self, prospect: Prospect) -> Target:
-        return Target(prospect.server.address, self._around.home, prospect)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/failures.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/failures.py
@@ -17,6 +17,12 @@
     status = HTTPStatus.SERVICE_UNAVAILABLE
 
 
+class OverloadError(NotServedError):
+    """The answer would come too late wherever the call is served."""
+
+    code = 'overload'
+
+
 class DeclinedError(NotServedError):
     """A backend server or a gateway said that it did not run the call."""
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/surroundings.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/surroundings.py
@@ -1,9 +1,14 @@
 """Regions around a gateway, and the gateways in them."""
 
 from collections.abc import Sequence
+from random import Random
 
+from baobabhinge_gateway.deployment import BackendServer
 from baobabhinge_gateway.forwarding.call import Call
+from baobabhinge_gateway.forwarding.estimates import Prospect
 from baobabhinge_gateway.forwarding.protocols import GatewayListing
+from baobabhinge_gateway.forwarding.targets import Target
+from baobabhinge_gateway.forwarding.warmup import choose_sender
 
 
 class Surroundings:
@@ -34,6 +39,20 @@
         self.regions = regions
         self.gateways = gateways
 
+    def is_sender(self, server: BackendServer) -> bool:
+        """Whether this gateway alone may send to a cold ``server``."""
+        names = self.gateways.list_names(self.home)
+        return choose_sender(server, names) == self.own_name
+
+    def aim(self, prospect: Prospect) -> Target:
+        """Return a backend server of the own region as a target."""
+        return Target(prospect.server.address, self.home, prospect)
+
+    def aim_away(self, region: str, random: Random) -> Target:
+        """Return a gateway of another region as a target."""
+        addresses = self.gateways.list_addresses(region)
+        return Target(random.choice(addresses), region)
+
     def list_away(self, call: Call) -> Sequence[str]:
         """Return the other regions that may serve and can be reached."""
         if call.is_lent:
