Give each subject a keeper among the engines of a region

Cause: each gateway knew only the prompts that it had sent itself, so shared parts were read at several engines of one region. By rendezvous hash all gateways agree on one engine for a subject without a message. Kept for the price; no gain in time is claimed.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/choosing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/choosing.py
@@ -1,26 +1,23 @@
 """Choosing the target of the next attempt."""
 
-from collections.abc import Collection, Mapping, Sequence
-from datetime import timedelta
+from collections.abc import Collection, Sequence
 from random import Random
 
 from baobabhinge_gateway.forwarding.call import Call
 from baobabhinge_gateway.forwarding.estimates import Prospect
 from baobabhinge_gateway.forwarding.failures import NotServedError
 from baobabhinge_gateway.forwarding.lending import (
+    Waits,
     choose_region,
     find_best_wait,
 )
 from baobabhinge_gateway.forwarding.placement import Placement
 from baobabhinge_gateway.forwarding.rankings import Ranking
-from baobabhinge_gateway.forwarding.shedding import check_in_time
+from baobabhinge_gateway.forwarding.shedding import RETRY_AFTER, check_in_time
 from baobabhinge_gateway.forwarding.surroundings import Surroundings
 from baobabhinge_gateway.forwarding.targets import Target
 from baobabhinge_gateway.forwarding.warmup import WarmUpPace
 
-# A refused caller may come back when a call of usual length has ended.
-RETRY_AFTER = timedelta(milliseconds=500)
-
 
 class Chooser:
     """Choose targets from prospects.
@@ -82,7 +79,7 @@
         self,
         call: Call,
         tried: Collection[str],
-    ) -> Mapping[str, timedelta]:
+    ) -> Waits:
         return {
             region: find_best_wait(
                 self._placement.list_warm(call, region, tried),
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/lending.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/lending.py
@@ -22,6 +22,9 @@
 ENDLESS = timedelta(hours=1)
 
 
+Waits = Mapping[str, timedelta]
+
+
 class RegionChoice(msgspec.Struct, frozen=True):
     """Where a call is to be served.
 
@@ -47,7 +50,7 @@
 
 def choose_region(
     home: str,
-    waits: Mapping[str, timedelta],
+    waits: Waits,
     objective: timedelta,
 ) -> RegionChoice | None:
     """Return where a call is served best, or ``None`` if nowhere.
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/placement.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/placement.py
@@ -15,6 +15,7 @@
 )
 from baobabhinge_gateway.forwarding.knowledge import Knowledge
 from baobabhinge_gateway.forwarding.loads import ServerLoad
+from baobabhinge_gateway.forwarding.prefixes import choose_keeper
 
 
 class Placement:
@@ -39,9 +40,11 @@
         tried: Collection[str] = (),
     ) -> Sequence[Prospect]:
         """Return what the warm servers of ``region`` would do for ``call``."""
+        candidates = self._list_candidates(call, region, tried)
+        keeper = _find_keeper(call, candidates)
         return [
-            self._estimate(call, server)
-            for server in self._list_candidates(call, region, tried)
+            self._estimate(call, server, keeper)
+            for server in candidates
             if not self._known.warmup.is_cold(server.name)
         ]
 
@@ -53,7 +56,7 @@
     ) -> Sequence[Prospect]:
         """Return what the cold servers of ``region`` would do."""
         return [
-            self._estimate(call, server)
+            self._estimate(call, server, None)
             for server in self._list_candidates(call, region, tried)
             if self._known.warmup.is_cold(server.name)
         ]
@@ -74,23 +77,50 @@
             and server.name not in known.trust.unchecked
         ]
 
-    def _estimate(self, call: Call, server: BackendServer) -> Prospect:
+    def _estimate(
+        self,
+        call: Call,
+        server: BackendServer,
+        keeper: str | None,
+    ) -> Prospect:
         load = self._known.loads.read(server.name)
         engine = self._known.find_engine(call.service)
         demand = call.head.demand
         if demand is None or engine is None:
             prospect = estimate_plain(server, load)
         else:
-            added = self._measure(server, demand)
+            added = self._measure(server.name, demand, keeper)
             prospect = estimate_engine(engine, server, load, added)
         return prospect.delay(self._known.trust.read_penalty(server.name))
 
-    def _measure(self, server: BackendServer, demand: Demand) -> ServerLoad:
-        cached = self._known.prefixes.count_cached(server.name, demand)
+    def _measure(
+        self,
+        server: str,
+        demand: Demand,
+        keeper: str | None,
+    ) -> ServerLoad:
+        cached = self._known.prefixes.count_cached(server, demand)
+        if server == keeper:
+            cached = count_shared(demand)
         unread = max(0, demand.prompt - cached)
         return ServerLoad(1, unread, count_memory(demand))
 
 
+def count_shared(demand: Demand) -> int:
+    """Return the tokens of the parts that other calls share."""
+    return sum(part.tokens for part in demand.parts[:-1])
+
+
 def count_memory(demand: Demand) -> int:
     """Return the tokens that a call holds, half of its output on average."""
     return demand.prompt + demand.output // 2
+
+
+def _find_keeper(
+    call: Call,
+    candidates: Sequence[BackendServer],
+) -> str | None:
+    if call.head.demand is None:
+        return None
+    names = [server.name for server in candidates]
+    return choose_keeper(call.head.demand, names)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/prefixes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/prefixes.py
@@ -5,8 +5,11 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Sequence
 from datetime import timedelta
 
+import xxhash
+
 from baobabhinge_coordination.clock import Clock
 from baobabhinge_gateway.forwarding.call import Demand
 
@@ -53,3 +56,28 @@
                 break
             cached += part.tokens
         return cached
+
+
+def choose_keeper(demand: Demand, servers: Sequence[str]) -> str | None:
+    """Return the engine that is to keep the shared parts of ``demand``.
+
+    Parameters
+    ----------
+    demand : Demand
+        Prompt of a call; its last shared part names the subject.
+    servers : sequence of str
+        Engines of one region.
+
+    Notes
+    -----
+    Rendezvous hashing: gateways that list the same engines agree on the
+    keeper of a subject without a message.
+    """
+    shared = demand.parts[:-1]
+    if not shared or not servers:
+        return None
+    subject = shared[-1].name
+    return max(
+        servers,
+        key=lambda name: xxhash.xxh3_64_intdigest(f'{subject}/{name}'.encode()),
+    )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/shedding.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/shedding.py
@@ -12,6 +12,9 @@
 
 # Callers leave a stream that has not begun after four times the objective.
 LATE_FACTOR = 4
+# A caller refused for want of any server may come back when a call of usual
+# length has ended.
+RETRY_AFTER = timedelta(milliseconds=500)
 # Returns are spread over half of the time until there should be room.
 SPREAD = 0.5
 SHORTEST_RETURN = timedelta(milliseconds=200)
