Let gateways learn from each other what the store does not tell them

Heartbeats now tell how much of the store a gateway has seen; one that is behind for two looks (200 ms) fetches the rest from one that is ahead. A gateway that starts without the store gets its configuration and servers the same way.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
@@ -4,6 +4,7 @@
 from random import Random, SystemRandom
 
 from baobabhinge_coordination.clock import BootClock
+from baobabhinge_gateway.forwarding.feed import KnowledgeFeed
 from baobabhinge_gateway.forwarding.knowledge import create_knowledge
 from baobabhinge_gateway.forwarding.meters import CallMeters
 from baobabhinge_gateway.forwarding.reception import Reception
@@ -25,6 +26,8 @@
     ----------
     budget : SharedRetryBudget
         Bound on repeats.
+    feed : KnowledgeFeed
+        Takes what the platform and other gateways tell.
     gateways : GatewayTable
         Live gateways.
     knowledge : Knowledge
@@ -37,6 +40,7 @@
 
     __slots__ = (
         'budget',
+        'feed',
         'gateways',
         'knowledge',
         'reception',
@@ -50,6 +54,7 @@
         self.budget = SharedRetryBudget(settings.budget, clock)
         self.gateways = GatewayTable(settings.own, clock)
         self.knowledge = create_knowledge(clock, settings.regions)
+        self.feed = KnowledgeFeed(self.knowledge)
         self.reception = Reception(
             clock,
             self.knowledge.holder,
@@ -86,6 +91,7 @@
             is_ready=self.is_ready(),
             version=self.knowledge.holder.version,
             loads=self.knowledge.loads.own,
+            marks=self.feed.marks,
         )
 
     def _list_region(self, region: str) -> list[str]:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
@@ -7,6 +7,7 @@
 from mode import Service
 
 from baobabhinge_gateway.forwarding.assembly import build_dispatcher
+from baobabhinge_gateway.forwarding.catchingup import CatchUp
 from baobabhinge_gateway.forwarding.connecting import build_strict_session
 from baobabhinge_gateway.forwarding.core import GatewayCore
 from baobabhinge_gateway.forwarding.health import HealthChecker
@@ -65,17 +66,17 @@
         core = self._core
         log.info('starting', incarnation=core.reception.lifecycle.incarnation)
         http = await self.add_async_context(build_strict_session())
+        dispatcher = build_dispatcher(core, http, self._backends)
+        self._entrance = build_entrance(core, self._callers, dispatcher)
         region = core.settings.own.region
-        await self.add_runtime_dependency(
+        for part in (
             HealthChecker(http, self._backends, core.knowledge, region),
-        )
-        await self.add_runtime_dependency(self._heartbeats)
-        dispatcher = build_dispatcher(core, http, self._backends)
-        await self.add_runtime_dependency(
+            self._heartbeats,
+            CatchUp(http, core),
             build_hop_listener(core, dispatcher),
-        )
-        self._entrance = build_entrance(core, self._callers, dispatcher)
-        await self.add_runtime_dependency(self._entrance)
+            self._entrance,
+        ):
+            await self.add_runtime_dependency(part)
 
     async def drain(self) -> None:
         """Be unready, serve what comes, then only what is open.
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/exchange.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/exchange.py
@@ -113,3 +113,15 @@
             raise UnknownOutcomeError('the answer is too long to be kept')
         pieces.append(piece)
     return b''.join(pieces)
+
+
+async def fetch(
+    http: aiohttp.ClientSession,
+    address: str,
+    path: str,
+    limit: timedelta,
+) -> bytes:
+    """Return the whole body that a gateway has at ``path``; see above."""
+    outbound = Outbound('GET', address, path, (), b'', limit)
+    async with open_exchange(http, outbound) as response:
+        return await read_whole(response)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/feed.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/feed.py
@@ -1,12 +1,14 @@
-"""What the platform tells a gateway, taken into its knowledge."""
+"""What the platform or another gateway tells, taken into the knowledge."""
 
 from collections.abc import Iterable
 
+import msgspec
 import structlog
 
 from baobabhinge_gateway.deployment import BackendServer, Revision
 from baobabhinge_gateway.deployment.servers import list_missing
 from baobabhinge_gateway.forwarding.knowledge import Knowledge
+from baobabhinge_gateway.forwarding.snapshot import Marks, Snapshot
 
 log = structlog.get_logger(__name__)
 
@@ -21,52 +23,103 @@
 
     Attributes
     ----------
-    has_servers : bool
-        Whether a list of backend servers was taken.
+    marks : Marks
+        How much was seen; what is older changes nothing.
     """
 
-    __slots__ = ('_known', 'has_servers')
+    __slots__ = ('_known', 'marks')
 
     def __init__(self, knowledge: Knowledge) -> None:
         """Have taken nothing."""
         self._known = knowledge
-        self.has_servers = False
+        self.marks = Marks()
 
-    def adopt(self, revision: Revision) -> None:
-        """Put a configuration in force unless it is older."""
-        self._known.holder.adopt(revision)
-
-    def evacuate(self, domains: frozenset[str]) -> None:
+    def evacuate(self, domains: frozenset[str], mark: int) -> None:
         """Send nothing to these failure domains; take others back.
 
         The servers of a failure domain that is taken back may have become
         cold, so each must pass a health check first.
+
+        Parameters
+        ----------
+        domains : frozenset of str
+            All failure domains that are to get nothing.
+        mark : int
+            Change of the store that says so.
         """
+        if mark < self.marks.operators:
+            return
+        self.marks = Marks(mark, self.marks.servers)
         released = self._known.holder.evacuated - domains
         self._known.holder.evacuate(domains)
         for server in self._known.catalogue.list_all():
             if server.failure_domain in released:
                 self._known.trust.suspect(server.name, 'evacuation ended')
 
-    def list_servers(self, servers: Iterable[BackendServer]) -> None:
-        """Take the whole list of backend servers."""
+    def adopt(self, revision: Revision) -> None:
+        """Put a configuration in force unless it is older."""
+        self._known.holder.adopt(revision)
+
+    def list_servers(self, servers: Iterable[BackendServer], mark: int) -> None:
+        """Take the whole list of backend servers as of a change."""
+        if mark < self.marks.servers:
+            return
         listed = list(servers)
         known = self._known.catalogue.list_all()
         for name in list_missing(known, listed):
-            self.remove_server(name)
+            self._known.catalogue.remove(name)
         for server in listed:
-            self.put_server(server)
-        self.has_servers = True
+            self.put_server(server, mark)
 
-    def put_server(self, server: BackendServer) -> None:
+    def put_server(self, server: BackendServer, mark: int) -> None:
         """Take one new or changed backend server."""
+        if mark < self.marks.servers:
+            return
+        self.marks = Marks(self.marks.operators, mark)
         if self._known.catalogue.put(server):
             self._known.warmup.note_cold(server.name, server.cold_for)
 
-    def remove_server(self, name: str) -> None:
+    def remove_server(self, name: str, mark: int) -> None:
         """Take the end of a backend server's entry."""
+        if mark < self.marks.servers:
+            return
+        self.marks = Marks(self.marks.operators, mark)
         self._known.catalogue.remove(name)
 
     def note_store_failure(self) -> None:
         """Note that the store fails, so that entries may lapse by mistake."""
         self._known.catalogue.note_unsteady()
+
+
+def take_snapshot(feed: KnowledgeFeed, knowledge: Knowledge) -> bytes:
+    """Return what is known, to be handed to another gateway."""
+    snapshot = Snapshot(
+        feed.marks,
+        knowledge.holder.revision,
+        tuple(sorted(knowledge.holder.evacuated)),
+        tuple(knowledge.catalogue.list_all()),
+    )
+    return msgspec.msgpack.encode(snapshot)
+
+
+def apply_snapshot(feed: KnowledgeFeed, encoded: bytes) -> None:
+    """Take the parts of a snapshot that are newer than what is known."""
+    try:
+        snapshot = msgspec.msgpack.decode(encoded, type=Snapshot)
+    except msgspec.MsgspecError as bad:
+        log.error('knowledge-unreadable', reason=str(bad))
+        return
+    before = feed.marks
+    if snapshot.marks.operators > before.operators:
+        if snapshot.revision is not None:
+            feed.adopt(snapshot.revision)
+        feed.evacuate(frozenset(snapshot.evacuated), snapshot.marks.operators)
+    if snapshot.marks.servers > before.servers:
+        feed.list_servers(snapshot.servers, snapshot.marks.servers)
+    log.info(
+        'knowledge-taken',
+        operators=feed.marks.operators,
+        servers=feed.marks.servers,
+        operators_before=before.operators,
+        servers_before=before.servers,
+    )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hopingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hopingress.py
@@ -1,16 +1,16 @@
 """Calls that other gateways forward to this one."""
 
-from http import HTTPStatus
-
 from aiohttp import web
 
 from baobabhinge_gateway.errors import CallError, Outcome
-from baobabhinge_gateway.forwarding.call import Call, Headers
+from baobabhinge_gateway.forwarding.catchingup import SNAPSHOT_PATH
+from baobabhinge_gateway.forwarding.core import GatewayCore
 from baobabhinge_gateway.forwarding.dispatch import Dispatcher
-from baobabhinge_gateway.forwarding.hop import RUNS, VERDICT, open_envelope
+from baobabhinge_gateway.forwarding.feed import take_snapshot
+from baobabhinge_gateway.forwarding.hop import open_envelope
 from baobabhinge_gateway.forwarding.ingress import describe
+from baobabhinge_gateway.forwarding.proof import Proof
 from baobabhinge_gateway.forwarding.protocols import Verdict
-from baobabhinge_gateway.forwarding.reception import Reception
 from baobabhinge_gateway.forwarding.responding import HttpResponder
 
 
@@ -19,21 +19,25 @@
 
     Parameters
     ----------
-    reception : Reception
-        Parts of the process.
+    core : GatewayCore
+        State of this gateway.
     dispatcher : Dispatcher
         Has the calls answered in this region.
     """
 
-    __slots__ = ('_dispatcher', '_reception')
+    __slots__ = ('_core', '_dispatcher', '_reception')
 
-    def __init__(self, reception: Reception, dispatcher: Dispatcher) -> None:
+    def __init__(self, core: GatewayCore, dispatcher: Dispatcher) -> None:
         """Keep the parts."""
-        self._reception = reception
+        self._core = core
+        self._reception = core.reception
         self._dispatcher = dispatcher
 
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of another gateway."""
+        if request.path == SNAPSHOT_PATH:
+            snapshot = take_snapshot(self._core.feed, self._core.knowledge)
+            return web.Response(body=snapshot)
         body = await request.content.read()
         now = self._reception.clock.read_monotonic()
         proof = Proof()
@@ -44,15 +48,13 @@
             await _refuse(responder, proof, unreadable)
             return responder.response
         with self._reception.meters.hold():
-            await self._serve(proof.call, responder, proof)
+            await self._serve(responder, proof)
         return responder.response
 
-    async def _serve(
-        self,
-        call: Call,
-        responder: HttpResponder,
-        proof: 'Proof',
-    ) -> None:
+    async def _serve(self, responder: HttpResponder, proof: Proof) -> None:
+        call = proof.call
+        if call is None:
+            return
         try:
             await self._dispatcher.serve(call, responder)
         except CallError as refusal:
@@ -60,31 +62,6 @@
             await _refuse(responder, proof, refusal)
 
 
-class Proof:
-    """What an answer proves to the gateway that forwarded the call.
-
-    Attributes
-    ----------
-    call : Call or None
-        The call, once it was read.
-    verdict : Verdict or None
-        Told in place of what the status says.
-    """
-
-    __slots__ = ('call', 'verdict')
-
-    def __init__(self) -> None:
-        """Prove nothing yet."""
-        self.call: Call | None = None
-        self.verdict: Verdict | None = None
-
-    def complete_headers(self, status: int, headers: Headers) -> Headers:
-        """Add what the answer proves, and how many servers ran the call."""
-        verdict = self.verdict or _judge_status(status)
-        runs = self.call.runs if self.call else 0
-        return (*headers, (VERDICT, verdict.value), (RUNS, str(runs)))
-
-
 async def _refuse(
     responder: HttpResponder,
     proof: Proof,
@@ -96,9 +73,3 @@
     is_safe = refusal.outcome is Outcome.not_run
     proof.verdict = Verdict.declined if is_safe else Verdict.unknown
     await responder.send_whole(refusal.status, (), describe(refusal))
-
-
-def _judge_status(status: int) -> Verdict:
-    if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-        return Verdict.failed
-    return Verdict.answered
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/listeners.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/listeners.py
@@ -13,7 +13,7 @@
     dispatcher: Dispatcher,
 ) -> HttpListener:
     """Return the listener for other gateways."""
-    hops = HopIngress(core.reception, dispatcher)
+    hops = HopIngress(core, dispatcher)
     return HttpListener(core.settings.hop_address, hops.answer)
 
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from baobabhinge_gateway.forwarding.loads import ServerLoad
+from baobabhinge_gateway.forwarding.snapshot import Marks
 
 
 class Heartbeat(msgspec.Struct, array_like=True):
@@ -28,6 +29,8 @@
         Configuration in force.
     loads : dict of str to ServerLoad
         Calls that it has in flight, by backend server.
+    marks : Marks
+        How much of the platform's store it has seen.
     """
 
     name: str
@@ -39,3 +42,4 @@
     is_ready: bool
     version: int
     loads: Mapping[str, ServerLoad]
+    marks: Marks = Marks()
