--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/tests/test_servers.py
@@ -0,0 +1,58 @@
+from datetime import timedelta
+
+import pytest
+
+from baobabhinge_coordination.clock import ManualClock
+from baobabhinge_gateway.deployment import BackendServer, ServerCatalogue
+
+SERVER = BackendServer('one', 'ledger', '127.0.0.1:1', 'west-a')
+
+
+@pytest.mark.parametrize(
+    ('is_unsteady', 'pause_ms', 'is_listed'),
+    [
+        (False, 0, False),
+        (True, 0, True),
+        (True, 2400, True),
+        (True, 2500, False),
+    ],
+)
+def test_an_entry_that_vanishes_in_an_outage_is_kept_for_a_while(
+    is_unsteady,
+    pause_ms,
+    is_listed,
+):
+    clock = ManualClock()
+    catalogue = ServerCatalogue(clock)
+    catalogue.put(SERVER)
+    if is_unsteady:
+        catalogue.note_unsteady()
+    catalogue.remove('one')
+    clock.advance(timedelta(milliseconds=pause_ms))
+    assert bool(catalogue.list_usable('ledger')) == is_listed
+
+
+def test_an_entry_that_comes_back_is_not_dropped():
+    clock = ManualClock()
+    catalogue = ServerCatalogue(clock)
+    catalogue.put(SERVER)
+    catalogue.note_unsteady()
+    catalogue.remove('one')
+    assert not catalogue.put(SERVER)
+    clock.advance(timedelta(seconds=10))
+    assert catalogue.list_all() == [SERVER]
+
+
+def test_a_leaving_server_gets_no_new_calls():
+    catalogue = ServerCatalogue(ManualClock())
+    catalogue.put(SERVER)
+    leaving = BackendServer(
+        'one',
+        'ledger',
+        '127.0.0.1:1',
+        'west-a',
+        is_leaving=True,
+    )
+    assert catalogue.put(leaving)
+    assert not catalogue.list_usable('ledger')
+    assert catalogue.list_all() == [leaving]
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_decisions.py
@@ -0,0 +1,198 @@
+from datetime import timedelta
+from random import Random
+
+import pytest
+
+from baobabhinge_coordination.clock import ManualClock
+from baobabhinge_gateway.deployment import BackendServer, Engine
+from baobabhinge_gateway.forwarding.call import Demand, PromptPart
+from baobabhinge_gateway.forwarding.estimates import (
+    estimate_engine,
+    estimate_plain,
+)
+from baobabhinge_gateway.forwarding.failures import OverloadError
+from baobabhinge_gateway.forwarding.lending import (
+    ENDLESS,
+    RegionChoice,
+    choose_region,
+)
+from baobabhinge_gateway.forwarding.loads import LoadTable, ServerLoad
+from baobabhinge_gateway.forwarding.prefixes import (
+    PrefixHistory,
+    choose_keeper,
+)
+from baobabhinge_gateway.forwarding.retries import (
+    BudgetTerms,
+    SharedRetryBudget,
+)
+from baobabhinge_gateway.forwarding.shedding import check_in_time
+from baobabhinge_gateway.forwarding.warmup import WarmUpPace, choose_sender
+
+SECOND = timedelta(seconds=1)
+MILLISECOND = timedelta(milliseconds=1)
+ENGINE = Engine(slots=64, memory=400_000)
+SERVER = BackendServer('one', 'model', '127.0.0.1:1', 'west-a', slots=6)
+OBJECTIVE = 800 * MILLISECOND
+DEMAND = Demand(
+    1000,
+    80,
+    (PromptPart('a', 300), PromptPart('b', 500), PromptPart('own', 200)),
+)
+
+
+@pytest.mark.parametrize(
+    ('home_ms', 'away_ms', 'chosen'),
+    [
+        (100, 10, 'west'),
+        (270, 10, 'west'),
+        (500, 50, 'east'),
+        (500, 300, 'west'),
+        (3000, 2500, 'east'),
+        (None, 50, 'east'),
+        (100, None, 'west'),
+        (None, None, None),
+    ],
+)
+def test_a_call_leaves_a_late_home_for_a_clearly_better_neighbour(
+    home_ms,
+    away_ms,
+    chosen,
+):
+    waits = {'west': ENDLESS, 'east': ENDLESS}
+    if home_ms is not None:
+        waits['west'] = home_ms * MILLISECOND
+    if away_ms is not None:
+        waits['east'] = away_ms * MILLISECOND
+    choice = choose_region('west', waits, OBJECTIVE)
+    assert (choice and choice.region) == chosen
+
+
+@pytest.mark.parametrize(
+    ('wait_ms', 'is_refused'),
+    [(100, False), (3200, False), (3201, True), (9000, True)],
+)
+def test_what_no_caller_waits_for_is_refused_with_a_time_to_return(
+    wait_ms,
+    is_refused,
+):
+    choice = RegionChoice('west', wait_ms * MILLISECOND, SECOND)
+    try:
+        check_in_time(choice, OBJECTIVE, Random(1))
+    except OverloadError as refusal:
+        assert is_refused
+        assert 200 * MILLISECOND <= refusal.retry_after <= 4 * SECOND
+    else:
+        assert not is_refused
+
+
+def test_repeats_of_all_gateways_stay_within_the_budget():
+    clock = ManualClock()
+    terms = BudgetTerms(ratio=0.2, slack=56, window=10 * SECOND)
+    gateways = [SharedRetryBudget(terms, clock) for _ in range(8)]
+    taken = 0
+    for _ in range(100):
+        clock.advance(100 * MILLISECOND)
+        for budget in gateways:
+            budget.gateways = len(gateways)
+            budget.note_call('model')
+            taken += budget.take('model')
+    assert 0 < taken <= 0.2 * 800 + 56
+
+
+def test_a_budget_is_restored_after_its_window():
+    clock = ManualClock()
+    budget = SharedRetryBudget(BudgetTerms(slack=10), clock)
+    taken = sum(budget.take('model') for _ in range(20))
+    assert 0 < taken < 20
+    clock.advance(11 * SECOND)
+    assert budget.take('model')
+    assert budget.take('ledger')
+
+
+@pytest.mark.parametrize('gateways', [1, 2, 4])
+def test_a_cold_server_is_sent_less_than_it_bears(gateways):
+    clock = ManualClock()
+    names = [f'gateway-{number}' for number in range(gateways)]
+    paces = {name: WarmUpPace(clock) for name in names}
+    sent = 0
+    for _ in range(1000):
+        clock.advance(MILLISECOND)
+        for name in names:
+            pace = paces[name]
+            if choose_sender(SERVER, names) == name and pace.is_open('one'):
+                pace.take('one', 1.9)
+                sent += 1
+    assert 1 <= sent <= 1.9 * 1.5 + 3
+
+
+def test_a_server_is_cold_as_long_as_it_said():
+    clock = ManualClock()
+    pace = WarmUpPace(clock)
+    pace.note_cold('one', 3 * SECOND)
+    pace.note_cold('one', SECOND)
+    clock.advance(2 * SECOND)
+    assert pace.is_cold('one')
+    clock.advance(SECOND)
+    assert not pace.is_cold('one')
+
+
+def test_shared_parts_count_as_cached_up_to_the_first_unknown_one():
+    clock = ManualClock()
+    history = PrefixHistory(clock)
+    assert not history.count_cached('one', DEMAND)
+    history.note('one', DEMAND)
+    other = Demand(900, 80, (DEMAND.parts[0], PromptPart('c', 600)))
+    assert history.count_cached('one', DEMAND) == 800
+    assert history.count_cached('one', other) == 300
+    assert not history.count_cached('two', DEMAND)
+    clock.advance(61 * SECOND)
+    assert not history.count_cached('one', DEMAND)
+
+
+def test_a_keeper_moves_only_if_it_is_gone():
+    servers = ['one', 'two', 'three']
+    keeper = choose_keeper(DEMAND, servers)
+    others = [name for name in servers if name != keeper]
+    assert choose_keeper(DEMAND, list(reversed(servers))) == keeper
+    assert choose_keeper(DEMAND, [keeper, others[0]]) == keeper
+    assert choose_keeper(DEMAND, others) in others
+    assert choose_keeper(Demand(5, 5, (PromptPart('own', 5),)), servers) is None
+
+
+@pytest.mark.parametrize(
+    ('load', 'lowest_ms', 'highest_ms'),
+    [
+        (ServerLoad(), 40, 100),
+        (ServerLoad(30, 50_000, 100_000), 900, 1200),
+        (ServerLoad(64, 0, 100_000), 80, 200),
+        (ServerLoad(10, 0, 400_000), 90, 2000),
+    ],
+)
+def test_an_engine_is_slow_with_prompts_memory_and_calls(
+    load,
+    lowest_ms,
+    highest_ms,
+):
+    added = ServerLoad(1, 1000, 1040)
+    prospect = estimate_engine(ENGINE, SERVER, load, added)
+    assert lowest_ms <= prospect.wait / MILLISECOND <= highest_ms
+
+
+def test_an_application_worker_is_slow_when_its_slots_are_taken():
+    free = estimate_plain(SERVER, ServerLoad(5))
+    full = estimate_plain(SERVER, ServerLoad(11))
+    assert full.wait == 2 * free.wait
+
+
+def test_loads_of_all_gateways_are_added_while_they_are_fresh():
+    clock = ManualClock()
+    table = LoadTable(clock)
+    table.hear('two', {'one': ServerLoad(3, 100, 500)})
+    with table.hold('one', ServerLoad(1, 10, 20)) as held:
+        assert table.read('one') == ServerLoad(4, 110, 520)
+        held.note_first_event()
+        held.note_first_event()
+        assert table.own == {'one': ServerLoad(1, 0, 20)}
+        clock.advance(3 * SECOND)
+        assert table.read('one') == ServerLoad(1, 0, 20)
+    assert not table.own
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/tests/test_table.py
@@ -0,0 +1,61 @@
+from datetime import timedelta
+
+import msgspec
+import pytest
+
+from baobabhinge_coordination.clock import ManualClock
+from baobabhinge_gateway.neighbours import Contact, GatewayTable, Heartbeat
+
+BEAT = Heartbeat(
+    name='two',
+    incarnation='a',
+    sequence=5,
+    region='west',
+    caller_address='127.0.0.2:80',
+    hop_address='127.0.0.2:81',
+    is_ready=True,
+    version=1,
+    loads={},
+)
+
+
+def build_table(clock):
+    return GatewayTable(Contact('one', 'west', '127.0.0.1', 90), clock)
+
+
+@pytest.mark.parametrize(
+    ('changed', 'is_taken'),
+    [
+        ({'sequence': 6}, True),
+        ({'sequence': 5}, False),
+        ({'sequence': 4}, False),
+        ({'sequence': 1, 'incarnation': 'b'}, True),
+        ({'name': 'one'}, False),
+    ],
+)
+def test_an_older_heartbeat_of_a_process_is_not_taken(changed, is_taken):
+    table = build_table(ManualClock())
+    assert table.hear(BEAT)
+    assert table.hear(msgspec.structs.replace(BEAT, **changed)) == is_taken
+
+
+@pytest.mark.parametrize(
+    ('pause_ms', 'names'),
+    [(0, ['one', 'two']), (3000, ['one', 'two']), (3001, ['one'])],
+)
+def test_a_silent_gateway_is_gone(pause_ms, names):
+    clock = ManualClock()
+    table = build_table(clock)
+    table.hear(BEAT)
+    clock.advance(timedelta(milliseconds=pause_ms))
+    assert table.list_names('west') == names
+    assert bool(table.list_entries('west')) == (len(names) == 2)
+
+
+def test_callers_are_not_sent_to_a_gateway_that_leaves():
+    table = build_table(ManualClock())
+    table.hear(msgspec.structs.replace(BEAT, is_ready=False))
+    assert table.list_names('west') == ['one', 'two']
+    assert not table.list_entries('west')
+    assert not table.list_addresses('west')
+    assert table.contacts['two'] == Contact('two', 'west', '127.0.0.2', 90)
