--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
@@ -53,7 +53,11 @@
         self.settings = settings
         self.budget = SharedRetryBudget(settings.budget, clock)
         self.gateways = GatewayTable(settings.own, clock)
-        self.knowledge = create_knowledge(clock, settings.regions)
+        self.knowledge = create_knowledge(
+            clock,
+            settings.own.region,
+            settings.regions,
+        )
         self.feed = KnowledgeFeed(self.knowledge)
         self.reception = Reception(
             clock,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
@@ -68,9 +68,8 @@
         http = await self.add_async_context(build_strict_session())
         dispatcher = build_dispatcher(core, http, self._backends)
         self._entrance = build_entrance(core, self._callers, dispatcher)
-        region = core.settings.own.region
         for part in (
-            HealthChecker(http, self._backends, core.knowledge, region),
+            HealthChecker(http, self._backends, core.knowledge),
             self._heartbeats,
             CatchUp(http, core),
             build_hop_listener(core, dispatcher),
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/feed.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/feed.py
@@ -38,7 +38,8 @@
         """Send nothing to these failure domains; take others back.
 
         The servers of a failure domain that is taken back may have become
-        cold, so each must pass a health check first.
+        cold, so each must pass a health check first; those of other regions
+        are checked by the gateways there.
 
         Parameters
         ----------
@@ -53,7 +54,8 @@
         released = self._known.holder.evacuated - domains
         self._known.holder.evacuate(domains)
         for server in self._known.catalogue.list_all():
-            if server.failure_domain in released:
+            is_released = server.failure_domain in released
+            if is_released and self._known.is_reached(server):
                 self._known.trust.suspect(server.name, 'evacuation ended')
 
     def adopt(self, revision: Revision) -> None:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/health.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/health.py
@@ -39,8 +39,6 @@
         How a server is asked.
     knowledge : Knowledge
         Tells whom to check and takes the results.
-    region : str
-        Only servers of this region can be reached.
     """
 
     def __init__(
@@ -48,14 +46,12 @@
         http: aiohttp.ClientSession,
         backends: BackendProtocol,
         knowledge: Knowledge,
-        region: str,
     ) -> None:
         """Check nothing yet."""
         super().__init__()
         self._http = http
         self._backends = backends
         self._known = knowledge
-        self._region = region
 
     async def on_start(self) -> None:
         """Begin."""
@@ -63,7 +59,7 @@
 
     async def _check_forever(self) -> None:
         while not self.should_stop:
-            due = [server for server in self._list_due()]
+            due = self._list_due()
             await asyncio.gather(*map(self._check, due))
             await self.sleep(PERIOD.total_seconds())
 
@@ -73,7 +69,7 @@
             server
             for server in known.catalogue.list_all()
             if server.name in known.trust.unchecked
-            and known.regions.get(server.failure_domain) == self._region
+            and known.is_reached(server)
             and not server.is_leaving
         ]
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/knowledge.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/knowledge.py
@@ -6,6 +6,7 @@
 
 from baobabhinge_coordination.clock import Clock
 from baobabhinge_gateway.deployment import (
+    BackendServer,
     ConfigurationHolder,
     Engine,
     ServerCatalogue,
@@ -22,10 +23,13 @@
 
     Parameters
     ----------
+    home : str
+        Region of this gateway; it reaches no server of another.
     regions : mapping of str to str
         Region of each failure domain.
     """
 
+    home: str
     clock: Clock
     holder: ConfigurationHolder
     catalogue: ServerCatalogue
@@ -35,6 +39,10 @@
     warmup: WarmUpPace
     regions: Mapping[str, str]
 
+    def is_reached(self, server: BackendServer) -> bool:
+        """Whether this gateway reaches ``server`` itself."""
+        return self.regions.get(server.failure_domain) == self.home
+
     def find_service(self, name: str) -> Service | None:
         """Return the service called ``name`` in the configuration in force."""
         revision = self.holder.revision
@@ -46,9 +54,14 @@
         return service.engine if service else None
 
 
-def create_knowledge(clock: Clock, regions: Mapping[str, str]) -> Knowledge:
+def create_knowledge(
+    clock: Clock,
+    home: str,
+    regions: Mapping[str, str],
+) -> Knowledge:
     """Return the knowledge of a gateway that starts now."""
     return Knowledge(
+        home=home,
         clock=clock,
         holder=ConfigurationHolder(),
         catalogue=ServerCatalogue(clock),
