--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/assembly.py
@@ -47,7 +47,7 @@
             core.gateways,
             is_lending=core.settings.placing.lending,
         ),
-        core.knowledge.warmup,
+        core.knowledge,
         find_ranking(core.settings.placing.ranking),
         core.reception.random,
     )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/choosing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/choosing.py
@@ -6,6 +6,7 @@
 from baobabhinge_gateway.forwarding.call import Call
 from baobabhinge_gateway.forwarding.estimates import Prospect
 from baobabhinge_gateway.forwarding.failures import NotServedError
+from baobabhinge_gateway.forwarding.knowledge import Knowledge
 from baobabhinge_gateway.forwarding.lending import (
     Waits,
     choose_region,
@@ -16,7 +17,6 @@
 from baobabhinge_gateway.forwarding.shedding import RETRY_AFTER, check_in_time
 from baobabhinge_gateway.forwarding.surroundings import Surroundings
 from baobabhinge_gateway.forwarding.targets import Target
-from baobabhinge_gateway.forwarding.warmup import WarmUpPace
 
 
 class Chooser:
@@ -28,28 +28,28 @@
         Prospects in each region.
     surroundings : Surroundings
         Regions that may be asked.
-    warmup : WarmUpPace
-        Pace of cold servers.
+    knowledge : Knowledge
+        Holds the pace of cold servers.
     ranking : callable
         Order of the prospects at home.
     random : Random
         Generator of the choice among equals.
     """
 
-    __slots__ = ('_around', '_placement', '_random', '_ranking', '_warmup')
+    __slots__ = ('_around', '_known', '_placement', '_random', '_ranking')
 
     def __init__(
         self,
         placement: Placement,
         surroundings: Surroundings,
-        warmup: WarmUpPace,
+        knowledge: Knowledge,
         ranking: Ranking,
         random: Random,
     ) -> None:
         """Keep the parts."""
         self._placement = placement
         self._around = surroundings
-        self._warmup = warmup
+        self._known = knowledge
         self._ranking = ranking
         self._random = random
 
@@ -92,13 +92,18 @@
         if call.route.allows(home):
             for prospect in self._placement.list_cold(call, home, tried):
                 if self._may_warm(prospect):
-                    self._warmup.take(prospect.server.name, 1)
+                    self._take_turn(call, prospect)
                     return self._around.aim(prospect)
         raise NotServedError(
             f'no backend server of {call.service} takes calls now',
             RETRY_AFTER,
         )
 
+    def _take_turn(self, call: Call, prospect: Prospect) -> None:
+        rate = self._known.find_warm_up_rate(call.service)
+        self._known.warmup.take(prospect.server.name, rate)
+
     def _may_warm(self, prospect: Prospect) -> bool:
         is_sender = self._around.is_sender(prospect.server)
-        return is_sender and self._warmup.is_open(prospect.server.name)
+        is_open = self._known.warmup.is_open(prospect.server.name)
+        return is_open and is_sender
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/knowledge.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/knowledge.py
@@ -43,6 +43,16 @@
         """Whether this gateway reaches ``server`` itself."""
         return self.regions.get(server.failure_domain) == self.home
 
+    def is_cold(self, server: BackendServer) -> bool:
+        """Whether ``server`` bears few calls now."""
+        has_rate = self.find_warm_up_rate(server.service) > 0
+        return has_rate and self.warmup.is_cold(server.name)
+
+    def find_warm_up_rate(self, service: str) -> float:
+        """Return the calls a second that a cold server bears; 0 for any."""
+        found = self.find_service(service)
+        return found.warm_up_rate if found else 0
+
     def find_service(self, name: str) -> Service | None:
         """Return the service called ``name`` in the configuration in force."""
         revision = self.holder.revision
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/placement.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/placement.py
@@ -45,7 +45,7 @@
         return [
             self._estimate(call, server, keeper)
             for server in candidates
-            if not self._known.warmup.is_cold(server.name)
+            if not self._known.is_cold(server)
         ]
 
     def list_cold(
@@ -58,7 +58,7 @@
         return [
             self._estimate(call, server, None)
             for server in self._list_candidates(call, region, tried)
-            if self._known.warmup.is_cold(server.name)
+            if self._known.is_cold(server)
         ]
 
     def _list_candidates(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/warmup.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/warmup.py
@@ -12,8 +12,9 @@
 from baobabhinge_coordination.clock import Clock
 from baobabhinge_gateway.deployment import BackendServer
 
-# Two gateways that disagree about who may send stay below the limit together.
-PACE_SHARE = 0.7
+# Servers bear half as much again, and three calls more in a second; so two
+# gateways that disagree about who may send stay below that together.
+PACE_SHARE = 1.0
 SECOND = timedelta(seconds=1)
 
 
@@ -57,7 +58,7 @@
 
     def take(self, server: str, rate: float) -> None:
         """Count a call to the cold ``server`` that bears ``rate`` a second."""
-        pause = SECOND / max(rate * PACE_SHARE, 1 / 60)
+        pause = SECOND / (rate * PACE_SHARE)
         self._next[server] = self._clock.read_monotonic() + pause
 
 
