--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/failures.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/failures.py
@@ -13,14 +13,14 @@
 class NotServedError(AttemptError):
     """No backend server can take the call in time; it was not run."""
 
-    code = 'not-served'
+    code = 'no-backend-server'
     status = HTTPStatus.SERVICE_UNAVAILABLE
 
 
 class OverloadError(NotServedError):
     """The answer would come too late wherever the call is served."""
 
-    code = 'overload'
+    code = 'overloaded'
 
 
 class DeclinedError(NotServedError):
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/problems.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/problems.py
@@ -12,7 +12,7 @@
 class MalformedCallError(ForwardingError):
     """The head of the request can't be understood."""
 
-    code = 'malformed'
+    code = 'malformed-request'
     status = HTTPStatus.BAD_REQUEST
 
 
@@ -33,5 +33,5 @@
 class NoConfigurationError(ForwardingError):
     """No configuration is known yet."""
 
-    code = 'no-configuration'
+    code = 'not-configured'
     status = HTTPStatus.SERVICE_UNAVAILABLE
