--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/connecting.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/connecting.py
@@ -10,6 +10,7 @@
 from aiohttp.helpers import set_exception
 
 from baobabhinge_gateway.forwarding.sockets import set_dead_peer_limits
+from baobabhinge_platform.sessions import send_once
 
 # Backend servers close idle connections and say after how long; this stays
 # below the shortest time that they tell.
@@ -61,19 +62,6 @@
     return opened
 
 
-async def send_once(
-    request: aiohttp.ClientRequest,
-    send: aiohttp.ClientHandlerType,
-) -> aiohttp.ClientResponse:
-    """Send a request and never send it again, as aiohttp does by itself."""
-    try:
-        return await send(request)
-    except aiohttp.ClientConnectorError:
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as broken:
-        raise aiohttp.ClientConnectionError(str(broken)) from broken
-
-
 def build_strict_session() -> aiohttp.ClientSession:
     """Return the session of forwarded calls; its owner closes it."""
     return aiohttp.ClientSession(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/headers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/headers.py
@@ -2,25 +2,11 @@
 
 from collections.abc import Iterable
 
+from baobabhinge_gateway.calls.headers import HOP_BY_HOP
 from baobabhinge_gateway.forwarding.call import Headers
 
 NONE_MORE: frozenset[str] = frozenset()
-HOP_BY_HOP = frozenset(
-    (
-        'connection',
-        'content-length',
-        'expect',
-        'host',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    ),
-)
+CONNECTION_HEADERS = HOP_BY_HOP | {'proxy-connection'}
 
 
 def keep_end_to_end(
@@ -43,7 +29,7 @@
         if name.lower() == 'connection'
         for token in text.split(',')
     }
-    gone = HOP_BY_HOP | dropped | named
+    gone = CONNECTION_HEADERS | dropped | named
     return tuple(
         (str(name), text) for name, text in listed if name.lower() not in gone
     )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
@@ -68,7 +68,7 @@
             await self._dispatcher.serve(call, responder)
         except CallError as refusal:
             await self._refuse(responder, refusal, call)
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, ConnectionError):
             self._reception.note_end(call, 'abandoned', 'the caller left')
             raise
         else:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/telemetry/bounded.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/telemetry/bounded.py
@@ -9,6 +9,7 @@
 
 from baobabhinge_coordination.clock import Clock, SystemClock
 from baobabhinge_gateway.telemetry.crashes import CrashHandler
+from baobabhinge_gateway.telemetry.logs import build_processors
 
 # A call takes two or three lines; at 100 calls a second all are written.
 LINES_PER_SECOND = 400
@@ -92,12 +93,7 @@
     """
     writer = BoundedWriter(SystemClock())
     structlog.configure(
-        processors=[
-            structlog.contextvars.merge_contextvars,
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt='iso', utc=True),
-            structlog.processors.JSONRenderer(),
-        ],
+        processors=build_processors(),
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
         logger_factory=lambda *_: writer,
         cache_logger_on_first_use=True,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/telemetry/logs.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/telemetry/logs.py
@@ -4,6 +4,7 @@
 import sys
 
 import structlog
+from structlog.typing import Processor
 
 from baobabhinge_gateway.telemetry.crashes import CrashHandler
 
@@ -17,14 +18,19 @@
         Name of the vm.
     """
     structlog.configure(
-        processors=[
-            structlog.contextvars.merge_contextvars,
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt='iso', utc=True),
-            structlog.processors.JSONRenderer(),
-        ],
+        processors=build_processors(),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(vm=vm)
     logging.basicConfig(level=logging.WARNING, handlers=[CrashHandler()])
+
+
+def build_processors() -> list[Processor]:
+    """Return what turns an event into one JSON line."""
+    return [
+        structlog.contextvars.merge_contextvars,
+        structlog.processors.add_log_level,
+        structlog.processors.TimeStamper(fmt='iso', utc=True),
+        structlog.processors.JSONRenderer(),
+    ]
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/telemetry/tests/test_bounded.py
@@ -0,0 +1,37 @@
+import json
+import os
+from datetime import timedelta
+
+from baobabhinge_coordination.clock import ManualClock
+from baobabhinge_gateway.telemetry.bounded import (
+    BURST_LINES,
+    LINES_PER_SECOND,
+    BoundedWriter,
+)
+
+
+def read_lines(reader):
+    return os.read(reader, 1 << 20).decode().splitlines()
+
+
+def test_lines_over_the_rate_are_dropped_and_counted():
+    reader, writer = os.pipe()
+    clock = ManualClock()
+    bounded = BoundedWriter(clock, writer)
+    for _ in range(BURST_LINES + 5):
+        bounded.info('{}')
+    assert len(read_lines(reader)) == BURST_LINES
+    assert bounded.dropped == 5
+    clock.advance(timedelta(seconds=1 / LINES_PER_SECOND))
+    bounded.error('{}')
+    last = read_lines(reader)[-1]
+    assert json.loads(last) == {'event': 'lines-dropped', 'count': 5}
+    assert not bounded.dropped
+
+
+def test_a_reader_that_does_not_read_blocks_nobody():
+    _, writer = os.pipe()
+    bounded = BoundedWriter(ManualClock(), writer)
+    for _ in range(BURST_LINES):
+        bounded.info('x' * 1000)
+    assert bounded.dropped
