Lead callers to regions that may serve them, or to none

Ruled out: heartbeats (the draining ones were heard) and lending. Now: the own region, then regions in which all routes of the host may be served; any other only if the own region is silent, which a planned stop is not. Also: a stream that breaks makes its server pass a health check first, as a lost answer does (found by reading).

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/holder.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/holder.py
@@ -1,5 +1,7 @@
 """The configuration in force; it never goes back to an older version."""
 
+from collections.abc import Sequence
+
 import structlog
 
 from baobabhinge_gateway.deployment.revision import Revision
@@ -34,6 +36,16 @@
         """Version in force, 0 if none is known."""
         return self.revision.version if self.revision else 0
 
+    def list_homes(self, host: str, regions: Sequence[str]) -> Sequence[str]:
+        """Return the regions in which every route of ``host`` may be served."""
+        routes = self.revision.routes if self.revision else ()
+        bound = [route for route in routes if route.host == host]
+        return [
+            region
+            for region in regions
+            if all(route.allows(region) for route in bound)
+        ]
+
     def adopt(self, revision: Revision) -> bool:
         """Put ``revision`` in force unless it is older than the present one."""
         if revision.version <= self.version:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
@@ -74,13 +74,31 @@
         has_servers = bool(self.knowledge.catalogue.list_all())
         return self.knowledge.holder.revision is not None and has_servers
 
-    def list_entries(self, region: str) -> Sequence[str]:
-        """Return the gateways that a caller of ``region`` is to use."""
-        entries = self._list_region(region)
-        if not entries:
-            for other in self.settings.list_regions():
-                entries.extend(self._list_region(other))
-        return sorted(entries)
+    def list_entries(self, region: str, host: str) -> Sequence[str]:
+        """Return the gateways that a caller is to use.
+
+        Those of its own region go first, then those of regions in which all
+        routes of the host may be served. Others are named only if the own
+        region is silent: while its gateways are being replaced, a caller
+        waits for one rather than hand bound data to another region.
+
+        Parameters
+        ----------
+        region : str
+            Region of the caller.
+        host : str
+            Host that the caller is going to ask.
+        """
+        everywhere = self.settings.list_regions()
+        homes = self.knowledge.holder.list_homes(host, everywhere)
+        tiers = [[region], homes]
+        if not self.gateways.list_live(region):
+            tiers.append(everywhere)
+        for tier in tiers:
+            entries = self._list_regions(tier)
+            if entries:
+                return entries
+        return []
 
     def compose(self, sequence: int) -> Heartbeat:
         """Return the heartbeat of this number."""
@@ -98,8 +116,12 @@
             marks=self.feed.marks,
         )
 
-    def _list_region(self, region: str) -> list[str]:
-        entries = list(self.gateways.list_entries(region))
-        if region == self.settings.own.region and self.is_ready():
+    def _list_regions(self, regions: Sequence[str]) -> Sequence[str]:
+        entries = [
+            entry
+            for region in regions
+            for entry in self.gateways.list_entries(region)
+        ]
+        if self.settings.own.region in regions and self.is_ready():
             entries.append(self.settings.caller_address)
-        return entries
+        return sorted(entries)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/noting.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/noting.py
@@ -5,6 +5,7 @@
 
 from baobabhinge_gateway.errors import NotReachedError
 from baobabhinge_gateway.forwarding.failures import (
+    StreamBrokenError,
     TimeLimitError,
     UnknownOutcomeError,
 )
@@ -23,7 +24,7 @@
     except NotReachedError:
         trust.suspect(server, 'not reached')
         raise
-    except UnknownOutcomeError as lost:
+    except (UnknownOutcomeError, StreamBrokenError) as lost:
         trust.note(server, has_failed=True)
         trust.suspect(server, str(lost))
         raise
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_entries.py
@@ -0,0 +1,85 @@
+from datetime import timedelta
+
+import pytest
+
+from baobabhinge_gateway.deployment import (
+    BackendServer,
+    CallKind,
+    RequestLimits,
+    Revision,
+    Route,
+    Split,
+)
+from baobabhinge_gateway.forwarding.core import GatewayCore
+from baobabhinge_gateway.forwarding.retries import BudgetTerms
+from baobabhinge_gateway.forwarding.settings import ForwardingSettings
+from baobabhinge_gateway.neighbours import Contact, Heartbeat
+
+SECOND = timedelta(seconds=1)
+REGIONS = {'west-a': 'west', 'east-a': 'east', 'south-a': 'south'}
+BOUND = ('west', 'east')
+
+
+def build_route(host, regions):
+    return Route(
+        host,
+        host,
+        '/',
+        CallKind.repeatable,
+        (Split('ledger', 1),),
+        SECOND,
+        SECOND,
+        regions=regions,
+    )
+
+
+ROUTES = (build_route('bound', BOUND), build_route('free', ()))
+
+
+def build_core():
+    own = Contact('south-1', 'south', '127.0.0.1', 90)
+    core = GatewayCore(
+        ForwardingSettings(
+            own,
+            'south-1:80',
+            'south-1:81',
+            REGIONS,
+            BudgetTerms(),
+            SECOND,
+        ),
+    )
+    core.knowledge.holder.adopt(Revision(1, ROUTES, {}, RequestLimits()))
+    core.knowledge.catalogue.put(
+        BackendServer('one', 'ledger', '127.0.0.1:1', 'south-a'),
+    )
+    return core
+
+
+def build_beat(region, is_ready):
+    name = f'{region}-1'
+    addresses = (f'{name}:80', f'{name}:81')
+    return Heartbeat(name, 'a', 1, region, *addresses, is_ready, 1, {})
+
+
+@pytest.mark.parametrize(
+    ('heard', 'region', 'host', 'named'),
+    [
+        ({'west': True, 'east': True}, 'west', 'bound', ['west-1:80']),
+        ({'west': False, 'east': True}, 'west', 'bound', ['east-1:80']),
+        ({'west': False, 'east': False}, 'west', 'bound', []),
+        ({'east': False}, 'west', 'bound', ['south-1:80']),
+        ({'west': False, 'east': False}, 'west', 'free', ['south-1:80']),
+        ({'west': False, 'east': False}, 'south', 'bound', ['south-1:80']),
+        ({}, 'west', 'bound', ['south-1:80']),
+    ],
+)
+def test_callers_are_led_to_regions_that_may_serve_them(
+    heard,
+    region,
+    host,
+    named,
+):
+    core = build_core()
+    for other, is_ready in heard.items():
+        core.gateways.hear(build_beat(other, is_ready))
+    assert core.list_entries(region, host) == named
