Send repeats of a call on a connection of their own

Cause: a repeat that goes out right after a broken exchange may take a kept connection that the same event is resetting; for a stream of a region without engines, whose only other target is one more gateway, that spends its last attempt.

Ruled out by reading: the circuit of the other region (it opens after three failures in a row) and the retry budget (one retry of a burst).

Before: a request on a kept connection that is reset as it goes out ends as AnswerSeveredError (row False of test_repeating). After: a repeat is answered (row True).

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/exchange.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/backends/exchange.py
@@ -20,6 +20,7 @@
     AnswerSeveredError,
     NotReachedError,
 )
+from baobabhinge_platform.sessions import build_session, choose_session
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
 
@@ -37,6 +38,8 @@
         Whole body.
     patience : timedelta
         Longest time for the whole exchange.
+    is_repeat : bool
+        Whether an earlier attempt of the same call has failed.
     """
 
     method: str
@@ -44,6 +47,7 @@
     headers: Headers
     body: bytes
     patience: timedelta
+    is_repeat: bool = False
 
 
 @asynccontextmanager
@@ -69,15 +73,19 @@
         total=outbound.patience.total_seconds(),
         sock_connect=CONNECT_TIMEOUT.total_seconds(),
     )
+    choice = choose_session(http, _build_alike, is_repeat=outbound.is_repeat)
     try:
-        async with http.request(
-            outbound.method,
-            URL(outbound.url, encoded=True),
-            headers=outbound.headers,
-            data=outbound.body,
-            timeout=limit,
-            allow_redirects=False,
-        ) as response:
+        async with (
+            choice as session,
+            session.request(
+                outbound.method,
+                URL(outbound.url, encoded=True),
+                headers=outbound.headers,
+                data=outbound.body,
+                timeout=limit,
+                allow_redirects=False,
+            ) as response,
+        ):
             with _closing_unless_read(response):
                 yield _build_answer(response)
     except (
@@ -91,6 +99,10 @@
         raise AnswerSeveredError('the exchange broke off') from broken
 
 
+def _build_alike() -> aiohttp.ClientSession:
+    return build_session(auto_decompress=False)
+
+
 def _build_answer(response: aiohttp.ClientResponse) -> Answer:
     return Answer(
         response.status,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/attempts.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/attempts.py
@@ -40,16 +40,18 @@
     ----------
     call : Call
         The call with the places that earlier attempts have passed.
+    failures : Failures
+        Failures so far.
     """
 
     __slots__ = (
         '_budget',
-        '_failures',
         '_isolation',
         '_ranked',
         '_router',
         '_tried',
         'call',
+        'failures',
     )
 
     def __init__(
@@ -66,7 +68,7 @@
         self._isolation = isolation
         self._tried: set[str] = set()
         self._ranked: tuple[Candidate, ...] = ()
-        self._failures = Failures()
+        self.failures = Failures()
 
     def choose_candidate(self) -> Candidate:
         """Return the next candidate.
@@ -76,11 +78,11 @@
         CallError
             If there is none, or no retry is allowed: what the caller is told.
         """
-        if self._failures.told is not None and self._failures.is_final:
-            raise self._failures.told
+        if self.failures.told is not None and self.failures.is_final:
+            raise self.failures.told
         candidate = self._find_candidate()
         target = candidate.target
-        if self._failures.count:
+        if self.failures.count:
             self._check_retry(target)
         elif not self._tried:
             self._budget.deposit(target.vm.role)
@@ -92,9 +94,9 @@
         if isinstance(failure, NoBackendServerError):
             return
         if isinstance(failure, ModelNotLoadedError) and not target.is_remote:
-            self._failures.note_refusal(failure)
+            self.failures.note_refusal(failure)
             return
-        self._failures.count_failure(failure)
+        self.failures.count_failure(failure)
         self._ranked = ()
         if target.is_remote:
             passed = Hop(target.vm.name, target.vm.region)
@@ -113,7 +115,7 @@
         )
         if chosen is not None:
             return chosen
-        raise self._failures.told or NoBackendServerError(
+        raise self.failures.told or NoBackendServerError(
             'no backend server could be reached',
         )
 
@@ -121,19 +123,19 @@
         try:
             return self._isolation.choose(self.call, unspent)
         except CrashingRequestError as refused:
-            raise self._failures.choose_told(refused) from refused
+            raise self.failures.choose_told(refused) from refused
 
     def _decide(self) -> Decision:
         try:
             return self._router.decide(self.call)
         except CallError as refused:
-            raise self._failures.told or refused from refused
+            raise self.failures.told or refused from refused
 
     def _check_retry(self, target: Target) -> None:
-        told = self._failures.told
+        told = self.failures.told
         if told is None or isinstance(told, EngineCrashedError):
             return
-        is_early = self._failures.count < MAX_ATTEMPTS
+        is_early = self.failures.count < MAX_ATTEMPTS
         if not (is_early and self._budget.withdraw(target.vm.role)):
             raise told
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/repeatable.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/repeatable.py
@@ -91,28 +91,33 @@
         candidate: Candidate,
     ) -> web.StreamResponse | None:
         try:
-            return await self._relay_answer(attempts.call, relay, candidate)
+            return await self._relay_answer(attempts, relay, candidate)
         except CallError as failure:
             attempts.record_failure(candidate.target, failure)
         return None
 
     async def _relay_answer(
         self,
-        call: Call,
+        attempts: Attempts,
         relay: Relay,
         candidate: Candidate,
     ) -> web.StreamResponse:
+        call = relay.prepare_call(attempts.call)
         rest = call.terms.deadline - self._clock.read_monotonic()
         patience = measure_patience(call, candidate.target, rest)
-        exchange = self._dispatcher.open_answer(
-            relay.prepare_call(call),
-            (candidate,),
-        )
         async with AsyncExitStack() as stack:
             await stack.enter_async_context(
                 self._isolation.guard(call, candidate, rest),
             )
-            answer = await open_within(stack, exchange, patience)
+            answer = await open_within(
+                stack,
+                self._dispatcher.open_answer(
+                    call,
+                    (candidate,),
+                    is_repeat=attempts.failures.count > 0,
+                ),
+                patience,
+            )
             await check_refusal(call, answer, candidate.target)
             return await relay.take(answer)
 
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/execution/tests/test_repeating.py
@@ -0,0 +1,92 @@
+"""Repeats of a call while connections that were kept open are being reset."""
+
+import asyncio
+import contextlib
+from datetime import timedelta
+
+import pytest
+
+from baobabhinge_coordination.clock import SystemClock
+from baobabhinge_gateway.calls import Call, Hop, HopList, Terms
+from baobabhinge_gateway.errors import AnswerSeveredError
+from baobabhinge_gateway.routing import Candidate, Dispatcher, Target
+from baobabhinge_platform.machines import Role, Vm
+from baobabhinge_platform.sessions import build_session
+
+HOST = '127.0.0.1'
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+
+
+async def answer_first(reader, writer):
+    """Answer the first request of a connection and reset it at the next."""
+    with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(ANSWER)
+        await reader.readuntil(b'\r\n\r\n')
+    writer.transport.abort()
+
+
+class NoTracking:
+    """Bookkeeping that is left out."""
+
+    def __init__(self):
+        self.open_calls = self
+
+    def track(self, *_):
+        return contextlib.nullcontext(self)
+
+    def observe(self, pieces):
+        return pieces
+
+
+def build_call():
+    return Call(
+        request_id='r1',
+        service=None,
+        method='GET',
+        path='/',
+        headers=(),
+        body=b'',
+        terms=Terms(timedelta(hours=1)),
+        hops=HopList((Hop('w1', 'west'),)),
+    )
+
+
+async def ask(dispatcher, candidate, *, is_repeat):
+    opened = dispatcher.open_answer(
+        build_call(),
+        (candidate,),
+        is_repeat=is_repeat,
+    )
+    async with opened as answer:
+        return b''.join([piece async for piece in answer.pieces])
+
+
+class EndlessClock(SystemClock):
+    """Clock on which no deadline passes."""
+
+    def read_monotonic(self):
+        return timedelta()
+
+
+@pytest.mark.parametrize(
+    ('is_repeat', 'expected'),
+    [
+        (False, AnswerSeveredError),
+        (True, b'ok'),
+    ],
+)
+async def test_a_repeat_takes_no_kept_connection(is_repeat, expected):
+    server = await asyncio.start_server(answer_first, HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    vm = Vm('e1', f'{HOST}:{port}', 'west', 'west-a', Role.engine)
+    candidate = Candidate(Target(vm, False, 0))
+    async with server, build_session() as http:
+        dispatcher = Dispatcher(http, EndlessClock(), NoTracking())
+        assert await ask(dispatcher, candidate, is_repeat=False) == b'ok'
+        if isinstance(expected, bytes):
+            told = await ask(dispatcher, candidate, is_repeat=is_repeat)
+            assert told == expected
+            return
+        with pytest.raises(expected):
+            await ask(dispatcher, candidate, is_repeat=is_repeat)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/dispatch.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/dispatch.py
@@ -1,6 +1,6 @@
 """Trying candidates until one answers."""
 
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Iterator, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from datetime import timedelta
 
@@ -52,9 +52,20 @@
         self,
         call: Call,
         candidates: Sequence[Candidate],
+        *,
+        is_repeat: bool = False,
     ) -> AsyncIterator[Answer]:
         """Yield the answer of the first candidate that could be reached.
 
+        Parameters
+        ----------
+        call : Call
+            The call.
+        candidates : sequence of Candidate
+            Targets in the order in which they are tried.
+        is_repeat : bool, optional
+            Whether an earlier attempt of the call has failed.
+
         Raises
         ------
         NoBackendServerError
@@ -66,24 +77,36 @@
         """
         async with AsyncExitStack() as stack:
             stack.enter_context(self._tracker.open_calls.track(call))
-            yield await self._reach_first(stack, call, candidates)
+            outbounds = self._list_outbounds(call, candidates, is_repeat)
+            yield await self._reach_first(stack, outbounds)
 
     async def _reach_first(
         self,
         stack: AsyncExitStack,
-        call: Call,
-        candidates: Sequence[Candidate],
+        outbounds: Iterator[tuple[Candidate, Outbound]],
     ) -> Answer:
-        for candidate in candidates:
-            outbound = build_outbound(
-                call,
-                candidate.target,
-                self._measure_rest(call),
-            )
+        for candidate, outbound in outbounds:
             with suppress(NotReachedError):
                 return await self._reach(stack, candidate, outbound)
         raise NoBackendServerError('no backend server could be reached')
 
+    def _list_outbounds(
+        self,
+        call: Call,
+        candidates: Sequence[Candidate],
+        is_repeat: bool,
+    ) -> Iterator[tuple[Candidate, Outbound]]:
+        for candidate in candidates:
+            yield (
+                candidate,
+                build_outbound(
+                    call,
+                    candidate.target,
+                    self._measure_rest(call),
+                    is_repeat=is_repeat,
+                ),
+            )
+
     def _measure_rest(self, call: Call) -> timedelta:
         rest = call.terms.deadline - self._clock.read_monotonic()
         if rest <= NO_TIME:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/outbound.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/routing/outbound.py
@@ -16,6 +16,8 @@
     call: Call,
     target: Target,
     patience: timedelta,
+    *,
+    is_repeat: bool = False,
 ) -> Outbound:
     """Return the request that carries ``call`` to ``target``.
 
@@ -27,6 +29,8 @@
         Where it goes.
     patience : timedelta
         Time left until its deadline.
+    is_repeat : bool, optional
+        Whether an earlier attempt of the call has failed.
     """
     pairs: Headers = (
         *call.headers,
@@ -43,6 +47,7 @@
         pairs,
         call.body,
         patience,
+        is_repeat,
     )
 
 
--- a/packages/baobabhinge-platform/src/baobabhinge_platform/sessions.py
+++ b/packages/baobabhinge-platform/src/baobabhinge_platform/sessions.py
@@ -1,5 +1,8 @@
 """HTTP sessions that send each request once."""
 
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
 import aiohttp
 
 
@@ -38,3 +41,32 @@
         connector=aiohttp.TCPConnector(limit=0),
         middlewares=(send_once,),
     )
+
+
+@asynccontextmanager
+async def choose_session(
+    http: aiohttp.ClientSession,
+    build: Callable[[], aiohttp.ClientSession],
+    *,
+    is_repeat: bool,
+) -> AsyncIterator[aiohttp.ClientSession]:
+    """Yield the session that is to send a request.
+
+    What broke one connection may have broken those that were kept open, and
+    each of them would cost a repeat that goes out on it. So a repeat gets a
+    session, and with it a connection, of its own.
+
+    Parameters
+    ----------
+    http : aiohttp.ClientSession
+        Session with kept connections; its owner closes it.
+    build : callable
+        Returns a session like it.
+    is_repeat : bool
+        Whether an earlier attempt of the same call has failed.
+    """
+    if not is_repeat:
+        yield http
+        return
+    async with build() as own:
+        yield own
