Let engines copy shared prompts that another engine has read

Change: gateways tell readings with their heartbeats (names of bound prompts stay in their regions); an engine copies what another has read.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/services.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/services.py
@@ -16,10 +16,17 @@
         Requests that run at once.
     memory : int
         Tokens that fit into the memory of one engine.
+    token_bytes : int
+        Bytes of memory that one token takes.
+    copy_rate : float
+        Megabits a second at which engines copy memory from each other; 0 if
+        they do not.
     """
 
     slots: int
     memory: int
+    token_bytes: int = 0
+    copy_rate: float = 0
 
 
 class Service(msgspec.Struct, frozen=True):
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
@@ -41,6 +41,16 @@
     output: int
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def shared(self) -> tuple[PromptPart, ...]:
+        """Parts that other calls may share."""
+        return self.parts[:-1]
+
+    @property
+    def shared_tokens(self) -> int:
+        """Length of the parts that other calls may share."""
+        return sum(part.tokens for part in self.shared)
+
 
 class CallHead(msgspec.Struct, frozen=True):
     """What the head of a request says, in the product's terms.
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/copying.py
@@ -0,0 +1,142 @@
+"""Which engine reads a prompt, and which ones copy it.
+
+Load pattern: calls of one subject that are served by several engines, because
+one alone would be late, or because their callers are in several regions.
+"""
+
+from collections.abc import Iterator, Sequence
+from datetime import timedelta
+
+import msgspec
+
+from baobabhinge_gateway.deployment import BackendServer, Engine
+from baobabhinge_gateway.forwarding.call import Call, Demand
+from baobabhinge_gateway.forwarding.estimates import (
+    Prospect,
+    estimate_engine,
+    measure_copying,
+    measure_reading,
+)
+from baobabhinge_gateway.forwarding.knowledge import Knowledge
+from baobabhinge_gateway.forwarding.loads import ServerLoad
+from baobabhinge_gateway.forwarding.prefixes import choose_keeper
+
+# Copying fewer tokens saves less than 5 ms of an engine.
+LEAST_COPIED = 256
+# Users pay for reading a part again only within this time (reuse-window-s of
+# both deployments); a copy costs a sixth of that.
+COPIED_WITHIN = timedelta(seconds=10)
+
+
+class Reader(msgspec.Struct, frozen=True):
+    """Engine that has read the longest part of a prompt, or is to read it.
+
+    Parameters
+    ----------
+    server : BackendServer
+        The engine.
+    tokens : int
+        How much it has read; 0 if it is to be the first.
+    is_near : bool
+        Whether it stands in the region of this gateway.
+    """
+
+    server: BackendServer
+    tokens: int = 0
+    is_near: bool = True
+
+
+class Prompt(msgspec.Struct, frozen=True):
+    """A prompt on its way to one of several engines.
+
+    Parameters
+    ----------
+    demand : Demand
+        The prompt.
+    engine : Engine
+        Size of the engines.
+    reader : Reader or None
+        Engine from which others copy.
+    """
+
+    demand: Demand
+    engine: Engine
+    reader: Reader | None
+
+    def estimate(
+        self,
+        server: BackendServer,
+        load: ServerLoad,
+        cached: int,
+    ) -> Prospect:
+        """Return what ``server``, which has ``cached`` tokens, would do."""
+        copied = self._count_copied(cached)
+        unread = max(0, self.demand.prompt - cached - copied)
+        added = ServerLoad(1, unread, count_memory(self.demand))
+        prospect = estimate_engine(self.engine, server, load, added)
+        if self.reader is None:
+            return prospect
+        if copied:
+            delay = measure_copying(self.engine, copied)
+            return prospect.copy(self.reader.server, delay)
+        if not self.reader.tokens and server == self.reader.server:
+            return prospect.delay(-measure_reading(self.demand.shared_tokens))
+        return prospect
+
+    def _count_copied(self, cached: int) -> int:
+        if self.reader is None or not self.engine.copy_rate:
+            return 0
+        copied = self.reader.tokens - cached
+        return copied if copied >= LEAST_COPIED else 0
+
+
+def find_reader(
+    known: Knowledge,
+    call: Call,
+    candidates: Sequence[BackendServer],
+) -> Reader | None:
+    """Return the engine from which the others copy the prompt of ``call``.
+
+    Parameters
+    ----------
+    known : Knowledge
+        What is known of servers and prefixes.
+    call : Call
+        The call.
+    candidates : sequence of BackendServer
+        Engines of one region, of which one is to read what nobody has read.
+    """
+    demand = call.head.demand
+    if demand is None or not demand.shared:
+        return None
+    readers = _list_readers(known, call, demand)
+    longest = max(readers, key=_rank_reader, default=None)
+    if longest is not None and longest.tokens:
+        return longest
+    keeper = choose_keeper(demand, candidates)
+    return Reader(keeper) if keeper else None
+
+
+def count_memory(demand: Demand) -> int:
+    """Return the tokens that a call holds, half of its output on average."""
+    return demand.prompt + demand.output // 2
+
+
+def _list_readers(
+    known: Knowledge,
+    call: Call,
+    demand: Demand,
+) -> Iterator[Reader]:
+    for server in known.list_sound(call.service):
+        region = known.regions.get(server.failure_domain, '')
+        if call.route.allows(region):
+            read = known.prefixes.count_cached(
+                server.name,
+                demand,
+                COPIED_WITHIN,
+            )
+            yield Reader(server, read, region == known.home)
+
+
+def _rank_reader(reader: Reader) -> tuple[int, bool, str]:
+    return reader.tokens, reader.is_near, reader.server.name
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
@@ -100,8 +100,8 @@
                 return entries
         return []
 
-    def compose(self, sequence: int) -> Heartbeat:
-        """Return the heartbeat of this number."""
+    def compose(self, sequence: int, region: str) -> Heartbeat:
+        """Return the heartbeat of this number for the gateways of a region."""
         self.budget.gateways = 1 + len(self.gateways.list_live())
         return Heartbeat(
             name=self.settings.own.name,
@@ -114,8 +114,15 @@
             version=self.knowledge.holder.version,
             loads=self.knowledge.loads.own,
             marks=self.feed.marks,
+            readings=self.knowledge.news.take(region),
         )
 
+    def hear(self, beat: Heartbeat) -> None:
+        """Take what another gateway tells of servers."""
+        self.knowledge.loads.hear(beat.name, beat.loads)
+        for reading in beat.readings:
+            self.knowledge.prefixes.note(reading)
+
     def _list_regions(self, regions: Sequence[str]) -> Sequence[str]:
         entries = [
             entry
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
@@ -58,7 +58,7 @@
         self._heartbeats = HeartbeatService(
             core.gateways,
             core.compose,
-            core.knowledge.loads.hear,
+            core.hear,
         )
 
     async def on_start(self) -> None:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/estimates.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/estimates.py
@@ -19,7 +19,12 @@
 # Memory above this share makes engines preempt running calls.
 MEMORY_SHARE = 0.9
 # A preempted or waiting call loses about the time of one answer.
-OVERFLOW_MS = 2000
+OVERFLOW = timedelta(seconds=2)
+# A copied prompt counts this often, so that an engine that has the prompt is
+# taken unless another is clearly freer.
+COPY_WEIGHT = 4
+BITS = 8
+BITS_IN_MEGABIT = 1_000_000
 # Sheets: mean time of one plain call, 15 ms to 45 ms.
 PLAIN_MS = 30
 
@@ -37,20 +42,26 @@
         What the call would add to the load of the server.
     calls : int
         Calls that it has now.
+    copy_from : BackendServer or None
+        Engine from which it is to copy what that has read of the prompt.
     """
 
     server: BackendServer
     wait: timedelta
     added: ServerLoad
     calls: int = 0
+    copy_from: BackendServer | None = None
 
     def delay(self, penalty: timedelta) -> 'Prospect':
         """Return the same prospect, later by ``penalty``."""
-        return Prospect(
-            self.server,
-            self.wait + penalty,
-            self.added,
-            self.calls,
+        return msgspec.structs.replace(self, wait=self.wait + penalty)
+
+    def copy(self, source: BackendServer, delay: timedelta) -> 'Prospect':
+        """Return the same prospect with a copy from ``source`` first."""
+        return msgspec.structs.replace(
+            self,
+            wait=self.wait + delay,
+            copy_from=source,
         )
 
 
@@ -73,16 +84,35 @@
     added : ServerLoad
         The call: the prompt that is not cached, and its memory.
     """
-    wait = _measure_reading(load.unread + added.unread, load.calls)
+    reading = measure_reading(load.unread + added.unread)
     overfull = _measure_overflow(engine, load.add(added))
-    wait += OVERFLOW_MS * overfull
-    return Prospect(server, timedelta(milliseconds=wait), added, load.calls)
+    wait = reading + _measure_first_event(load.calls) + OVERFLOW * overfull
+    return Prospect(server, wait, added, load.calls)
 
 
-def _measure_reading(unread: int, calls: int) -> float:
+def measure_copying(engine: Engine, tokens: int) -> timedelta:
+    """Return how long engines take to copy the memory of ``tokens``.
+
+    Parameters
+    ----------
+    engine : Engine
+        Size of the engines; their rate is not 0.
+    tokens : int
+        Length of what is copied.
+    """
+    bits = tokens * engine.token_bytes * BITS
+    seconds = bits / (engine.copy_rate * BITS_IN_MEGABIT)
+    return COPY_WEIGHT * timedelta(seconds=seconds)
+
+
+def measure_reading(tokens: int) -> timedelta:
+    """Return how long an engine takes to read ``tokens`` of prompts."""
+    return timedelta(milliseconds=tokens / READ_RATE)
+
+
+def _measure_first_event(calls: int) -> timedelta:
     step = STEP_MS + STEP_MS_PER_CALL * calls
-    reading = unread / READ_RATE
-    return SET_UP_MS + FIRST_EVENT_STEPS * step + reading
+    return timedelta(milliseconds=SET_UP_MS + FIRST_EVENT_STEPS * step)
 
 
 def _measure_overflow(engine: Engine, load: ServerLoad) -> float:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/knowledge.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/knowledge.py
@@ -1,6 +1,6 @@
 """What a gateway knows when it places a call."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import msgspec
 
@@ -12,8 +12,13 @@
     ServerCatalogue,
     Service,
 )
+from baobabhinge_gateway.forwarding.call import Call
 from baobabhinge_gateway.forwarding.loads import LoadTable
-from baobabhinge_gateway.forwarding.prefixes import PrefixHistory
+from baobabhinge_gateway.forwarding.prefixes import (
+    PrefixHistory,
+    Reading,
+    ReadingNews,
+)
 from baobabhinge_gateway.forwarding.trust import ServerTrust
 from baobabhinge_gateway.forwarding.warmup import WarmUpPace
 
@@ -35,6 +40,7 @@
     catalogue: ServerCatalogue
     loads: LoadTable
     prefixes: PrefixHistory
+    news: ReadingNews
     trust: ServerTrust
     warmup: WarmUpPace
     regions: Mapping[str, str]
@@ -63,6 +69,25 @@
         service = self.find_service(name)
         return service.engine if service else None
 
+    def list_sound(self, service: str) -> Sequence[BackendServer]:
+        """Return the servers of a service to which calls may be sent."""
+        return [
+            server
+            for server in self.catalogue.list_usable(service)
+            if server.failure_domain not in self.holder.evacuated
+            and server.name not in self.trust.unchecked
+        ]
+
+    def note_reading(self, call: Call, server: BackendServer) -> None:
+        """Note that ``server`` reads the prompt of ``call``."""
+        demand = call.head.demand
+        if demand is None:
+            return
+        names = tuple(part.name for part in demand.shared)
+        reading = Reading(server.name, names)
+        self.prefixes.note(reading)
+        self.news.add(reading, call.route, demand.shared_tokens)
+
 
 def create_knowledge(
     clock: Clock,
@@ -77,6 +102,7 @@
         catalogue=ServerCatalogue(clock),
         loads=LoadTable(clock),
         prefixes=PrefixHistory(clock),
+        news=ReadingNews(home, sorted(set(regions.values()))),
         trust=ServerTrust(clock),
         warmup=WarmUpPace(clock),
         regions=regions,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/protocols.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/protocols.py
@@ -11,6 +11,7 @@
 from baobabhinge_gateway.deployment import BackendServer
 from baobabhinge_gateway.errors import CallError
 from baobabhinge_gateway.forwarding.call import Call, CallHead, Headers
+from baobabhinge_gateway.forwarding.estimates import Prospect
 
 
 class Verdict(enum.Enum):
@@ -61,7 +62,7 @@
     def compose_headers(
         self,
         call: Call,
-        server: BackendServer,
+        prospect: Prospect,
         left: timedelta,
     ) -> Headers:
         """Return all headers of the request."""
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/sending.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/sending.py
@@ -2,7 +2,6 @@
 
 import aiohttp
 
-from baobabhinge_gateway.deployment import BackendServer
 from baobabhinge_gateway.forwarding.call import Call
 from baobabhinge_gateway.forwarding.delivery import Delivery, FailedAnswer
 from baobabhinge_gateway.forwarding.estimates import Prospect
@@ -57,8 +56,7 @@
     ) -> FailedAnswer | None:
         """Send ``call`` to a backend server; see `Delivery`."""
         server = prospect.server
-        if call.head.demand is not None:
-            self._known.prefixes.note(server.name, call.head.demand)
+        self._known.note_reading(call, server)
         with (
             count_runs(call, 1),
             noting_failures(self._known.trust, server.name),
@@ -66,7 +64,7 @@
         ):
             failed = await self._exchange(
                 call,
-                server,
+                prospect,
                 responder,
                 lambda: self._note_first_event(call, held),
             )
@@ -76,15 +74,16 @@
     async def _exchange(
         self,
         call: Call,
-        server: BackendServer,
+        prospect: Prospect,
         responder: Responder,
         note_first_event: NoteFirstEvent,
     ) -> FailedAnswer | None:
-        outbound = self._compose(call, server)
+        outbound = self._compose(call, prospect)
         async with open_exchange(self._http, outbound) as response:
             verdict = self._backends.judge(call, response)
             if verdict is Verdict.misplaced:
-                self._known.trust.suspect(server.name, 'other incarnation')
+                name = prospect.server.name
+                self._known.trust.suspect(name, 'other incarnation')
             return await self._delivery.deliver(
                 call,
                 response,
@@ -98,13 +97,13 @@
         if call.first_event is None:
             call.first_event = self._known.clock.read_monotonic()
 
-    def _compose(self, call: Call, server: BackendServer) -> Outbound:
+    def _compose(self, call: Call, prospect: Prospect) -> Outbound:
         left = measure_left(call, self._known.clock)
         return Outbound(
             call.head.method,
-            server.address,
+            prospect.server.address,
             call.head.target,
-            self._backends.compose_headers(call, server, left),
+            self._backends.compose_headers(call, prospect, left),
             call.body,
             left,
         )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_decisions.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_decisions.py
@@ -1,10 +1,17 @@
 from datetime import timedelta
 from random import Random
 
+import msgspec
 import pytest
 
 from baobabhinge_coordination.clock import ManualClock
-from baobabhinge_gateway.deployment import BackendServer, Engine
+from baobabhinge_gateway.deployment import (
+    BackendServer,
+    CallKind,
+    Engine,
+    Route,
+    Split,
+)
 from baobabhinge_gateway.forwarding.call import Demand, PromptPart
 from baobabhinge_gateway.forwarding.estimates import (
     estimate_engine,
@@ -19,6 +26,8 @@
 from baobabhinge_gateway.forwarding.loads import LoadTable, ServerLoad
 from baobabhinge_gateway.forwarding.prefixes import (
     PrefixHistory,
+    Reading,
+    ReadingNews,
     choose_keeper,
 )
 from baobabhinge_gateway.forwarding.retries import (
@@ -33,6 +42,15 @@
 ENGINE = Engine(slots=64, memory=400_000)
 SERVER = BackendServer('one', 'model', '127.0.0.1:1', 'west-a', slots=6)
 OBJECTIVE = 800 * MILLISECOND
+ROUTE = Route(
+    'route',
+    'host',
+    '/',
+    CallKind.streamed,
+    (Split('model', 1),),
+    SECOND,
+    SECOND,
+)
 DEMAND = Demand(
     1000,
     80,
@@ -143,19 +161,60 @@
     clock = ManualClock()
     history = PrefixHistory(clock)
     assert not history.count_cached('one', DEMAND)
-    history.note('one', DEMAND)
+    history.note(Reading('one', ('a', 'b')))
     other = Demand(900, 80, (DEMAND.parts[0], PromptPart('c', 600)))
     assert history.count_cached('one', DEMAND) == 800
     assert history.count_cached('one', other) == 300
     assert not history.count_cached('two', DEMAND)
-    clock.advance(61 * SECOND)
+    clock.advance(11 * SECOND)
+    assert not history.count_cached('one', DEMAND, 10 * SECOND)
+    assert history.count_cached('one', DEMAND) == 800
+    clock.advance(50 * SECOND)
     assert not history.count_cached('one', DEMAND)
 
 
+@pytest.mark.parametrize(
+    ('homes', 'shared', 'west', 'east'),
+    [
+        ((), 1000, 1, 1),
+        ((), 999, 1, 0),
+        (('west',), 1000, 1, 0),
+        (('west', 'east'), 1000, 1, 1),
+    ],
+)
+def test_readings_are_told_once_where_the_call_may_be_served(
+    homes,
+    shared,
+    west,
+    east,
+):
+    news = ReadingNews('west', ['east', 'west'])
+    route = msgspec.structs.replace(ROUTE, regions=homes)
+    news.add(Reading('one', ('a',)), route, shared)
+    assert len(news.take('west')) == west
+    assert len(news.take('east')) == east
+    assert not news.take('west')
+    assert not news.take('east')
+    assert not news.take('')
+
+
+def test_the_newest_readings_fit_into_one_heartbeat():
+    news = ReadingNews('west', ['west'])
+    for number in range(1000):
+        part = str(number).zfill(8)
+        news.add(Reading('engine-in-the-west', (part,)), ROUTE, 0)
+    told = news.take('west')
+    assert told[-1].parts == ('00000999',)
+    assert len(msgspec.msgpack.encode(told)) < 700
+
+
 def test_a_keeper_moves_only_if_it_is_gone():
-    servers = ['one', 'two', 'three']
+    servers = [
+        msgspec.structs.replace(SERVER, name=name)
+        for name in ('one', 'two', 'three')
+    ]
     keeper = choose_keeper(DEMAND, servers)
-    others = [name for name in servers if name != keeper]
+    others = [server for server in servers if server != keeper]
     assert choose_keeper(DEMAND, list(reversed(servers))) == keeper
     assert choose_keeper(DEMAND, [keeper, others[0]]) == keeper
     assert choose_keeper(DEMAND, others) in others
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
@@ -1,10 +1,11 @@
 """What one gateway tells another."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import msgspec
 
 from baobabhinge_gateway.forwarding.loads import ServerLoad
+from baobabhinge_gateway.forwarding.prefixes import Reading
 from baobabhinge_gateway.forwarding.snapshot import Marks
 
 
@@ -31,6 +32,8 @@
         Calls that it has in flight, by backend server.
     marks : Marks
         How much of the platform's store it has seen.
+    readings : sequence of Reading
+        Prompts that engines read for it since its last heartbeat.
     """
 
     name: str
@@ -43,3 +46,4 @@
     version: int
     loads: Mapping[str, ServerLoad]
     marks: Marks = Marks()
+    readings: Sequence[Reading] = ()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/service.py
@@ -1,16 +1,19 @@
 """Sending and taking heartbeats as datagrams."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 
 import msgspec
 import structlog
 from mode import Service
 
-from baobabhinge_gateway.forwarding.loads import ServerLoad
 from baobabhinge_gateway.neighbours.messages import Heartbeat
-from baobabhinge_gateway.neighbours.table import Contact, GatewayTable
+from baobabhinge_gateway.neighbours.table import (
+    Contact,
+    GatewayTable,
+    group_by_region,
+)
 
 PERIOD = timedelta(milliseconds=300)
 # Other regions get each third heartbeat: their link is narrow and priced.
@@ -19,7 +22,8 @@
 log = structlog.get_logger(__name__)
 
 
-HearLoads = Callable[[str, Mapping[str, ServerLoad]], None]
+Compose = Callable[[int, str], Heartbeat]
+Hear = Callable[[Heartbeat], None]
 
 
 class HeartbeatReceiver(asyncio.DatagramProtocol):
@@ -29,14 +33,14 @@
     ----------
     table : GatewayTable
         Takes what is heard.
-    hear_loads : callable
-        Takes the loads that a gateway tells.
+    hear : callable
+        Takes each heartbeat that is news.
     """
 
-    def __init__(self, table: GatewayTable, hear_loads: HearLoads) -> None:
+    def __init__(self, table: GatewayTable, hear: Hear) -> None:
         """Keep the parts."""
         self._table = table
-        self._hear_loads = hear_loads
+        self._hear = hear
 
     def datagram_received(self, datagram: bytes, source: object) -> None:
         """Take one heartbeat."""
@@ -46,7 +50,7 @@
             log.warning('heartbeat-unreadable', reason=str(unreadable))
             return
         if self._table.hear(beat):
-            self._hear_loads(beat.name, beat.loads)
+            self._hear(beat)
 
     def error_received(self, failure: Exception) -> None:
         """Note that a datagram could not be sent."""
@@ -61,22 +65,22 @@
     table : GatewayTable
         Knows whom to tell.
     compose : callable
-        Returns the heartbeat of a number.
-    hear_loads : callable
-        Takes the loads that a gateway tells.
+        Returns the heartbeat of a number for a region.
+    hear : callable
+        Takes each heartbeat that is news.
     """
 
     def __init__(
         self,
         table: GatewayTable,
-        compose: Callable[[int], Heartbeat],
-        hear_loads: HearLoads,
+        compose: Compose,
+        hear: Hear,
     ) -> None:
         """Open no socket yet."""
         super().__init__()
         self._table = table
         self._compose = compose
-        self._receiver = HeartbeatReceiver(table, hear_loads)
+        self._receiver = HeartbeatReceiver(table, hear)
         self._sequence = 0
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -99,15 +103,18 @@
     def tell(self) -> None:
         """Send one heartbeat to every known gateway that is due."""
         self._sequence += 1
-        datagram = msgspec.msgpack.encode(self._compose(self._sequence))
         is_away_due = self._sequence % AWAY_EVERY == 0
-        for contact in self._table.contacts.values():
-            if is_away_due or contact.region == self._table.own.region:
-                self._send(datagram, contact)
-
-    def _send(self, datagram: bytes, contact: Contact) -> None:
-        if self._transport is not None:
-            self._transport.sendto(datagram, (contact.host, contact.port))
+        groups = group_by_region(self._table.contacts.values())
+        for region, contacts in groups.items():
+            if is_away_due or region == self._table.own.region:
+                self._send(region, contacts)
+
+    def _send(self, region: str, contacts: Sequence[Contact]) -> None:
+        beat = self._compose(self._sequence, region)
+        datagram = msgspec.msgpack.encode(beat)
+        for contact in contacts:
+            if self._transport is not None:
+                self._transport.sendto(datagram, (contact.host, contact.port))
 
     async def _beat_forever(self) -> None:
         while not self.should_stop:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/table.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/table.py
@@ -1,6 +1,7 @@
 """Live gateways, by their heartbeats."""
 
-from collections.abc import Sequence
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
 from datetime import timedelta
 
 import msgspec
@@ -62,9 +63,16 @@
         self._heard: dict[str, timedelta] = {}
 
     def add_contact(self, contact: Contact) -> None:
-        """Learn where another gateway is."""
-        if contact.name != self.own.name:
-            self.contacts[contact.name] = contact
+        """Learn where another gateway is.
+
+        It takes the place of a seed at the same address.
+        """
+        if contact.name == self.own.name:
+            return
+        for known in tuple(self.contacts.values()):
+            if (known.host, known.port) == (contact.host, contact.port):
+                self.contacts.pop(known.name)
+        self.contacts[contact.name] = contact
 
     def hear(self, beat: Heartbeat) -> bool:
         """Take a heartbeat unless a newer one of its process is known."""
@@ -112,3 +120,13 @@
             if self._heard[beat.name] >= oldest
             and region in {None, beat.region}
         ]
+
+
+def group_by_region(
+    contacts: Iterable[Contact],
+) -> Mapping[str, Sequence[Contact]]:
+    """Return ``contacts`` by their region."""
+    regions: defaultdict[str, list[Contact]] = defaultdict(list)
+    for contact in contacts:
+        regions[contact.region].append(contact)
+    return regions
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/tests/test_table.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/tests/test_table.py
@@ -5,6 +5,7 @@
 
 from baobabhinge_coordination.clock import ManualClock
 from baobabhinge_gateway.neighbours import Contact, GatewayTable, Heartbeat
+from baobabhinge_gateway.neighbours.table import group_by_region
 
 BEAT = Heartbeat(
     name='two',
@@ -59,3 +60,16 @@
     assert not table.list_entries('west')
     assert not table.list_addresses('west')
     assert table.contacts['two'] == Contact('two', 'west', '127.0.0.2', 90)
+
+
+def test_a_gateway_that_is_heard_takes_the_place_of_its_seed():
+    table = build_table(ManualClock())
+    table.add_contact(Contact('seed 127.0.0.2', '', '127.0.0.2', 90))
+    table.add_contact(Contact('three', 'east', '127.0.0.3', 90))
+    table.hear(BEAT)
+    assert set(table.contacts) == {'two', 'three'}
+    groups = group_by_region(table.contacts.values())
+    assert {
+        region: [contact.name for contact in contacts]
+        for region, contacts in groups.items()
+    } == {'west': ['two'], 'east': ['three']}
