Ask servers that may be cold while the store fails or is slow

At 24.5 s the servers of the failure domain are cold and get 6 calls within a second; 5.8 are allowed.

Ruled out: a lapse of the pace of cold servers (one sender a server, 1.9 a second, once they are known to be cold).

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/servers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/servers.py
@@ -56,12 +56,15 @@
         """Take the end of an entry."""
         if name not in self._servers:
             return
-        now = self._clock.read_monotonic()
-        if now < self._steady_from:
-            self._lapsing.setdefault(name, now + LAPSED_ENTRY_HOLD)
+        hold = timedelta() if self.is_steady else LAPSED_ENTRY_HOLD
+        self._lapsing.setdefault(name, self._clock.read_monotonic() + hold)
+        if hold:
             log.info('backend-server-lapsing', server=name)
-        else:
-            self._drop(name)
+
+    @property
+    def is_steady(self) -> bool:
+        """Whether the list is up to date as far as known."""
+        return self._clock.read_monotonic() >= self._steady_from
 
     def note_unsteady(self) -> None:
         """Note that the store fails, so that entries may lapse by mistake."""
@@ -81,14 +84,11 @@
         now = self._clock.read_monotonic()
         for name, end in tuple(self._lapsing.items()):
             if now >= end:
-                self._drop(name)
+                self._lapsing.pop(name)
+                self._servers.pop(name, None)
+                log.info('backend-server-gone', server=name)
         return list(self._servers.values())
 
-    def _drop(self, name: str) -> None:
-        self._lapsing.pop(name, None)
-        self._servers.pop(name, None)
-        log.info('backend-server-gone', server=name)
-
 
 def list_missing(
     known: Iterable[BackendServer],
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/health.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/health.py
@@ -1,4 +1,8 @@
-"""Health checks of backend servers that may have failed or restarted."""
+"""Health checks of backend servers that may have failed, restarted or cooled.
+
+Load pattern: servers that become cold while the store, which would say so, is
+away or slow.
+"""
 
 import asyncio
 from datetime import timedelta
@@ -29,7 +33,7 @@
 
 
 class HealthChecker(Service):
-    """Check the servers that are not trusted until one check is good.
+    """Check the servers in doubt until a check is good.
 
     Parameters
     ----------
@@ -59,20 +63,10 @@
 
     async def _check_forever(self) -> None:
         while not self.should_stop:
-            due = self._list_due()
+            due = list_due(self._known)
             await asyncio.gather(*map(self._check, due))
             await self.sleep(PERIOD.total_seconds())
 
-    def _list_due(self) -> list[BackendServer]:
-        known = self._known
-        return [
-            server
-            for server in known.catalogue.list_all()
-            if server.name in known.trust.unchecked
-            and known.is_reached(server)
-            and not server.is_leaving
-        ]
-
     async def _check(self, server: BackendServer) -> None:
         health = await self._ask(server)
         if not health.is_good:
@@ -106,3 +100,25 @@
                 reason=repr(failure),
             )
             return Health(is_good=False)
+
+
+def list_due(known: Knowledge) -> list[BackendServer]:
+    """Return the servers to check.
+
+    Those that are not trusted; and while the store fails or is slow, those
+    that bear few calls when they are cold, as nobody else may say that.
+    """
+    return [
+        server
+        for server in known.catalogue.list_all()
+        if known.is_reached(server)
+        and not server.is_leaving
+        and _is_doubtful(known, server)
+    ]
+
+
+def _is_doubtful(known: Knowledge, server: BackendServer) -> bool:
+    if server.name in known.trust.unchecked:
+        return True
+    may_be_cold = known.find_warm_up_rate(server.service) > 0
+    return may_be_cold and not known.catalogue.is_steady
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_health.py
@@ -0,0 +1,62 @@
+"""Which backend servers are checked."""
+
+from datetime import timedelta
+
+import pytest
+
+from baobabhinge_coordination.clock import ManualClock
+from baobabhinge_gateway.deployment import (
+    BackendServer,
+    RequestLimits,
+    Revision,
+    Service,
+)
+from baobabhinge_gateway.forwarding.feed import KnowledgeFeed
+from baobabhinge_gateway.forwarding.health import list_due
+from baobabhinge_gateway.forwarding.knowledge import create_knowledge
+
+SECOND = timedelta(seconds=1)
+REGIONS = {'west-a': 'west', 'east-a': 'east'}
+SERVICES = {
+    'model': Service('model', '/health', 100, 3 * SECOND, 1.9),
+    'ledger': Service('ledger', '/health', 100),
+}
+SERVERS = (
+    BackendServer('engine', 'model', 'engine:1', 'west-a'),
+    BackendServer('far', 'model', 'far:1', 'east-a'),
+    BackendServer('leaving', 'model', 'leaving:1', 'west-a', is_leaving=True),
+    BackendServer('worker', 'ledger', 'worker:1', 'west-a'),
+)
+
+
+def build_knowledge():
+    known = create_knowledge(ManualClock(), 'west', REGIONS)
+    known.holder.adopt(Revision(1, (), SERVICES, RequestLimits()))
+    for server in SERVERS:
+        known.catalogue.put(server)
+    return known
+
+
+@pytest.mark.parametrize(
+    ('suspected', 'fails_for', 'due'),
+    [
+        ((), None, []),
+        (('worker', 'far', 'leaving'), None, ['worker']),
+        ((), 0, ['engine']),
+        ((), 2400, ['engine']),
+        ((), 2500, []),
+        (('worker',), 0, ['engine', 'worker']),
+    ],
+)
+def test_who_may_be_cold_is_asked_while_the_store_can_not_tell(
+    suspected,
+    fails_for,
+    due,
+):
+    known = build_knowledge()
+    for name in suspected:
+        known.trust.suspect(name, 'the test says so')
+    if fails_for is not None:
+        KnowledgeFeed(known).note_store_failure()
+        known.clock.advance(timedelta(milliseconds=fails_for))
+    assert sorted(server.name for server in list_due(known)) == due
