Let three gateways of a region watch the store for the others

Cause: each gateway holds three watches, so calls grow with the fleet.

Change: the first three gateways of a region, by name, that the store answers watch it. What they hear goes out with a heartbeat at once; who is behind fetches only what is newer, a listener within 20 ms, a watcher after 200 ms. Heartbeats tell whether the store answers, so the next one takes over from a watcher that it turns away.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/catchingup.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/catchingup.py
@@ -15,9 +15,11 @@
 from baobabhinge_gateway.neighbours import Heartbeat
 
 SNAPSHOT_PATH = '/knowledge'
-# The store tells all gateways within some ms; who is still behind after one
-# more look does not hear it.
-LOOK_PERIOD = timedelta(milliseconds=200)
+# The store tells all its watchers within some ms; one that is still behind
+# after this time does not hear it.
+WATCHER_PATIENCE = timedelta(milliseconds=200)
+# Those that do not watch ask at once, but not all in the same ms.
+LISTENER_PATIENCE = timedelta(milliseconds=20)
 FETCH_LIMIT = timedelta(seconds=1)
 
 log = structlog.get_logger(__name__)
@@ -42,27 +44,37 @@
 
     async def on_start(self) -> None:
         """Begin."""
-        self.add_future(self._look_forever())
+        self.add_future(self._catch_up_forever())
 
-    async def _look_forever(self) -> None:
-        was_behind = False
+    async def _catch_up_forever(self) -> None:
+        core = self._core
         while not self.should_stop:
-            ahead = list_ahead(self._core)
-            if ahead and was_behind:
-                source = self._core.reception.random.choice(ahead)
+            await core.feed.is_behind.wait()
+            await self.sleep(choose_patience(core).total_seconds())
+            # What is heard from here on is looked at again.
+            core.feed.is_behind.clear()
+            ahead = list_ahead(core)
+            if ahead:
+                source = core.reception.random.choice(ahead)
                 await self._fetch(source.hop_address)
-            was_behind = bool(ahead)
-            await self.sleep(LOOK_PERIOD.total_seconds())
 
     async def _fetch(self, address: str) -> None:
+        path = '?'.join((SNAPSHOT_PATH, self._core.feed.marks.render()))
         try:
-            body = await fetch(self._http, address, SNAPSHOT_PATH, FETCH_LIMIT)
+            body = await fetch(self._http, address, path, FETCH_LIMIT)
         except (NotReachedError, ForwardingError) as lost:
             log.info('knowledge-not-fetched', source=address, reason=repr(lost))
             return
         apply_snapshot(self._core.feed, body)
 
 
+def choose_patience(core: GatewayCore) -> timedelta:
+    """Return how long a gateway that is behind waits for the store."""
+    if core.is_watcher():
+        return WATCHER_PATIENCE
+    return LISTENER_PATIENCE * core.reception.random.random()
+
+
 def list_ahead(core: GatewayCore) -> Sequence[Heartbeat]:
     """Return the heartbeats of gateways that have seen more.
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
@@ -13,6 +13,10 @@
 from baobabhinge_gateway.lifecycle import Lifecycle
 from baobabhinge_gateway.neighbours import GatewayTable, Heartbeat
 
+# Gateways of a region that watch the store; one may be lost and another one
+# leave. The others hear from them within some 10 ms.
+WATCHERS = 3
+
 
 class GatewayCore:
     """State of one gateway, and the decisions on it.
@@ -115,10 +119,20 @@
             loads=self.knowledge.loads.own,
             marks=self.feed.marks,
             readings=self.knowledge.news.take(region),
+            hears_store=self.feed.hears_store,
         )
 
+    def is_watcher(self) -> bool:
+        """Whether this gateway is to watch the store for its region."""
+        own = self.settings.own
+        live = self.gateways.list_live(own.region)
+        rivals = [beat.name for beat in live if beat.hears_store]
+        return own.name in sorted([*rivals, own.name])[:WATCHERS]
+
     def hear(self, beat: Heartbeat) -> None:
         """Take what another gateway tells of servers."""
+        if beat.marks.is_ahead_of(self.feed.marks):
+            self.feed.is_behind.set()
         self.knowledge.loads.hear(beat.name, beat.loads)
         for reading in beat.readings:
             self.knowledge.prefixes.note(reading)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
@@ -77,6 +77,10 @@
         ):
             await self.add_runtime_dependency(part)
 
+    def tell_others(self) -> None:
+        """Send a heartbeat now, as there is news for those who wait for it."""
+        self._heartbeats.tell()
+
     async def drain(self) -> None:
         """Be unready, serve what comes, then only what is open.
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/feed.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/feed.py
@@ -1,5 +1,6 @@
 """What the platform or another gateway tells, taken into the knowledge."""
 
+import asyncio
 from collections.abc import Iterable
 
 import msgspec
@@ -23,15 +24,21 @@
 
     Attributes
     ----------
+    hears_store : bool
+        Whether the store answers this gateway; whoever asks it notes that.
+    is_behind : asyncio.Event
+        Set when another gateway has seen more of the store.
     marks : Marks
         How much was seen; what is older changes nothing.
     """
 
-    __slots__ = ('_known', 'marks')
+    __slots__ = ('_known', 'hears_store', 'is_behind', 'marks')
 
     def __init__(self, knowledge: Knowledge) -> None:
         """Have taken nothing."""
         self._known = knowledge
+        self.hears_store = True
+        self.is_behind = asyncio.Event()
         self.marks = Marks()
 
     def evacuate(self, domains: frozenset[str], mark: int) -> None:
@@ -90,17 +97,22 @@
 
     def note_store_failure(self) -> None:
         """Note that the store fails, so that entries may lapse by mistake."""
+        self.hears_store = False
         self._known.catalogue.note_unsteady()
 
 
-def take_snapshot(feed: KnowledgeFeed, knowledge: Knowledge) -> bytes:
-    """Return what is known, to be handed to another gateway."""
-    snapshot = Snapshot(
-        feed.marks,
-        knowledge.holder.revision,
-        tuple(sorted(knowledge.holder.evacuated)),
-        tuple(knowledge.catalogue.list_all()),
-    )
+def take_snapshot(
+    feed: KnowledgeFeed,
+    knowledge: Knowledge,
+    since: Marks,
+) -> bytes:
+    """Return what is newer than ``since``, to be handed to another gateway."""
+    snapshot = Snapshot(feed.marks)
+    if feed.marks.operators > since.operators:
+        snapshot.revision = knowledge.holder.revision
+        snapshot.evacuated = tuple(sorted(knowledge.holder.evacuated))
+    if feed.marks.servers > since.servers:
+        snapshot.servers = tuple(knowledge.catalogue.list_all())
     return msgspec.msgpack.encode(snapshot)
 
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hopingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hopingress.py
@@ -12,6 +12,7 @@
 from baobabhinge_gateway.forwarding.proof import Proof
 from baobabhinge_gateway.forwarding.protocols import Verdict
 from baobabhinge_gateway.forwarding.responding import HttpResponder
+from baobabhinge_gateway.forwarding.snapshot import read_marks
 
 
 class HopIngress:
@@ -36,8 +37,7 @@
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of another gateway."""
         if request.path == SNAPSHOT_PATH:
-            snapshot = take_snapshot(self._core.feed, self._core.knowledge)
-            return web.Response(body=snapshot)
+            return web.Response(body=self._take_snapshot(request))
         body = await request.content.read()
         now = self._reception.clock.read_monotonic()
         proof = Proof()
@@ -51,6 +51,10 @@
             await self._serve(responder, proof)
         return responder.response
 
+    def _take_snapshot(self, request: web.BaseRequest) -> bytes:
+        since = read_marks(request.query)
+        return take_snapshot(self._core.feed, self._core.knowledge, since)
+
     async def _serve(self, responder: HttpResponder, proof: Proof) -> None:
         call = proof.call
         if call is None:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
@@ -34,6 +34,8 @@
         How much of the platform's store it has seen.
     readings : sequence of Reading
         Prompts that engines read for it since its last heartbeat.
+    hears_store : bool
+        Whether the store answers it.
     """
 
     name: str
@@ -47,3 +49,4 @@
     loads: Mapping[str, ServerLoad]
     marks: Marks = Marks()
     readings: Sequence[Reading] = ()
+    hears_store: bool = True
