Lend to no region whose servers are shut, and hold calls while starting

Change: heartbeats tell which servers of the own region are suspected or cold, other regions leave those out for up to 2 s; a region that was asked is not asked again for the same call; calls that come within the first second of a process wait until a configuration and a server are known.

Ruled out: sharing suspicions within a region (each lost answer would shut a server for all).

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/choosing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/choosing.py
@@ -84,7 +84,7 @@
             region: find_best_wait(
                 self._placement.list_warm(call, region, tried),
             )
-            for region in self._around.list_away(call)
+            for region in self._around.list_away(call, tried)
         }
 
     def _choose_cold(self, call: Call, tried: Collection[str]) -> Target:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/copying.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/copying.py
@@ -17,7 +17,7 @@
     measure_copying,
     measure_reading,
 )
-from baobabhinge_gateway.forwarding.knowledge import Knowledge
+from baobabhinge_gateway.forwarding.knowledge import Knowledge, list_sound
 from baobabhinge_gateway.forwarding.loads import ServerLoad
 from baobabhinge_gateway.forwarding.prefixes import choose_keeper
 
@@ -127,7 +127,7 @@
     call: Call,
     demand: Demand,
 ) -> Iterator[Reader]:
-    for server in known.list_sound(call.service):
+    for server in list_sound(known, call.service):
         region = known.regions.get(server.failure_domain, '')
         if call.route.allows(region):
             read = known.prefixes.count_cached(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
@@ -5,11 +5,15 @@
 
 from baobabhinge_coordination.clock import BootClock
 from baobabhinge_gateway.forwarding.feed import KnowledgeFeed
-from baobabhinge_gateway.forwarding.knowledge import create_knowledge
+from baobabhinge_gateway.forwarding.knowledge import (
+    create_knowledge,
+    list_shut,
+)
 from baobabhinge_gateway.forwarding.meters import CallMeters
 from baobabhinge_gateway.forwarding.reception import Reception
 from baobabhinge_gateway.forwarding.retries import SharedRetryBudget
 from baobabhinge_gateway.forwarding.settings import ForwardingSettings
+from baobabhinge_gateway.forwarding.startup import StartGate
 from baobabhinge_gateway.lifecycle import Lifecycle
 from baobabhinge_gateway.neighbours import GatewayTable, Heartbeat
 
@@ -69,14 +73,13 @@
             Random(SystemRandom().getrandbits(64)),
             Lifecycle(clock),
             CallMeters(),
+            StartGate(clock, self.knowledge),
         )
 
     def is_ready(self) -> bool:
         """Whether callers may use this gateway."""
-        if self.reception.lifecycle.is_draining:
-            return False
-        has_servers = bool(self.knowledge.catalogue.list_all())
-        return self.knowledge.holder.revision is not None and has_servers
+        is_draining = self.reception.lifecycle.is_draining
+        return self.knowledge.is_informed and not is_draining
 
     def list_entries(self, region: str, host: str) -> Sequence[str]:
         """Return the gateways that a caller is to use.
@@ -120,6 +123,7 @@
             marks=self.feed.marks,
             readings=self.knowledge.news.take(region),
             hears_store=self.feed.hears_store,
+            shut=list_shut(self.knowledge),
         )
 
     def is_watcher(self) -> bool:
@@ -134,6 +138,8 @@
         if beat.marks.is_ahead_of(self.feed.marks):
             self.feed.is_behind.set()
         self.knowledge.loads.hear(beat.name, beat.loads)
+        if beat.region != self.settings.own.region:
+            self.knowledge.told.hear(beat.name, beat.shut)
         for reading in beat.readings:
             self.knowledge.prefixes.note(reading)
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/dispatch.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/dispatch.py
@@ -88,7 +88,7 @@
         while not progress.sends or self._may_repeat(call, progress):
             target = self._choose(call, progress)
             progress.sends += 1
-            progress.tried.add(target.name)
+            progress.tried.update(target.list_tried())
             if await self._try(call, target, progress, responder):
                 return True
         return False
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
@@ -54,6 +54,7 @@
         arrival = self._reception.clock.read_monotonic()
         is_last = self._reception.lifecycle.is_draining
         responder = HttpResponder(request, is_last=is_last)
+        await self._reception.start.wait()
         try:
             call = await self._read_call(request, arrival)
         except CallError as refusal:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/knowledge.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/knowledge.py
@@ -19,6 +19,7 @@
     Reading,
     ReadingNews,
 )
+from baobabhinge_gateway.forwarding.told import ToldShut
 from baobabhinge_gateway.forwarding.trust import ServerTrust
 from baobabhinge_gateway.forwarding.warmup import WarmUpPace
 
@@ -42,9 +43,16 @@
     prefixes: PrefixHistory
     news: ReadingNews
     trust: ServerTrust
+    told: ToldShut
     warmup: WarmUpPace
     regions: Mapping[str, str]
 
+    @property
+    def is_informed(self) -> bool:
+        """Whether a configuration and any server are known."""
+        has_servers = bool(self.catalogue.list_all())
+        return self.holder.revision is not None and has_servers
+
     def is_reached(self, server: BackendServer) -> bool:
         """Whether this gateway reaches ``server`` itself."""
         return self.regions.get(server.failure_domain) == self.home
@@ -69,15 +77,6 @@
         service = self.find_service(name)
         return service.engine if service else None
 
-    def list_sound(self, service: str) -> Sequence[BackendServer]:
-        """Return the servers of a service to which calls may be sent."""
-        return [
-            server
-            for server in self.catalogue.list_usable(service)
-            if server.failure_domain not in self.holder.evacuated
-            and server.name not in self.trust.unchecked
-        ]
-
     def note_reading(self, call: Call, server: BackendServer) -> None:
         """Note that ``server`` reads the prompt of ``call``."""
         demand = call.head.demand
@@ -104,6 +103,28 @@
         prefixes=PrefixHistory(clock),
         news=ReadingNews(home, sorted(set(regions.values()))),
         trust=ServerTrust(clock),
+        told=ToldShut(clock),
         warmup=WarmUpPace(clock),
         regions=regions,
     )
+
+
+def list_sound(known: Knowledge, service: str) -> Sequence[BackendServer]:
+    """Return the servers of a service to which calls may be sent."""
+    return [
+        server
+        for server in known.catalogue.list_usable(service)
+        if server.failure_domain not in known.holder.evacuated
+        and server.name not in known.trust.unchecked
+        and not known.told.is_shut(server.name)
+    ]
+
+
+def list_shut(known: Knowledge) -> Sequence[str]:
+    """Return the servers of the own region that take few calls or none."""
+    return [
+        server.name
+        for server in known.catalogue.list_all()
+        if known.is_reached(server)
+        and (server.name in known.trust.unchecked or known.is_cold(server))
+    ]
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/placement.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/placement.py
@@ -14,7 +14,7 @@
     find_reader,
 )
 from baobabhinge_gateway.forwarding.estimates import Prospect, estimate_plain
-from baobabhinge_gateway.forwarding.knowledge import Knowledge
+from baobabhinge_gateway.forwarding.knowledge import Knowledge, list_sound
 
 
 class Placement:
@@ -69,7 +69,7 @@
         known = self._known
         return [
             server
-            for server in known.list_sound(call.service)
+            for server in list_sound(known, call.service)
             if known.regions.get(server.failure_domain) == region
             and server.name not in tried
         ]
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/progress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/progress.py
@@ -21,7 +21,7 @@
     sends : int
         Attempts that were made.
     tried : set of str
-        Targets that are not tried again.
+        Targets and regions that are not tried again.
     failure : ForwardingError or None
         How the latest attempt ended.
     answer : FailedAnswer or None
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/reception.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/reception.py
@@ -10,6 +10,7 @@
 from baobabhinge_gateway.deployment import ConfigurationHolder
 from baobabhinge_gateway.forwarding.call import Call
 from baobabhinge_gateway.forwarding.meters import CallMeters
+from baobabhinge_gateway.forwarding.startup import StartGate
 from baobabhinge_gateway.lifecycle import Lifecycle
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -25,6 +26,7 @@
     random: Random
     lifecycle: Lifecycle
     meters: CallMeters
+    start: StartGate
 
     def note_end(self, call: Call | None, outcome: str, reason: str) -> None:
         """Count and log the end of a call.
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/surroundings.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/surroundings.py
@@ -1,6 +1,6 @@
 """Regions around a gateway, and the gateways in them."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from random import Random
 
 from baobabhinge_gateway.deployment import BackendServer
@@ -58,8 +58,16 @@
         addresses = self.gateways.list_addresses(region)
         return Target(random.choice(addresses), region)
 
-    def list_away(self, call: Call) -> Sequence[str]:
-        """Return the other regions that may serve and can be reached."""
+    def list_away(self, call: Call, tried: Collection[str]) -> Sequence[str]:
+        """Return the other regions that may serve and can be reached.
+
+        Parameters
+        ----------
+        call : Call
+            The call.
+        tried : collection of str
+            Targets and regions that have been asked.
+        """
         is_bound_here = call.route.allows(self.home) and not self._is_lending
         if call.is_lent or is_bound_here:
             return []
@@ -67,6 +75,7 @@
             region
             for region in self.regions
             if region != self.home
+            and region not in tried
             and call.route.allows(region)
             and self.gateways.list_addresses(region)
         ]
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/targets.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/targets.py
@@ -1,5 +1,6 @@
 """Where one attempt of a call goes."""
 
+from collections.abc import Sequence
 from datetime import timedelta
 
 import msgspec
@@ -31,6 +32,13 @@
         """Name of the server, or the address of the gateway."""
         return self.prospect.server.name if self.prospect else self.address
 
+    def list_tried(self) -> Sequence[str]:
+        """Return what is not to be asked again after this target."""
+        if self.prospect is None:
+            # The gateways of a region know the same servers.
+            return (self.name, self.region)
+        return (self.name,)
+
     @property
     def wait_ms(self) -> int | None:
         """Estimated wait in milliseconds, for a backend server."""
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_regions.py
@@ -0,0 +1,103 @@
+"""Calls that leave their region, and regions that decline them."""
+
+from datetime import timedelta
+from random import Random
+
+import pytest
+
+from baobabhinge_gateway.deployment import (
+    BackendServer,
+    RequestLimits,
+    Revision,
+    Service,
+)
+from baobabhinge_gateway.forwarding.assembly import build_chooser
+from baobabhinge_gateway.forwarding.call import Call, CallHead
+from baobabhinge_gateway.forwarding.core import GatewayCore
+from baobabhinge_gateway.forwarding.failures import NotServedError
+from baobabhinge_gateway.forwarding.retries import BudgetTerms
+from baobabhinge_gateway.forwarding.settings import ForwardingSettings
+from baobabhinge_gateway.forwarding.tests.test_placement import ROUTE, SECOND
+from baobabhinge_gateway.neighbours import Contact, Heartbeat
+
+REGIONS = {'west-a': 'west', 'east-a': 'east', 'south-a': 'south'}
+SERVERS = {'near': 'west-a', 'far': 'east-a', 'farther': 'south-a'}
+
+
+def build_core(region='west', *, listed=('far', 'farther')):
+    core = GatewayCore(
+        ForwardingSettings(
+            own=Contact(f'{region}-1', region, '127.0.0.1', 90),
+            caller_address='127.0.0.1:1',
+            hop_address='127.0.0.1:2',
+            regions=REGIONS,
+            budget=BudgetTerms(),
+            grace=timedelta(seconds=8),
+        ),
+    )
+    services = {'ledger': Service('ledger', '/health', 100, 3 * SECOND, 1.9)}
+    core.feed.adopt(Revision(1, (ROUTE,), services, RequestLimits()))
+    core.feed.list_servers(
+        [
+            BackendServer(name, 'ledger', f'{name}:1', SERVERS[name])
+            for name in listed
+        ],
+        1,
+    )
+    return core
+
+
+def hear(core, name, region, shut=()):
+    """Hear a heartbeat of a gateway that takes lent calls."""
+    addresses = (f'{name}:1', f'{name}:2')
+    beat = Heartbeat(name, 'a', 1, region, *addresses, True, 1, {}, shut=shut)
+    core.gateways.hear(beat)
+    core.hear(beat)
+
+
+def choose(core, tried=()):
+    now = core.reception.clock.read_monotonic()
+    head = CallHead('attempt', 'GET', 'host', '/', ())
+    call = Call(head, b'', ROUTE, 'ledger', now, now + SECOND, 1)
+    chooser = build_chooser(core)
+    chooser._random = Random(1)
+    return chooser.choose(call, tried)
+
+
+@pytest.mark.parametrize(
+    ('shut', 'tried', 'region'),
+    [
+        ((), (), {'east', 'south'}),
+        (('far',), (), {'south'}),
+        ((), ('east',), {'south'}),
+        (('farther',), ('east',), set()),
+        (('far', 'farther'), (), set()),
+    ],
+)
+def test_a_region_that_is_shut_or_declined_is_not_asked(shut, tried, region):
+    core = build_core()
+    hear(core, 'east-1', 'east', shut)
+    hear(core, 'east-2', 'east')
+    hear(core, 'south-1', 'south', shut)
+    if region:
+        assert choose(core, tried).region in region
+        return
+    with pytest.raises(NotServedError):
+        choose(core, tried)
+
+
+def test_a_target_in_another_region_is_tried_with_its_region():
+    core = build_core()
+    hear(core, 'east-1', 'east')
+    assert set(choose(core).list_tried()) == {'east-1:2', 'east'}
+
+
+def test_a_gateway_tells_which_servers_of_its_region_take_few_calls():
+    core = build_core('east', listed=('near', 'far', 'farther'))
+    assert not core.compose(1, 'west').shut
+    core.knowledge.warmup.note_cold('far', SECOND)
+    core.knowledge.warmup.note_cold('near', SECOND)
+    assert core.compose(2, 'west').shut == ['far']
+    core.knowledge.warmup.note_warm('far')
+    core.knowledge.trust.suspect('far', 'the test says so')
+    assert core.compose(3, 'west').shut == ['far']
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_startup.py
@@ -0,0 +1,53 @@
+"""Calls that come before a process knows the deployment."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from baobabhinge_coordination.clock import ManualClock
+from baobabhinge_gateway.deployment import (
+    BackendServer,
+    RequestLimits,
+    Revision,
+)
+from baobabhinge_gateway.forwarding.feed import KnowledgeFeed
+from baobabhinge_gateway.forwarding.knowledge import create_knowledge
+from baobabhinge_gateway.forwarding.startup import StartGate
+
+SERVER = BackendServer('one', 'model', '127.0.0.1:1', 'west-a')
+
+
+@pytest.mark.parametrize(
+    ('has_configuration', 'has_server', 'age_ms', 'is_held'),
+    [
+        (False, False, 0, True),
+        (True, False, 0, True),
+        (False, True, 999, True),
+        (True, True, 0, False),
+        (False, False, 1000, False),
+    ],
+)
+async def test_a_call_is_held_while_the_process_starts_and_knows_nothing(
+    has_configuration,
+    has_server,
+    age_ms,
+    is_held,
+):
+    clock = ManualClock()
+    known = create_knowledge(clock, 'west', {'west-a': 'west'})
+    feed = KnowledgeFeed(known)
+    gate = StartGate(clock, known)
+    clock.advance(timedelta(milliseconds=age_ms))
+    if has_configuration:
+        feed.adopt(Revision(1, (), {}, RequestLimits()))
+    if has_server:
+        feed.list_servers([SERVER], 1)
+    call = asyncio.create_task(gate.wait())
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert call.done() != is_held
+    feed.adopt(Revision(1, (), {}, RequestLimits()))
+    feed.list_servers([SERVER], 1)
+    async with asyncio.timeout(20):
+        await call
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
@@ -36,6 +36,8 @@
         Prompts that engines read for it since its last heartbeat.
     hears_store : bool
         Whether the store answers it.
+    shut : sequence of str
+        Servers of its region that take few calls now or none, as it saw.
     """
 
     name: str
@@ -50,3 +52,4 @@
     marks: Marks = Marks()
     readings: Sequence[Reading] = ()
     hears_store: bool = True
+    shut: Sequence[str] = ()
