--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/playeddays/__init__.py
@@ -0,0 +1,1 @@
+"""Days that the users' bench has played, read from the journal."""
