Add up the loads that other gateways tell once, not for each server

Cause: one placing took 4.8 ms of processor time with 50 servers and 82 gateways, 59.7 ms with 400 and 128: for each server the loads of each gateway were looked up. Now they are added up when they have changed: 2.1 ms and 8.3 ms (30 placements each, processor time, a machine that other work shared); with 9 servers and 8 gateways 0.50 ms and 0.48 ms. Ruled out: the search for the engine that has read the prompt, which is part of the rest. Test: test_the_loads_of_each_gateway_age_by_themselves.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/loads.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/loads.py
@@ -10,6 +10,8 @@
 
 # Ten heartbeats: longer silence means that the gateway or the path is gone.
 OTHERS_FRESH = timedelta(seconds=2)
+# The first moment at which something is older than that.
+SOONEST = timedelta(microseconds=1)
 
 
 class ServerLoad(msgspec.Struct, array_like=True, frozen=True):
@@ -46,6 +48,13 @@
     loads: Mapping[str, ServerLoad]
 
 
+class _Sums(msgspec.Struct):
+    """Loads by all others, until one of them is too old."""
+
+    loads: Mapping[str, ServerLoad]
+    end: timedelta
+
+
 class LoadTable:
     """Loads of servers, the own calls and those that other gateways tell.
 
@@ -60,26 +69,28 @@
         Calls that this gateway has in flight, by server.
     """
 
-    __slots__ = ('_clock', '_others', 'own')
+    __slots__ = ('_clock', '_others', '_sums', 'own')
 
     def __init__(self, clock: Clock) -> None:
         """Know no load."""
         self._clock = clock
         self.own: Loads = {}
         self._others: dict[str, _Told] = {}
+        self._sums = _Sums({}, clock.read_monotonic())
 
     def hear(self, gateway: str, loads: Mapping[str, ServerLoad]) -> None:
         """Take what another gateway has in flight."""
-        self._others[gateway] = _Told(self._clock.read_monotonic(), loads)
+        now = self._clock.read_monotonic()
+        self._others[gateway] = _Told(now, loads)
+        self._sums.end = now
 
     def read(self, server: str) -> ServerLoad:
         """Return the load of ``server`` by all gateways."""
-        total = self.own.get(server, NO_LOAD)
-        oldest = self._clock.read_monotonic() - OTHERS_FRESH
-        for told in self._others.values():
-            if told.heard >= oldest:
-                total = total.add(told.loads.get(server, NO_LOAD))
-        return total
+        now = self._clock.read_monotonic()
+        if now >= self._sums.end:
+            self._sums = _add_up(self._others, now)
+        others = self._sums.loads.get(server, NO_LOAD)
+        return others.add(self.own.get(server, NO_LOAD))
 
     def change(self, server: str, load: ServerLoad, sign: int) -> None:
         """Add ``load`` to the own load of ``server``, or take it off."""
@@ -133,4 +144,20 @@
         self._table.change(self._server, self._load, -1)
 
 
+def _add_up(others: dict[str, _Told], now: timedelta) -> _Sums:
+    for gateway, silent in tuple(others.items()):
+        if silent.heard < now - OTHERS_FRESH:
+            others.pop(gateway)
+    sums: Loads = {}
+    for told in others.values():
+        _add_all(sums, told.loads)
+    oldest = min((one.heard for one in others.values()), default=now)
+    return _Sums(sums, oldest + OTHERS_FRESH + SOONEST)
+
+
+def _add_all(sums: Loads, loads: Mapping[str, ServerLoad]) -> None:
+    for server, load in loads.items():
+        sums[server] = sums.get(server, NO_LOAD).add(load)
+
+
 NO_LOAD = ServerLoad()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_decisions.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_decisions.py
@@ -258,3 +258,20 @@
         clock.advance(3 * SECOND)
         assert table.read('one') == ServerLoad(1, 0, 20)
     assert not table.own
+
+
+def test_the_loads_of_each_gateway_age_by_themselves():
+    clock = ManualClock()
+    table = LoadTable(clock)
+    table.hear('two', {'one': ServerLoad(3)})
+    clock.advance(SECOND)
+    assert table.read('one').calls == 3
+    table.hear('three', {'one': ServerLoad(5)})
+    assert table.read('one').calls == 8
+    table.hear('three', {'other': ServerLoad(1)})
+    assert table.read('one').calls == 3
+    clock.advance(SECOND)
+    assert table.read('one').calls == 3
+    clock.advance(MILLISECOND)
+    assert not table.read('one').calls
+    assert table.read('other').calls == 1
