Copy prompts from regions that are heard only, and count an empty list as seen

Causes, found by reading the change once more: an engine told to copy from a region that was cut off within the last 10 s would wait for it; a list without any server left the mark of the list before, so a gateway would have fetched what others know again and again.

Change: a region of which no gateway was heard for 2 s is no source; the mark goes with the list. Tests: test_others (silent region), test_copying (silent region, shut engine), test_watchers (empty list; red on the code before: Marks(0, 7)).

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/copying.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/copying.py
@@ -127,9 +127,11 @@
     call: Call,
     demand: Demand,
 ) -> Iterator[Reader]:
+    # An engine waits for a copy from a region that is cut off.
+    reached = known.others.list_heard() | {known.home}
     for server in list_sound(known, call.service):
         region = known.regions.get(server.failure_domain, '')
-        if call.route.allows(region):
+        if region in reached and call.route.allows(region):
             read = known.prefixes.count_cached(
                 server.name,
                 demand,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
@@ -139,7 +139,7 @@
             self.feed.is_behind.set()
         self.knowledge.loads.hear(beat.name, beat.loads)
         if beat.region != self.settings.own.region:
-            self.knowledge.told.hear(beat.name, beat.shut)
+            self.knowledge.others.hear(beat.name, beat.region, beat.shut)
         for reading in beat.readings:
             self.knowledge.prefixes.note(reading)
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/feed.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/feed.py
@@ -73,6 +73,7 @@
         """Take the whole list of backend servers as of a change."""
         if mark < self.marks.servers:
             return
+        self.marks = Marks(self.marks.operators, mark)
         listed = list(servers)
         known = self._known.catalogue.list_all()
         for name in list_missing(known, listed):
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/knowledge.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/knowledge.py
@@ -14,12 +14,12 @@
 )
 from baobabhinge_gateway.forwarding.call import Call
 from baobabhinge_gateway.forwarding.loads import LoadTable
+from baobabhinge_gateway.forwarding.others import OtherRegions
 from baobabhinge_gateway.forwarding.prefixes import (
     PrefixHistory,
     Reading,
     ReadingNews,
 )
-from baobabhinge_gateway.forwarding.told import ToldShut
 from baobabhinge_gateway.forwarding.trust import ServerTrust
 from baobabhinge_gateway.forwarding.warmup import WarmUpPace
 
@@ -43,7 +43,7 @@
     prefixes: PrefixHistory
     news: ReadingNews
     trust: ServerTrust
-    told: ToldShut
+    others: OtherRegions
     warmup: WarmUpPace
     regions: Mapping[str, str]
 
@@ -103,7 +103,7 @@
         prefixes=PrefixHistory(clock),
         news=ReadingNews(home, sorted(set(regions.values()))),
         trust=ServerTrust(clock),
-        told=ToldShut(clock),
+        others=OtherRegions(clock),
         warmup=WarmUpPace(clock),
         regions=regions,
     )
@@ -111,7 +111,7 @@
 
 def list_sound(known: Knowledge, service: str) -> Sequence[BackendServer]:
     """Return the servers of a service to which calls may be sent."""
-    shut = known.trust.unchecked | known.told.list_shut()
+    shut = known.trust.unchecked | known.others.list_shut()
     return [
         server
         for server in known.catalogue.list_usable(service)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_copying.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_copying.py
@@ -60,6 +60,7 @@
         known.catalogue.put(
             BackendServer(name, 'model', f'{name}:1', domain, slots=64),
         )
+    known.others.hear('east-1', 'east', [])
     return known
 
 
@@ -103,13 +104,21 @@
     assert list_sources(known, region) == sources
 
 
+def forget_reading(known):
+    """Let more time pass than parts are kept, with the region in reach."""
+    known.clock.advance(11 * SECOND)
+    known.others.hear('east-1', 'east', [])
+
+
 @pytest.mark.parametrize(
     'spoil',
     [
         lambda known: known.trust.suspect('three', 'the test says so'),
         lambda known: known.holder.evacuate(frozenset(('east-a',))),
         lambda known: known.catalogue.remove('three'),
-        lambda known: known.clock.advance(11 * SECOND),
+        lambda known: known.others.hear('east-1', 'east', ['three']),
+        lambda known: known.clock.advance(3 * SECOND),
+        forget_reading,
     ],
 )
 def test_nothing_is_copied_from_an_engine_that_may_not_have_it(spoil):
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_told.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_others.py
@@ -3,7 +3,7 @@
 import pytest
 
 from baobabhinge_coordination.clock import ManualClock
-from baobabhinge_gateway.forwarding.told import ToldShut
+from baobabhinge_gateway.forwarding.others import OtherRegions
 
 MILLISECOND = timedelta(milliseconds=1)
 
@@ -25,15 +25,26 @@
     is_shut,
 ):
     clock = ManualClock()
-    told_shut = ToldShut(clock)
+    others = OtherRegions(clock)
     for gateway, shut in told.items():
-        told_shut.hear(gateway, shut)
+        others.hear(gateway, 'east', shut)
     clock.advance(pause_ms * MILLISECOND)
-    assert ('one' in told_shut.list_shut()) == is_shut
+    assert ('one' in others.list_shut()) == is_shut
 
 
 def test_a_gateway_that_tells_no_more_shuts_no_more():
-    told_shut = ToldShut(ManualClock())
-    told_shut.hear('two', ['one'])
-    told_shut.hear('two', [])
-    assert not told_shut.list_shut()
+    others = OtherRegions(ManualClock())
+    others.hear('two', 'east', ['one'])
+    others.hear('two', 'east', [])
+    assert not others.list_shut()
+
+
+def test_a_region_that_is_silent_is_not_heard():
+    clock = ManualClock()
+    others = OtherRegions(clock)
+    others.hear('two', 'east', [])
+    clock.advance(1000 * MILLISECOND)
+    others.hear('three', 'south', [])
+    assert others.list_heard() == {'east', 'south'}
+    clock.advance(1001 * MILLISECOND)
+    assert others.list_heard() == {'south'}
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_watchers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_watchers.py
@@ -124,3 +124,11 @@
     core = build_core()
     core.hear(build_beat('a', marks=marks))
     assert core.feed.is_behind.is_set() == is_behind
+
+
+def test_a_list_without_servers_is_seen_as_well():
+    core = build_core()
+    core.feed.list_servers([SERVER], 7)
+    core.feed.list_servers([], 9)
+    assert core.feed.marks == Marks(0, 9)
+    assert not core.knowledge.catalogue.list_all()
