--- a/packages/baobabhinge-standins/src/baobabhinge_standins/playeddays/plots.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/playeddays/plots.py
@@ -12,6 +12,7 @@
 WIDTH_INCHES = 10
 HEIGHT_INCHES = 4
 LABEL_POINTS = 8
+HIGHEST = 1.15
 
 
 def draw_policy_days(days: Sequence[PolicyDay], path: Path) -> None:
@@ -38,7 +39,13 @@
             label=policy,
         )
     axes.set_xticks(numpy.arange(len(names)) + width, names)
-    axes.legend(fontsize=LABEL_POINTS)
+    # Room for the legend above the bars, which end at 1.
+    axes.set_ylim(0, HIGHEST)
+    axes.legend(
+        fontsize=LABEL_POINTS,
+        loc='upper center',
+        ncols=len(policies),
+    )
 
 
 def _find_worth(days: Sequence[PolicyDay], policy: str, name: str) -> float:
