Log the size of each call and the load that it met

They could not: call-placed and call-ended named neither the tokens of a call nor the load of the chosen server, and the end of a stream did not say for how long it had been silent. The three tell apart a call that waits for its first event, one that is generated too slowly, and one whose server has stopped answering.

No decision changes.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
@@ -111,8 +111,9 @@
         Id of the last event that was passed on to the caller, if any.
     runs : int
         Runs on backend servers that may have begun.
-    first_event : timedelta or None
-        Monotonic time at which the first chunk of a stream arrived.
+    first_event, latest_event : timedelta or None
+        Monotonic time at which the first and the latest chunk of a stream
+        arrived.
     """
 
     head: CallHead
@@ -126,6 +127,7 @@
     last_event: str | None = None
     runs: int = 0
     first_event: timedelta | None = None
+    latest_event: timedelta | None = None
 
     @property
     def may_run_again(self) -> bool:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/dispatch.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/dispatch.py
@@ -105,6 +105,7 @@
             target=target.name,
             region=target.region,
             wait_ms=target.wait_ms,
+            in_flight=target.calls,
             sends=progress.sends,
         )
         return target
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress_context.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress_context.py
@@ -56,10 +56,10 @@
         reason : str
             Detail of the failure; empty if the call was answered.
         """
-        elapsed = timedelta()
-        if call is not None:
-            elapsed = self.clock.read_monotonic() - call.arrival
+        now = self.clock.read_monotonic()
+        elapsed = timedelta() if call is None else now - call.arrival
         self.metrics.count(outcome, elapsed)
+        demand = call.head.demand if call else None
         log.info(
             'call-ended',
             attempt=call.head.attempt if call else None,
@@ -68,6 +68,9 @@
             reason=reason,
             elapsed_ms=round(elapsed.total_seconds() * 1000),
             first_ms=_measure_first_event_ms(call),
+            silence_ms=_measure_silence_ms(call, now),
+            prompt_tokens=demand.prompt if demand else None,
+            output_tokens=demand.output if demand else None,
             runs=call.runs if call else 0,
             version=self.configuration.version,
         )
@@ -77,3 +80,9 @@
     if call is None or call.first_event is None:
         return None
     return (call.first_event - call.arrival) // MILLISECOND
+
+
+def _measure_silence_ms(call: Call | None, now: timedelta) -> int | None:
+    if call is None or call.latest_event is None:
+        return None
+    return (now - call.latest_event) // MILLISECOND
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
@@ -76,7 +76,7 @@
                 call,
                 estimate,
                 responder,
-                lambda: self._record_first_event(call, held),
+                lambda: self._record_event(call, held),
             )
         self._state.reliability.record_outcome(
             server.name, has_failed=failed is not None
@@ -106,10 +106,11 @@
                 on_first_event,
             )
 
-    def _record_first_event(self, call: Call, held: HeldLoad) -> None:
+    def _record_event(self, call: Call, held: HeldLoad) -> None:
         held.record_first_event()
+        call.latest_event = self._state.clock.read_monotonic()
         if call.first_event is None:
-            call.first_event = self._state.clock.read_monotonic()
+            call.first_event = call.latest_event
 
     def _build_request(
         self, call: Call, estimate: ServerEstimate
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/targets.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/targets.py
@@ -39,6 +39,11 @@
             return (self.name, self.region)
         return (self.name,)
 
+    @property
+    def calls(self) -> int | None:
+        """Calls in flight at a backend server before this one."""
+        return self.estimate.calls if self.estimate else None
+
     @property
     def wait_ms(self) -> int | None:
         """Expected wait in milliseconds, for a backend server."""
