Log the expected output and the last event of each call

The output tokens that a call may have are the same for all calls of a kind, so they do not tell a long answer from a short one. The caller's estimate and the last event passed on do.

No decision changes.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
@@ -35,11 +35,14 @@
         Upper bound of the tokens to generate.
     parts : tuple of PromptPart
         Prompt in order; the last part is specific to this call.
+    expected_output : int
+        Tokens that the caller expects to be generated; 0 if it does not say.
     """
 
     prompt: int
     output: int
     parts: tuple[PromptPart, ...] = ()
+    expected_output: int = 0
 
     @property
     def shared(self) -> tuple[PromptPart, ...]:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress_context.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress_context.py
@@ -71,6 +71,8 @@
             silence_ms=_measure_silence_ms(call, now),
             prompt_tokens=demand.prompt if demand else None,
             output_tokens=demand.output if demand else None,
+            expected_output=demand.expected_output if demand else None,
+            last_event=call.last_event if call else None,
             runs=call.runs if call else 0,
             version=self.configuration.version,
         )
