--- /dev/null
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/batching/__init__.py
@@ -0,0 +1,1 @@
+"""Model of batching engines under the placement decisions of gateways."""
