Spend no retry budget on servers that were not reached

Cause: the budget bounds what a service receives beyond one request for each call, but it was charged for the attempt after one that reached no server. With 28 gateways in a region, the share of each is one or two retries in ten seconds. A connection that was not made delivers nothing, so the next attempt is the first that the service receives. Attempts of one call stay bounded by MAX_SENDS.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/dispatch.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/dispatch.py
@@ -117,9 +117,11 @@
         progress: Progress,
         responder: Responder,
     ) -> bool:
+        progress.is_reached = True
         try:
             failed = await self._senders.send(call, target, responder)
         except NotReachedError:
+            progress.is_reached = False
             progress.failure = DeclinedError(
                 f'{target.name} could not be reached'
             )
@@ -139,6 +141,9 @@
             return False
         if isinstance(progress.failure, TimeLimitError):
             return False
+        if not progress.is_reached:
+            # The service has not received the call, so this is no retry to it.
+            return True
         may_have_run = not isinstance(progress.failure, DeclinedError)
         if may_have_run and not call.may_run_again:
             return False
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/progress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/progress.py
@@ -24,6 +24,8 @@
         Targets and regions that are not used again.
     failure : ForwardingError or None
         Failure of the latest attempt.
+    is_reached : bool
+        Whether the target of the latest attempt may have received the call.
     answer : FailedAnswer or None
         Error answer of a backend server, passed on if no attempt succeeds.
     """
@@ -31,6 +33,7 @@
     sends: int = 0
     tried: set[str] = msgspec.field(default_factory=set)
     failure: ForwardingError | None = None
+    is_reached: bool = True
     answer: FailedAnswer | None = None
 
 
