Look at other contacts only when a contact changes

A contact that is known unchanged can't share its address with another, as adding that one would have replaced it.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/table.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/table.py
@@ -70,6 +70,8 @@
         """
         if contact.name == self.own.name:
             return
+        if self.contacts.get(contact.name) == contact:
+            return
         for known in tuple(self.contacts.values()):
             if (known.host, known.port) == (contact.host, contact.port):
                 self.contacts.pop(known.name)
