Refuse calls while prompts queue for half of their objective

Nearly nothing was refused.

Cause: a call was refused only if its caller would leave before the first event, after four objectives. Up to then engines were filled with prompts that could not begin in time, and an engine on which prompts always wait prefills in each step, so that a token takes 20 ms to 28 ms in place of 5 ms to 8 ms. 952 tokens then do not fit into 12 s. Ruled out as the main cause: silent servers (32 of 195 abandoned calls there).

Now a call is refused, as not run and with the time to come back, when the prompts that engines prefill before its own take more than half of its objective at the best server of the best region. The rest is for its own prompt, whose length does not count: large calls are not refused more often than small ones. Streams that have begun go on.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
@@ -132,6 +132,11 @@
     first_event: timedelta | None = None
     latest_event: timedelta | None = None
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether part of the answer has been passed on to the caller."""
+        return self.last_event is not None
+
     @property
     def may_run_again(self) -> bool:
         """Whether another run is harmless and within the limit of runs."""
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/shedding.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/shedding.py
@@ -12,6 +12,9 @@
 
 # Callers leave a stream that has not started after four times the objective.
 MAX_WAIT_FACTOR = 4
+# Fraction of the objective that a call may wait for other prompts; the rest is
+# for its own prompt and for its first event.
+MAX_QUEUEING_FRACTION = 0.5
 # Without an available server, a slot may become free when a call of usual
 # length has ended.
 NO_SERVER_RETRY_AFTER = timedelta(milliseconds=500)
@@ -42,12 +45,48 @@
     OverloadError
         If the wait is too long; it says when to retry.
     """
-    limit = objective * MAX_WAIT_FACTOR
-    if choice.wait <= limit:
-        return
-    excess = choice.wait - limit
+    excess = choice.wait - objective * MAX_WAIT_FACTOR
+    if excess > timedelta():
+        raise OverloadError(
+            f'the answer would come too late: expected wait {choice.wait}',
+            _compute_retry_after(excess, random),
+        )
+
+
+def check_queueing(
+    queueing: timedelta,
+    objective: timedelta,
+    random: Random,
+) -> None:
+    """Refuse a call while the prompts before it take too long.
+
+    Engines on which prompts are always waiting prefill in each step, so all of
+    their answers begin late, and the longest do not end in time. The time of
+    the call's own prompt does not count, as large calls would be refused more
+    often than small ones otherwise.
+
+    Parameters
+    ----------
+    queueing : timedelta
+        Time until the prompt of the call is prefilled, at the best server.
+    objective : timedelta
+        Target for the time to the first chunk of the answer.
+    random : Random
+        Generator that spreads the retries of callers.
+
+    Raises
+    ------
+    OverloadError
+        If it is too long; it says when to retry.
+    """
+    excess = queueing - objective * MAX_QUEUEING_FRACTION
+    if excess > timedelta():
+        raise OverloadError(
+            f'too many prompts are waiting: {queueing} until this one',
+            _compute_retry_after(excess, random),
+        )
+
+
+def _compute_retry_after(excess: timedelta, random: Random) -> timedelta:
     retry_after = excess * (1 + RETRY_AFTER_JITTER * random.random())
-    raise OverloadError(
-        f'the answer would come too late: expected wait {choice.wait}',
-        min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, retry_after)),
-    )
+    return min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, retry_after))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/target_selection.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/target_selection.py
@@ -1,6 +1,6 @@
 """Selection of the target of the next attempt of a call."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from random import Random
 
 from baobabhinge_gateway.forwarding.call import Call
@@ -11,13 +11,14 @@
 from baobabhinge_gateway.forwarding.rankings import Ranking
 from baobabhinge_gateway.forwarding.region_directory import RegionDirectory
 from baobabhinge_gateway.forwarding.region_selection import (
-    RegionWaits,
+    RegionChoice,
     choose_region,
     find_shortest_wait,
 )
 from baobabhinge_gateway.forwarding.shedding import (
     NO_SERVER_RETRY_AFTER,
     check_expected_wait,
+    check_queueing,
 )
 from baobabhinge_gateway.forwarding.targets import Target
 
@@ -72,36 +73,49 @@
             If no backend server can take the call in time.
         """
         local_region = self._directory.local_region
-        estimates: Sequence[ServerEstimate] = ()
-        if call.route.allows(local_region):
-            estimates = self._placement.list_warm(call, local_region, tried)
-        waits = {local_region: find_shortest_wait(estimates)}
-        waits.update(self._estimate_remote_waits(call, tried))
-        choice = choose_region(local_region, waits, call.route.objective)
+        estimates = self._estimate_regions(call, tried)
+        choice = choose_region(
+            local_region,
+            {one: find_shortest_wait(estimates[one]) for one in estimates},
+            call.route.objective,
+        )
         if choice is None:
             return self._choose_cold(call, tried)
-        check_expected_wait(choice, call.route.objective, self._random)
+        self._check_load(call, choice, estimates[choice.region])
         if choice.region == local_region:
             return self._directory.create_server_target(
-                self._ranking(estimates, self._random)[0],
+                self._ranking(estimates[local_region], self._random)[0],
             )
         return self._directory.create_region_target(
             choice.region,
             self._random,
         )
 
-    def _estimate_remote_waits(
+    def _estimate_regions(
         self,
         call: Call,
         tried: Collection[str],
-    ) -> RegionWaits:
+    ) -> Mapping[str, Sequence[ServerEstimate]]:
+        regions = list(self._directory.list_reachable_regions(call, tried))
+        if call.route.allows(self._directory.local_region):
+            regions.append(self._directory.local_region)
         return {
-            region: find_shortest_wait(
-                self._placement.list_warm(call, region, tried),
-            )
-            for region in self._directory.list_reachable_regions(call, tried)
+            region: self._placement.list_warm(call, region, tried)
+            for region in regions
         }
 
+    def _check_load(
+        self,
+        call: Call,
+        choice: RegionChoice,
+        estimates: Sequence[ServerEstimate],
+    ) -> None:
+        objective = call.route.objective
+        check_expected_wait(choice, objective, self._random)
+        if not call.has_begun:
+            queueing = min(estimate.queueing for estimate in estimates)
+            check_queueing(queueing, objective, self._random)
+
     def _choose_cold(self, call: Call, tried: Collection[str]) -> Target:
         local_region = self._directory.local_region
         if call.route.allows(local_region):
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_decisions.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_decisions.py
@@ -40,7 +40,10 @@
     ServerLoad,
     build_prompt_load,
 )
-from baobabhinge_gateway.forwarding.shedding import check_expected_wait
+from baobabhinge_gateway.forwarding.shedding import (
+    check_expected_wait,
+    check_queueing,
+)
 from baobabhinge_gateway.forwarding.warmup import (
     WarmUpLimiter,
     choose_warm_up_gateway,
@@ -98,6 +101,24 @@
     assert (choice and choice.region) == chosen
 
 
+@pytest.mark.parametrize(
+    ('queueing_ms', 'is_refused'),
+    [(0, False), (400, False), (401, True), (9000, True)],
+)
+def test_a_call_is_refused_while_other_prompts_take_half_of_its_objective(
+    queueing_ms,
+    is_refused,
+):
+    """Engines that always prefill would answer all of their calls late."""
+    try:
+        check_queueing(queueing_ms * MILLISECOND, OBJECTIVE, Random(1))
+    except OverloadError as refusal:
+        assert is_refused
+        assert 200 <= refusal.retry_after / MILLISECOND <= 4000
+    else:
+        assert not is_refused
+
+
 @pytest.mark.parametrize(
     ('wait_ms', 'is_refused'),
     [(100, False), (3200, False), (3201, True), (9000, True)],
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_prefix_copying.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_prefix_copying.py
@@ -1,6 +1,7 @@
 """Prefixes that an engine copies from one that has them cached."""
 
 from datetime import timedelta
+from random import Random
 
 import msgspec
 import pytest
@@ -25,8 +26,14 @@
 from baobabhinge_gateway.forwarding.deployment_state import (
     create_deployment_state,
 )
+from baobabhinge_gateway.forwarding.failures import OverloadError
 from baobabhinge_gateway.forwarding.placement import Placement
 from baobabhinge_gateway.forwarding.prefixes import CachedPrefix
+from baobabhinge_gateway.forwarding.rankings import find_ranking
+from baobabhinge_gateway.forwarding.region_directory import RegionDirectory
+from baobabhinge_gateway.forwarding.server_load import build_prompt_load
+from baobabhinge_gateway.forwarding.target_selection import TargetSelector
+from baobabhinge_gateway.neighbours import GatewayContact, GatewayTable
 
 SECOND = timedelta(seconds=1)
 LOCAL_REGION = 'west'
@@ -151,3 +158,46 @@
     state = build_state(Engine(64, 400_000))
     state.prefixes.record(CachedPrefix('one', ('a', 'b')))
     assert list_sources(state) == {'one': None, 'two': None}
+
+
+@pytest.mark.parametrize(
+    ('demand', 'last_event', 'is_refused'),
+    [
+        (DEMAND, None, True),
+        (Demand(60_000, 400, (PromptPart('own', 60_000),)), None, True),
+        (DEMAND, '7', False),
+    ],
+)
+def test_a_saturated_engine_gets_only_streams_that_have_begun(
+    demand, last_event, is_refused
+):
+    state = build_state()
+    waiting = build_prompt_load(40_000, 0, 0)
+    state.loads.record('west-2', {name: waiting for name in ENGINES})
+    head = CallHead('attempt', 'POST', 'host', '/', (), demand=demand)
+    call = Call(head, b'', ROUTE, 'model', SECOND, SECOND, 1)
+    call.last_event = last_event
+    selector = build_selector(state)
+    if is_refused:
+        with pytest.raises(OverloadError):
+            selector.choose(call, ())
+    else:
+        assert selector.choose(call, ()).region == LOCAL_REGION
+
+
+def test_a_large_prompt_is_not_refused_for_its_own_size():
+    """The engines are idle; only its own prompt takes longer than allowed."""
+    demand = Demand(60_000, 400, (PromptPart('own', 60_000),))
+    head = CallHead('attempt', 'POST', 'host', '/', (), demand=demand)
+    call = Call(head, b'', ROUTE, 'model', SECOND, SECOND, 1)
+    assert build_selector(build_state()).choose(call, ()).estimate is not None
+
+
+def build_selector(state):
+    own = GatewayContact('west-1', LOCAL_REGION, '127.0.0.1', 1)
+    gateways = GatewayTable(own, state.clock)
+    directory = RegionDirectory(own.name, LOCAL_REGION, ['west'], gateways)
+    ranking = find_ranking('soonest')
+    return TargetSelector(
+        Placement(state), directory, state, ranking, Random(1)
+    )
