Let long answers share engines that prompts avoid

Cause: prompts are spread evenly over the engines, so all of them prefill part of the time.

Calls whose answers may outlast their limit on a saturated engine, and whose own prompts are short, now fill one engine after another, in the same order at all gateways; other prompts count the delay that they cause there and take another engine while one has room.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/engine_timing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/engine_timing.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from baobabhinge_gateway.deployment import Engine
+from baobabhinge_gateway.forwarding.call import Demand
 
 # Prefill rate of an engine, from the data sheets of both deployments.
 PREFILL_TOKENS_PER_MS = 56.6
@@ -14,6 +15,10 @@
 FIRST_EVENT_STEPS = 7
 # Tokens that an engine prefills at most in one decode step.
 CHUNK_TOKENS = 1024
+# Decode step that prefills a full chunk beside some 60 running calls.
+SATURATED_STEP_MS = 27
+# Prompts up to this length delay the running calls of an engine by 0.1 s.
+SHORT_PROMPT_TOKENS = 4 * CHUNK_TOKENS
 # Setup before the first token, from the site files.
 SETUP_MS = 16
 # The copy time is multiplied by this factor, so that an engine that has the
@@ -58,6 +63,23 @@
     return estimate_prefill_time(tokens) + chunks * _estimate_step(calls)
 
 
+def is_long_answer(demand: Demand, limit: timedelta) -> bool:
+    """Return whether a call needs an engine that prefills little.
+
+    That is the case if its answer may take longer than its limit on an engine
+    that prefills in each step, and its own prompt is short.
+
+    Parameters
+    ----------
+    demand : Demand
+        Tokens of the call.
+    limit : timedelta
+        Time limit of the answer.
+    """
+    slowest = timedelta(milliseconds=SATURATED_STEP_MS * demand.output)
+    return slowest > limit and demand.prompt <= SHORT_PROMPT_TOKENS
+
+
 def estimate_first_event_time(calls: int) -> timedelta:
     """Return the time from the end of a prefill to the first event.
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/estimates.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/estimates.py
@@ -8,6 +8,7 @@
 from baobabhinge_gateway.forwarding.engine_timing import (
     estimate_first_event_time,
     estimate_prefill_delay,
+    estimate_prefill_time,
 )
 from baobabhinge_gateway.forwarding.server_load import (
     LEAST_URGENT,
@@ -18,6 +19,8 @@
 USABLE_MEMORY_FRACTION = 0.9
 # A preempted or waiting call loses about the time of one answer.
 OVERFLOW_DELAY = timedelta(seconds=2)
+# Weight of the delay of a long answer beside that of the call to place.
+OTHERS_WEIGHT = 0.2
 # About one chunk of a prompt, which the loads of other gateways tell too late.
 ENGINE_RESOLUTION = timedelta(milliseconds=20)
 # Below the time that one more call adds in a slot of a plain service.
@@ -45,6 +48,10 @@
         Part of the wait during which the server prefills other prompts.
     resolution : timedelta
         Shortest difference between two waits that the loads can tell.
+    backlog : timedelta
+        Time in which the server prefills all prompts that are waiting.
+    delay_of_others : timedelta
+        Weighted time by which the prompt delays long answers on the server.
     """
 
     server: BackendServer
@@ -54,6 +61,8 @@
     copy_from: BackendServer | None = None
     queueing: timedelta = timedelta()
     resolution: timedelta = PLAIN_RESOLUTION
+    backlog: timedelta = timedelta()
+    delay_of_others: timedelta = timedelta()
 
     def delay_by(self, penalty: timedelta) -> 'ServerEstimate':
         """Return the estimate with ``penalty`` added to the wait."""
@@ -117,9 +126,21 @@
         load.calls,
         queueing=queueing,
         resolution=ENGINE_RESOLUTION,
+        backlog=estimate_prefill_time(load.unread),
+        delay_of_others=_estimate_delay_of_others(load, added),
     )
 
 
+def _estimate_delay_of_others(
+    load: ServerLoad,
+    added: ServerLoad,
+) -> timedelta:
+    if added.long_answers:
+        return timedelta()
+    delay = estimate_prefill_time(added.unread)
+    return OTHERS_WEIGHT * load.long_answers * delay
+
+
 def _compute_overflow(engine: Engine, load: ServerLoad) -> float:
     tokens = max(0, load.memory - USABLE_MEMORY_FRACTION * engine.memory)
     calls = max(0, load.calls - engine.slots)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/loads.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/loads.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from baobabhinge_coordination.clock import Clock
-from baobabhinge_gateway.forwarding.server_load import ServerLoad
+from baobabhinge_gateway.forwarding.server_load import NO_LOAD, ServerLoad
 
 # More than six heartbeat periods in a region and two between regions; after a
 # longer silence, the gateway has failed or is unreachable.
@@ -158,6 +158,3 @@
 def _add_all(sums: Loads, loads: Mapping[str, ServerLoad]) -> None:
     for server, load in loads.items():
         sums[server] = sums.get(server, NO_LOAD).add(load)
-
-
-NO_LOAD = ServerLoad()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/placement.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/placement.py
@@ -117,6 +117,7 @@
                 engine,
                 source,
                 call.route.priority,
+                call.route.time_limit,
             ).estimate(
                 server,
                 load,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/prefix_copying.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/prefix_copying.py
@@ -18,6 +18,7 @@
 from baobabhinge_gateway.forwarding.engine_timing import (
     estimate_copy_time,
     estimate_prefill_time,
+    is_long_answer,
 )
 from baobabhinge_gateway.forwarding.estimates import (
     ServerEstimate,
@@ -68,12 +69,15 @@
         Engine from which the others copy the prefix.
     priority : int
         Priority of the call; 0 is the most urgent.
+    limit : timedelta
+        Time limit of the answer.
     """
 
     demand: Demand
     engine: Engine
     source: PrefixSource | None
     priority: int = LEAST_URGENT
+    limit: timedelta = timedelta.max
 
     def estimate(
         self,
@@ -95,7 +99,10 @@
         copied = self._count_copied(cached)
         unread = max(0, self.demand.prompt - cached - copied)
         added = build_prompt_load(
-            unread, count_memory(self.demand), self.priority
+            unread,
+            count_memory(self.demand),
+            self.priority,
+            is_long=is_long_answer(self.demand, self.limit),
         )
         estimate = estimate_engine(
             self.engine, server, load, added, self.priority
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/rankings.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/rankings.py
@@ -4,6 +4,10 @@
 from random import Random
 
 from baobabhinge_gateway.errors import GatewayError
+from baobabhinge_gateway.forwarding.engine_sharing import (
+    can_share_engines,
+    select_shared_engines,
+)
 from baobabhinge_gateway.forwarding.estimates import ServerEstimate
 
 Ranking = Callable[
@@ -48,16 +52,22 @@
     estimates: Sequence[ServerEstimate],
     random: Random,
 ) -> Sequence[ServerEstimate]:
-    """Rank by the expected wait, shortest first.
+    """Rank by the expected wait and by the delay of others, shortest first.
 
-    Waits within the same step of their resolution tie. Ties are broken at
-    random, so that gateways with the same outdated loads do not all choose one
-    server.
+    Engines that long answers share go before all others. Waits within the
+    same step of their resolution tie. Ties are broken at random, so that
+    gateways with the same outdated loads do not all choose one server.
     """
-    return sorted(
-        estimates,
-        key=lambda one: (one.wait // one.resolution, random.random()),
+    shared = select_shared_engines(estimates)
+    others = [estimate for estimate in estimates if estimate not in shared]
+    weight = int(can_share_engines(estimates))
+    others.sort(
+        key=lambda one: (
+            (one.wait + weight * one.delay_of_others) // one.resolution,
+            random.random(),
+        ),
     )
+    return [*shared, *others]
 
 
 @register_ranking('least-in-flight')
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_load.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_load.py
@@ -20,12 +20,16 @@
     unread_by_priority : tuple of int
         ``unread`` by the priority of the calls, most urgent first; empty if
         it is not known.
+    long_answers : int
+        Calls in flight whose answers may end too late on an engine that
+        prefills in each step.
     """
 
     calls: int = 0
     unread: int = 0
     memory: int = 0
     unread_by_priority: tuple[int, ...] = ()
+    long_answers: int = 0
 
     def count_ahead(self, priority: int) -> int:
         """Return the tokens that are prefilled before a new call.
@@ -58,10 +62,17 @@
             _add_levels(
                 self.unread_by_priority, other.unread_by_priority, sign
             ),
+            self.long_answers + sign * other.long_answers,
         )
 
 
-def build_prompt_load(unread: int, memory: int, priority: int) -> ServerLoad:
+def build_prompt_load(
+    unread: int,
+    memory: int,
+    priority: int,
+    *,
+    is_long: bool = False,
+) -> ServerLoad:
     """Return the load of one call on an engine.
 
     Parameters
@@ -70,12 +81,14 @@
         Tokens to prefill, and tokens that the call holds in memory.
     priority : int
         Priority of the call; 0 is the most urgent.
+    is_long : bool, optional
+        Whether it counts among `ServerLoad.long_answers`.
     """
     own = min(priority, LEAST_URGENT)
     levels = tuple(
         unread if level == own else 0 for level in range(LEAST_URGENT + 1)
     )
-    return ServerLoad(1, unread, memory, levels)
+    return ServerLoad(1, unread, memory, levels, int(is_long))
 
 
 def _add_levels(
@@ -90,3 +103,6 @@
     return tuple(
         tokens + sign * more for tokens, more in zip(levels, added, strict=True)
     )
+
+
+NO_LOAD = ServerLoad()
