Refuse by the engine that a call would get

Cause: the check took the shortest queue of the region, and engines that long answers share have none, though the call does not get them. It now looks at the engine that the ranking puts first. Its weight is doubled, as the bound halves it for a usual prompt.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/estimates.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/estimates.py
@@ -6,6 +6,7 @@
 
 from baobabhinge_gateway.deployment import BackendServer, Engine
 from baobabhinge_gateway.forwarding.engine_timing import (
+    SHORT_PROMPT_TOKENS,
     estimate_first_event_time,
     estimate_prefill_delay,
     estimate_prefill_time,
@@ -20,7 +21,7 @@
 # A preempted or waiting call loses about the time of one answer.
 OVERFLOW_DELAY = timedelta(seconds=2)
 # Weight of the delay of a long answer beside that of the call to place.
-OTHERS_WEIGHT = 0.2
+OTHERS_WEIGHT = 0.4
 # About one chunk of a prompt, which the loads of other gateways tell too late.
 ENGINE_RESOLUTION = timedelta(milliseconds=20)
 # Below the time that one more call adds in a slot of a plain service.
@@ -137,7 +138,8 @@
 ) -> timedelta:
     if added.long_answers:
         return timedelta()
-    delay = estimate_prefill_time(added.unread)
+    # Bounded, so that the longest prompts are not refused more often.
+    delay = estimate_prefill_time(min(added.unread, SHORT_PROMPT_TOKENS))
     return OTHERS_WEIGHT * load.long_answers * delay
 
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/shedding.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/shedding.py
@@ -68,7 +68,7 @@
     Parameters
     ----------
     queueing : timedelta
-        Time until the prompt of the call is prefilled, at the best server.
+        Time until the prompt of the call is prefilled, at the chosen server.
     objective : timedelta
         Target for the time to the first chunk of the answer.
     random : Random
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/target_selection.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/target_selection.py
@@ -81,11 +81,11 @@
         )
         if choice is None:
             return self._choose_cold(call, tried)
-        self._check_load(call, choice, estimates[choice.region])
+        # A remote region is expected to rank its servers alike.
+        best = self._ranking(estimates[choice.region], self._random)[0]
+        self._check_load(call, choice, best)
         if choice.region == local_region:
-            return self._directory.create_server_target(
-                self._ranking(estimates[local_region], self._random)[0],
-            )
+            return self._directory.create_server_target(best)
         return self._directory.create_region_target(
             choice.region,
             self._random,
@@ -108,13 +108,12 @@
         self,
         call: Call,
         choice: RegionChoice,
-        estimates: Sequence[ServerEstimate],
+        best: ServerEstimate,
     ) -> None:
         objective = call.route.objective
         check_expected_wait(choice, objective, self._random)
         if not call.has_begun:
-            queueing = min(estimate.queueing for estimate in estimates)
-            check_queueing(queueing, objective, self._random)
+            check_queueing(best.queueing, objective, self._random)
 
     def _choose_cold(self, call: Call, tried: Collection[str]) -> Target:
         local_region = self._directory.local_region
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_prefix_copying.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_prefix_copying.py
@@ -31,7 +31,10 @@
 from baobabhinge_gateway.forwarding.prefixes import CachedPrefix
 from baobabhinge_gateway.forwarding.rankings import find_ranking
 from baobabhinge_gateway.forwarding.region_directory import RegionDirectory
-from baobabhinge_gateway.forwarding.server_load import build_prompt_load
+from baobabhinge_gateway.forwarding.server_load import (
+    ServerLoad,
+    build_prompt_load,
+)
 from baobabhinge_gateway.forwarding.target_selection import TargetSelector
 from baobabhinge_gateway.neighbours import GatewayContact, GatewayTable
 
@@ -193,6 +196,26 @@
     assert build_selector(build_state()).choose(call, ()).estimate is not None
 
 
+def test_a_prompt_is_refused_although_engines_shared_by_long_answers_idle():
+    """These are kept for long answers; all others have prompts waiting."""
+    state = build_state()
+    engines = [f'engine-{number}' for number in range(8)]
+    for name in (*engines, *ENGINES):
+        state.catalogue.remove(name)
+    for name in engines:
+        server = BackendServer(name, 'model', f'{name}:1', 'west-a', slots=64)
+        state.catalogue.put(server)
+    waiting = build_prompt_load(30_000, 30_000, 0)
+    loads = dict.fromkeys(engines, waiting)
+    shared = build_prompt_load(0, 0, 0, is_long=True)
+    loads['engine-3'] = ServerLoad(30, long_answers=30).add(shared)
+    state.loads.record('west-2', loads)
+    head = CallHead('attempt', 'POST', 'host', '/', (), demand=DEMAND)
+    call = Call(head, b'', ROUTE, 'model', SECOND, SECOND, 1)
+    with pytest.raises(OverloadError):
+        build_selector(state).choose(call, ())
+
+
 def build_selector(state):
     own = GatewayContact('west-1', LOCAL_REGION, '127.0.0.1', 1)
     gateways = GatewayTable(own, state.clock)
