Keep short waits apart in regions with few engines

Suspected cause: three gateways of a region know each other's loads almost exactly, so there is no rush to spread, and a random engine lacks the cached prefix more often. Regions with fewer than six engines keep 3 ms as before; larger ones are not changed.

The new row of test_decisions fails without the change.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/estimates.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/estimates.py
@@ -25,7 +25,7 @@
 # About one chunk of a prompt, which the loads of other gateways tell too late.
 ENGINE_RESOLUTION = timedelta(milliseconds=20)
 # Below the time that one more call adds in a slot of a plain service.
-PLAIN_RESOLUTION = timedelta(milliseconds=3)
+SHORTEST_RESOLUTION = timedelta(milliseconds=3)
 # Mean time of one call to a plain service; the data sheets say 15 ms to 45 ms.
 PLAIN_CALL_MS = 30
 
@@ -61,7 +61,7 @@
     calls: int = 0
     copy_from: BackendServer | None = None
     queueing: timedelta = timedelta()
-    resolution: timedelta = PLAIN_RESOLUTION
+    resolution: timedelta = SHORTEST_RESOLUTION
     backlog: timedelta = timedelta()
     delay_of_others: timedelta = timedelta()
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/rankings.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/rankings.py
@@ -8,7 +8,10 @@
     can_share_engines,
     select_shared_engines,
 )
-from baobabhinge_gateway.forwarding.estimates import ServerEstimate
+from baobabhinge_gateway.forwarding.estimates import (
+    SHORTEST_RESOLUTION,
+    ServerEstimate,
+)
 
 Ranking = Callable[
     [Sequence[ServerEstimate], Random],
@@ -56,20 +59,24 @@
 
     Engines that long answers share go before all others. Waits within the
     same step of their resolution tie. Ties are broken at random, so that
-    gateways with the same outdated loads do not all choose one server.
+    gateways with the same outdated loads do not all choose one server. Regions
+    with few engines have few gateways, whose loads tell shorter waits apart.
     """
     shared = select_shared_engines(estimates)
     others = [estimate for estimate in estimates if estimate not in shared]
-    weight = int(can_share_engines(estimates))
-    others.sort(
-        key=lambda one: (
-            (one.wait + weight * one.delay_of_others) // one.resolution,
-            random.random(),
-        ),
-    )
+    is_large = can_share_engines(estimates)
+    random.shuffle(others)
+    others.sort(key=lambda one: _count_steps(one, is_large))
     return [*shared, *others]
 
 
+def _count_steps(estimate: ServerEstimate, is_large_region: bool) -> int:
+    if is_large_region:
+        wait = estimate.wait + estimate.delay_of_others
+        return wait // estimate.resolution
+    return estimate.wait // SHORTEST_RESOLUTION
+
+
 @register_ranking('least-in-flight')
 def rank_least_in_flight(
     estimates: Sequence[ServerEstimate],
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_decisions.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_decisions.py
@@ -1,6 +1,7 @@
 """Choice of region and server for a call, its retries and its refusal."""
 
 from datetime import timedelta
+from itertools import repeat
 from random import Random
 
 import msgspec
@@ -304,11 +305,17 @@
 
 
 @pytest.mark.parametrize(
-    ('tokens', 'firsts'),
-    [(0, {'one', 'two'}), (600, {'one', 'two'}), (6000, {'one'})],
+    ('others', 'tokens', 'firsts'),
+    [
+        (5, 0, {'one', 'two'}),
+        (5, 600, {'one', 'two'}),
+        (5, 6000, {'one'}),
+        # The loads of the few gateways of a small region tell more.
+        (1, 600, {'one'}),
+    ],
 )
 def test_engines_tie_when_outdated_loads_can_not_tell_their_waits_apart(
-    tokens, firsts
+    others, tokens, firsts
 ):
     """Gateways with the same loads would all choose one engine otherwise."""
     added = build_prompt_load(100, 100, 1)
@@ -321,7 +328,7 @@
             added,
             1,
         )
-        for name, unread in (('one', 0), ('two', tokens))
+        for name, unread in (('one', 0), *repeat(('two', tokens), others))
     ]
     ranked = [rank_soonest(estimates, random)[0] for _ in range(40)]
     assert {estimate.server.name for estimate in ranked} == firsts
