--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
@@ -49,6 +49,11 @@
         """Parts at the start of the prompt that other calls may share."""
         return self.parts[:-1]
 
+    @property
+    def inner(self) -> tuple[PromptPart, ...]:
+        """Shared parts but the first one, which whole routes have in common."""
+        return self.shared[1:]
+
     @property
     def shared_tokens(self) -> int:
         """Length in tokens of the parts that other calls may share."""
@@ -117,6 +122,8 @@
     first_event, latest_event : timedelta or None
         Monotonic time at which the first and the latest chunk of a stream
         arrived.
+    run_event : timedelta or None
+        Monotonic time at which the first chunk of the latest run arrived.
     fingerprint : str
         Digest of the request; empty until `fingerprint_call` is used.
     """
@@ -133,6 +140,7 @@
     runs: int = 0
     first_event: timedelta | None = None
     latest_event: timedelta | None = None
+    run_event: timedelta | None = None
     fingerprint: str = ''
 
     @property
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/failure_recording.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/failure_recording.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+from datetime import timedelta
 
 import structlog
 
@@ -15,7 +16,12 @@
     TimeLimitError,
     UnknownOutcomeError,
 )
-from baobabhinge_gateway.forwarding.fingerprints import fingerprint_call
+from baobabhinge_gateway.forwarding.fingerprints import (
+    fingerprint_call,
+    fingerprint_parts,
+)
+
+MILLISECOND = timedelta(milliseconds=1)
 
 log = structlog.get_logger(__name__)
 
@@ -52,6 +58,8 @@
             attempt=call.head.attempt,
             server=server.name,
             fingerprint=fingerprint_call(call),
+            parts=fingerprint_parts(call),
+            answering_ms=_compute_answering_ms(state, call),
         )
         reliability.record_outcome(server.name, has_failed=True)
         reliability.suspect(server.name, str(lost))
@@ -62,3 +70,9 @@
     except TimeLimitError:
         reliability.record_outcome(server.name, has_failed=True)
         raise
+
+
+def _compute_answering_ms(state: DeploymentState, call: Call) -> int | None:
+    if call.run_event is None:
+        return None
+    return (state.clock.read_monotonic() - call.run_event) // MILLISECOND
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
@@ -66,6 +66,7 @@
         `NotReachedError` and `NotServedError`.
         """
         server = estimate.server
+        call.run_event = None
         self._state.record_prefill(call, server)
         self._state.crashes.record_run(call)
         with (
@@ -111,8 +112,8 @@
     def _record_event(self, call: Call, held: HeldLoad) -> None:
         held.record_first_event()
         call.latest_event = self._state.clock.read_monotonic()
-        if call.first_event is None:
-            call.first_event = call.latest_event
+        call.run_event = call.run_event or call.latest_event
+        call.first_event = call.first_event or call.latest_event
 
     def _build_request(
         self, call: Call, estimate: ServerEstimate
