--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/crashes.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/crashes.py
@@ -10,22 +10,29 @@
     ----------
     target : str
         Part of the targets of requests under which it ends; empty for none.
+    part : str
+        Name of a part of prompts; the server ends when it begins to answer a
+        request with it. Empty for none.
+    answers_left : int
+        How many requests with `part` it answers before it ends under one.
     has_happened : bool
         Whether it has ended.
     end : callable or None
         Closes its listener and its connections; set once it listens.
     """
 
-    __slots__ = ('end', 'has_happened', 'target')
+    __slots__ = ('answers_left', 'end', 'has_happened', 'part', 'target')
 
     def __init__(self) -> None:
         """Stand all requests."""
         self.target = ''
+        self.part = ''
+        self.answers_left = 0
         self.has_happened = False
         self.end: Callable[[], None] | None = None
 
     def check(self, target: str) -> None:
-        """End the server if it does not stand a request.
+        """End the server if it does not stand the target of a request.
 
         Raises
         ------
@@ -33,7 +40,29 @@
             If it has ended.
         """
         if self.target and self.target in target:
-            self.has_happened = True
-            if self.end is not None:
-                self.end()
-            raise ConnectionResetError
+            self._end()
+
+    def check_prompt(self, prompt: str) -> None:
+        """End the server if it does not stand a part of a prompt.
+
+        Parameters
+        ----------
+        prompt : str
+            Parts of the prompt, with their lengths, separated by commas.
+
+        Raises
+        ------
+        ConnectionResetError
+            If it has ended.
+        """
+        names = [part.partition(':')[0] for part in prompt.split(',')]
+        if self.part and self.part in names:
+            if not self.answers_left:
+                self._end()
+            self.answers_left -= 1
+
+    def _end(self) -> None:
+        self.has_happened = True
+        if self.end is not None:
+            self.end()
+        raise ConnectionResetError
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/scene.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/scene.py
@@ -91,6 +91,7 @@
             name, str(entry['service']), str(entry['zone'])
         )
         started.crash.target = server.crash.target
+        started.crash.part = server.crash.part
         return started
 
     async def add_gateway(self, name: str, zone: str) -> Program:
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/server.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/server.py
@@ -17,6 +17,7 @@
 SEAL = 'Baobabhinge-Response-Seal'
 ATTEMPT = 'Baobabhinge-Attempt-Id'
 LAST_EVENT = 'Last-Event-Id'
+PROMPT = 'Baobabhinge-Prompt-Prefix'
 
 
 class ServerFault(enum.Enum):
@@ -147,6 +148,7 @@
             _abort(request)
         if self.fault is ServerFault.resets_unframed:
             await _reset_unframed(request, sealed)
+        self.crash.check_prompt(request.headers.get(PROMPT, ''))
         if 'stream' in request.path:
             return await self._stream(request, arrival, sealed)
         body = f'{self.name} answers {arrival.attempt}'.encode()
