Refuse requests with a part of their prompts under which servers end

Cause: a bound that holds for whole requests where the blame is due to less than one. forwarding.fingerprints covers host, path, body and caller, so that no such request reached two crashes, and nothing kept count of a part.

Evidence: the reproduction ends a server with each of 14 requests, two where a call may run again, through any gateway.

Now parts of lost runs whose answers had not begun are counted, by all gateways of the regions that may learn them, as sets of crashes and answers that add up in any order. A part is refused after three crashes unless answers outweigh them; the strongest case explains its crashes, so that sound parts which were present at them are not blamed. The first part is never counted, as refusing it would refuse its route. With two crashes, requests with the part are confined to one server of each region. A crash is dated by the loss of the connection, so that servers which end together convict nothing.

--- /dev/null
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/part_histories.py
@@ -0,0 +1,80 @@
+"""Evidence on one part that several requests share: crashes and answers."""
+
+from datetime import timedelta
+from typing import TypeVar
+
+import msgspec
+
+from baobabhinge_coordination.suspects.histories import DatedCrash
+
+# The latest ones decide; older ones need not be exchanged.
+MAX_CRASHES = 8
+MAX_ANSWERS = 16
+
+_Dated = TypeVar('_Dated', 'DatedAnswer', DatedCrash)
+
+
+class DatedAnswer(msgspec.Struct, frozen=True):
+    """Answer of a server that stayed up, dated by the local monotonic clock.
+
+    Parameters
+    ----------
+    run : str
+        Identity of the run, by which reports of one answer are recognized.
+    instant : timedelta
+        Instant at which it was proved that the server had stood the run.
+    """
+
+    run: str
+    instant: timedelta
+
+
+class PartHistory:
+    """Crashes and answers of the runs with one part, the latest of each.
+
+    Both are sets to which peers add what they observe, so that reports may
+    arrive late, twice and in any order.
+
+    Parameters
+    ----------
+    regions : tuple of str
+        Regions that may learn the fingerprint of the part; empty for all.
+
+    Attributes
+    ----------
+    crashes : list of DatedCrash
+        Crashes, oldest first.
+    answers : list of DatedAnswer
+        Answers, oldest first.
+    """
+
+    __slots__ = ('answers', 'crashes', 'regions')
+
+    def __init__(self, regions: tuple[str, ...]) -> None:
+        """Start without evidence."""
+        self.regions = regions
+        self.crashes: list[DatedCrash] = []
+        self.answers: list[DatedAnswer] = []
+
+    def add_crash(self, crash: DatedCrash) -> bool:
+        """Add a crash; return whether it was not known."""
+        if any(crash.is_same(known) for known in self.crashes):
+            return False
+        self.crashes = _keep_latest([*self.crashes, crash], MAX_CRASHES)
+        return crash in self.crashes
+
+    def add_answer(self, answer: DatedAnswer) -> bool:
+        """Add an answer; return whether it was not known."""
+        if any(answer.run == known.run for known in self.answers):
+            return False
+        self.answers = _keep_latest([*self.answers, answer], MAX_ANSWERS)
+        return answer in self.answers
+
+    def count_answers(self, since: timedelta) -> int:
+        """Return the number of answers at ``since`` or later."""
+        return sum(answer.instant >= since for answer in self.answers)
+
+
+def _keep_latest(dated: list[_Dated], limit: int) -> list[_Dated]:
+    dated.sort(key=lambda one: one.instant)
+    return dated[-limit:]
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
@@ -126,6 +126,9 @@
         Monotonic time at which the first chunk of the latest run arrived.
     fingerprint : str
         Digest of the request; empty until `fingerprint_call` is used.
+    part_fingerprints : tuple of str or None
+        Digests of parts of the prompt; ``None`` until `fingerprint_parts` is
+        used.
     """
 
     head: CallHead
@@ -142,6 +145,7 @@
     latest_event: timedelta | None = None
     run_event: timedelta | None = None
     fingerprint: str = ''
+    part_fingerprints: tuple[str, ...] | None = None
 
     @property
     def has_begun(self) -> bool:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call_limits.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call_limits.py
@@ -7,7 +7,7 @@
 from baobabhinge_coordination.clock import Clock
 from baobabhinge_gateway.errors import NotReachedError
 from baobabhinge_gateway.forwarding.call import Call
-from baobabhinge_gateway.forwarding.crash_tracking import CrashingCallError
+from baobabhinge_gateway.forwarding.crashing_calls import CrashingCallError
 from baobabhinge_gateway.forwarding.failures import (
     DeclinedError,
     NotServedError,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
@@ -120,6 +120,7 @@
         region : str
             Region of the receiving gateways.
         """
+        crashes = self.state.crashes
         self.budget.gateway_count = 1 + len(self.gateways.list_live())
         return Heartbeat(
             name=self.settings.own.name,
@@ -135,7 +136,8 @@
             readings=self.state.announcements.drain(region),
             hears_store=self.updater.is_store_reachable,
             shut=list_unavailable(self.state),
-            crashes=self.state.crashes.reporter.export(region),
+            crashes=crashes.reporter.export(region),
+            parts=crashes.parts.reporter.export(region),
         )
 
     def is_watcher(self) -> bool:
@@ -162,7 +164,9 @@
             )
         for prefix in heartbeat.readings:
             self.state.prefixes.record(prefix)
-        self.state.crashes.reporter.merge(heartbeat.crashes)
+        crashes = self.state.crashes
+        crashes.reporter.merge(heartbeat.crashes)
+        crashes.parts.reporter.merge(heartbeat.parts)
 
     def _list_addresses(self, regions: Sequence[str]) -> Sequence[str]:
         addresses = [
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/crash_tracking.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/crash_tracking.py
@@ -11,24 +11,20 @@
 
 from baobabhinge_coordination.clock import Clock
 from baobabhinge_coordination.suspects import (
+    DatedCrash,
     HistoryTable,
     SuspectIndex,
     SuspectReporter,
 )
 from baobabhinge_gateway.forwarding.call import Call
-from baobabhinge_gateway.forwarding.failures import NotServedError
+from baobabhinge_gateway.forwarding.crashing_calls import CrashingCallError
 from baobabhinge_gateway.forwarding.fingerprints import fingerprint_call
 from baobabhinge_gateway.forwarding.lost_runs import LostRunTable
+from baobabhinge_gateway.forwarding.part_tracking import PartTracker
 
 log = structlog.get_logger(__name__)
 
 
-class CrashingCallError(NotServedError):
-    """Servers ended while they ran the same request; it was not run again."""
-
-    code = 'crashing-call'
-
-
 class CrashTracker:
     """Track requests that are in flight when servers end.
 
@@ -47,6 +43,8 @@
     ----------
     lost_runs : LostRunTable
         Runs whose servers may have ended.
+    parts : PartTracker
+        Parts of prompts under which servers end.
     reporter : SuspectReporter
         Reports to and from other gateways.
     has_news : asyncio.Event
@@ -59,6 +57,7 @@
         '_local_region',
         'has_news',
         'lost_runs',
+        'parts',
         'reporter',
     )
 
@@ -69,6 +68,7 @@
         self._local_region = local_region
         self.reporter = SuspectReporter(histories)
         self.lost_runs = LostRunTable(clock)
+        self.parts = PartTracker(local_region, clock)
         self.has_news = asyncio.Event()
 
     def check(self, call: Call) -> None:
@@ -79,6 +79,7 @@
         CrashingCallError
             If it may not be run now; it says when it may.
         """
+        self.parts.check(call)
         if not self._is_tracked(call):
             return
         pause = self._index.compute_pause(fingerprint_call(call))
@@ -98,6 +99,7 @@
 
     def record_answer(self, call: Call) -> None:
         """Record that a server answered ``call``, and did not end under it."""
+        self.parts.record_answer(call)
         if self._is_tracked(call):
             self._index.record_answer(fingerprint_call(call))
 
@@ -110,9 +112,11 @@
             'backend-server-ended',
             server=server,
             fingerprints=sorted(lost.requests),
+            parts=sorted(lost.parts),
         )
         for fingerprint, regions in lost.requests.items():
             self._index.record_crash(fingerprint, server, regions)
+        self.parts.record_crash(DatedCrash(server, lost.since), lost.parts)
         self.has_news.set()
 
     def _is_tracked(self, call: Call) -> bool:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/failure_recording.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/failure_recording.py
@@ -16,10 +16,8 @@
     TimeLimitError,
     UnknownOutcomeError,
 )
-from baobabhinge_gateway.forwarding.fingerprints import (
-    fingerprint_call,
-    fingerprint_parts,
-)
+from baobabhinge_gateway.forwarding.fingerprints import fingerprint_call
+from baobabhinge_gateway.forwarding.part_fingerprints import fingerprint_parts
 
 MILLISECOND = timedelta(milliseconds=1)
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/fingerprints.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/fingerprints.py
@@ -1,6 +1,6 @@
-"""Fingerprints by which requests and parts of prompts are recognized."""
+"""Fingerprints by which a request is recognized when it is sent again."""
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 from hashlib import blake2b
 
 from baobabhinge_gateway.forwarding.call import Call, CallHead
@@ -26,39 +26,22 @@
     return call.fingerprint
 
 
-def fingerprint_parts(call: Call) -> Sequence[str]:
-    """Return digests of the parts of the prompt that single calls share.
-
-    Left out are the first part, which all calls of a route may share, and the
-    last one, which belongs to the call itself. Like that of a request, a digest
-    differs between calls that may be served in different regions.
-    """
-    if call.head.demand is None:
-        return ()
-    names = dict.fromkeys(part.name for part in call.head.demand.inner)
-    return [_compute_part_digest(call, name) for name in names]
-
-
 def _compute_digest(call: Call) -> str:
-    digest = _create_digest(call)
+    digest = create_digest(call)
     for text in _list_texts(call.head):
-        _update(digest, text)
+        update_digest(digest, text)
     digest.update(call.body)
     return digest.hexdigest()
 
 
-def _compute_part_digest(call: Call, name: str) -> str:
-    digest = _create_digest(call)
-    _update(digest, name)
-    return digest.hexdigest()
-
-
-def _create_digest(call: Call) -> blake2b:
+def create_digest(call: Call) -> blake2b:
+    """Return an empty digest that differs between sets of allowed regions."""
     key = ','.join(call.route.regions).encode()[: blake2b.MAX_KEY_SIZE]
     return blake2b(digest_size=DIGEST_BYTES, key=key)
 
 
-def _update(digest: blake2b, text: str) -> None:
+def update_digest(digest: blake2b, text: str) -> None:
+    """Add ``text`` to a digest, apart from what is added after it."""
     # Paths and fields may hold bytes that are not UTF-8.
     digest.update(text.encode(errors='surrogateescape'))
     digest.update(b'\0')
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_sender.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_sender.py
@@ -7,7 +7,7 @@
     compute_time_left,
     count_runs,
 )
-from baobabhinge_gateway.forwarding.crash_tracking import CrashingCallError
+from baobabhinge_gateway.forwarding.crashing_calls import CrashingCallError
 from baobabhinge_gateway.forwarding.delivery import Delivery, FailedAnswer
 from baobabhinge_gateway.forwarding.deployment_state import DeploymentState
 from baobabhinge_gateway.forwarding.exchange import open_exchange
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/lost_runs.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/lost_runs.py
@@ -10,6 +10,8 @@
 from baobabhinge_gateway.deployment import BackendServer
 from baobabhinge_gateway.forwarding.call import Call
 from baobabhinge_gateway.forwarding.fingerprints import fingerprint_call
+from baobabhinge_gateway.forwarding.part_fingerprints import fingerprint_parts
+from baobabhinge_gateway.forwarding.part_tracking import is_beginning
 
 # A server that neither passes its health checks nor fails them as one that has
 # ended is not held to have ended.
@@ -27,11 +29,15 @@
         Instant of the first loss.
     requests : dict of str to tuple of str
         Fingerprints of the requests, and the regions that may learn them.
+    parts : dict of str to tuple of str
+        Fingerprints of the parts of prompts whose answers had not begun, or
+        just now, and the regions that may learn them.
     """
 
     server: BackendServer
     since: timedelta
     requests: dict[str, tuple[str, ...]] = {}
+    parts: dict[str, tuple[str, ...]] = {}
 
 
 class LostRunTable:
@@ -62,6 +68,9 @@
             server.name, LostRuns(server, self._clock.read_monotonic())
         )
         lost.requests[fingerprint_call(call)] = call.route.regions
+        if is_beginning(call, self._clock):
+            for part in fingerprint_parts(call):
+                lost.parts[part] = call.route.regions
         self.has_new.set()
 
     def list_servers(self) -> Sequence[BackendServer]:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/placement.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/placement.py
@@ -93,12 +93,26 @@
         tried: Collection[str],
     ) -> Sequence[BackendServer]:
         state = self._state
-        return [
+        candidates = [
             server
             for server in list_available(state, call.service)
             if state.regions.get(server.failure_domain) == region
             and server.name not in tried
         ]
+        only = state.crashes.parts.choose_only_server(
+            call, self._list_listed(call.service, region)
+        )
+        return [one for one in candidates if only in {None, one.name}]
+
+    def _list_listed(
+        self, service: str, region: str
+    ) -> Sequence[BackendServer]:
+        regions = self._state.regions
+        return [
+            server
+            for server in self._state.catalogue.list_usable(service)
+            if regions.get(server.failure_domain) == region
+        ]
 
     def _estimate(
         self,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/progress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/progress.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from baobabhinge_gateway.forwarding.call import Call
-from baobabhinge_gateway.forwarding.crash_tracking import CrashingCallError
+from baobabhinge_gateway.forwarding.crashing_calls import CrashingCallError
 from baobabhinge_gateway.forwarding.delivery import FailedAnswer
 from baobabhinge_gateway.forwarding.failures import (
     NotServedError,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/run_report.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/run_report.py
@@ -4,7 +4,7 @@
 
 from baobabhinge_gateway.errors import CallError, Outcome
 from baobabhinge_gateway.forwarding.call import Call, Headers
-from baobabhinge_gateway.forwarding.crash_tracking import CrashingCallError
+from baobabhinge_gateway.forwarding.crashing_calls import CrashingCallError
 from baobabhinge_gateway.forwarding.hop import RUNS_HEADER, VERDICT_HEADER
 from baobabhinge_gateway.forwarding.protocols import AnswerVerdict
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from baobabhinge_coordination.suspects import SuspectReport
+from baobabhinge_coordination.suspects import PartReport, SuspectReport
 from baobabhinge_gateway.forwarding.prefixes import CachedPrefix
 from baobabhinge_gateway.forwarding.server_load import ServerLoad
 from baobabhinge_gateway.forwarding.snapshot import StoreRevisions
@@ -42,6 +42,8 @@
         calls or none.
     crashes : sequence of SuspectReport
         Requests under which servers ended.
+    parts : sequence of PartReport
+        Parts of prompts that were present when servers ended.
     """
 
     name: str
@@ -58,3 +60,4 @@
     hears_store: bool = True
     shut: Sequence[str] = ()
     crashes: Sequence[SuspectReport] = ()
+    parts: Sequence[PartReport] = ()
