--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/crash_tracking.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/crash_tracking.py
@@ -20,7 +20,10 @@
 from baobabhinge_gateway.forwarding.crashing_calls import CrashingCallError
 from baobabhinge_gateway.forwarding.fingerprints import fingerprint_call
 from baobabhinge_gateway.forwarding.lost_runs import LostRunTable
-from baobabhinge_gateway.forwarding.part_tracking import PartTracker
+from baobabhinge_gateway.forwarding.part_tracking import (
+    PartTracker,
+    is_beginning,
+)
 
 log = structlog.get_logger(__name__)
 
@@ -53,6 +56,7 @@
     """
 
     __slots__ = (
+        '_clock',
         '_index',
         '_local_region',
         'has_news',
@@ -63,6 +67,7 @@
 
     def __init__(self, local_region: str, clock: Clock) -> None:
         """Start without crashes."""
+        self._clock = clock
         histories = HistoryTable(clock)
         self._index = SuspectIndex(histories)
         self._local_region = local_region
@@ -103,6 +108,11 @@
         if self._is_tracked(call):
             self._index.record_answer(fingerprint_call(call))
 
+    def record_progress(self, call: Call) -> None:
+        """Record that a server goes on with the answer to ``call``."""
+        if not is_beginning(call, self._clock):
+            self.parts.record_answer(call)
+
     def record_end(self, server: str) -> None:
         """Count the end of ``server`` against the requests lost with it."""
         lost = self.lost_runs.remove(server)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
@@ -16,7 +16,6 @@
 )
 from baobabhinge_gateway.forwarding.failure_recording import record_failures
 from baobabhinge_gateway.forwarding.loads import HeldLoad
-from baobabhinge_gateway.forwarding.part_tracking import is_beginning
 from baobabhinge_gateway.forwarding.protocols import (
     AnswerVerdict,
     BackendProtocol,
@@ -115,8 +114,7 @@
         call.latest_event = self._state.clock.read_monotonic()
         call.run_event = call.run_event or call.latest_event
         call.first_event = call.first_event or call.latest_event
-        if not is_beginning(call, self._state.clock):
-            self._state.crashes.parts.record_answer(call)
+        self._state.crashes.record_progress(call)
 
     def _build_request(
         self, call: Call, estimate: ServerEstimate
