Log the limits that servers name

No log line tells that a server has named a limit, so that a limit that nobody reads can't be told from one that is kept by each gateway alone.

The adapter of the platform reads the header from answers of every kind; answers of another incarnation or to another request are left out. A limit that is no number, negative or not finite is logged and has no effect; an answer to a call that ran ends a limit if it names none. The lines server-limit-named and server-limit-ended come with each change, not with each answer. Nothing is decided by it yet.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/deployment_state.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/deployment_state.py
@@ -22,6 +22,7 @@
 )
 from baobabhinge_gateway.forwarding.reliability import ServerReliability
 from baobabhinge_gateway.forwarding.remote_regions import RemoteRegions
+from baobabhinge_gateway.forwarding.server_limits import ServerLimits
 from baobabhinge_gateway.forwarding.warmup import WarmUpLimiter
 
 
@@ -52,6 +53,8 @@
         Cold servers and the rate of calls to them.
     crashes : CrashTracker
         Requests under which servers ended.
+    limits : ServerLimits
+        Limits that servers name.
     regions : mapping of str to str
         Region of each failure domain.
     """
@@ -67,6 +70,7 @@
     remote_regions: RemoteRegions
     warmup: WarmUpLimiter
     crashes: CrashTracker
+    limits: ServerLimits
     regions: Mapping[str, str]
 
     @property
@@ -143,6 +147,7 @@
         remote_regions=RemoteRegions(clock),
         warmup=WarmUpLimiter(clock),
         crashes=CrashTracker(local_region, clock),
+        limits=ServerLimits(clock),
         regions=regions,
     )
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/protocols.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/protocols.py
@@ -93,6 +93,15 @@
     ) -> AnswerVerdict:
         """Return what the head of an answer proves about ``call``."""
 
+    def read_limit(self, response: ClientResponse) -> float | None:
+        """Return how many calls per second the server takes, if it says so.
+
+        Raises
+        ------
+        UnreadableLimitError
+            If the limit that it names is no number, negative or not finite.
+        """
+
     def compose_check(self, server: BackendServer) -> Headers:
         """Return the headers of a health check request."""
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
@@ -15,6 +15,7 @@
     open_exchange,
 )
 from baobabhinge_gateway.forwarding.failure_recording import record_failures
+from baobabhinge_gateway.forwarding.limit_reading import record_limit
 from baobabhinge_gateway.forwarding.loads import HeldLoad
 from baobabhinge_gateway.forwarding.protocols import (
     AnswerVerdict,
@@ -96,6 +97,13 @@
         outbound = self._build_request(call, estimate)
         async with open_exchange(self._http, outbound) as response:
             verdict = self._backends.classify_answer(call, response)
+            record_limit(
+                self._state.limits,
+                self._backends,
+                estimate.server.name,
+                response,
+                verdict,
+            )
             if verdict is AnswerVerdict.misplaced:
                 name = estimate.server.name
                 self._state.reliability.suspect(
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/server.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/server.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from baobabhinge_standins.host.crashes import ServerCrash
+from baobabhinge_standins.host.notices import ServerNotice
 
 EVENTS = 4
 EVENT_PAUSE_SECONDS = 0.02
@@ -62,8 +63,8 @@
         Its identity, and where it is.
     fault : ServerFault
         How it fails now.
-    cold_ms : int
-        What its health check says.
+    notice : ServerNotice
+        What its answers say of it.
     crash : ServerCrash
         Requests under which it ends.
     arrivals : list of Arrival
@@ -77,7 +78,7 @@
         self._zone = zone
         self.address = ''
         self.fault = ServerFault.none
-        self.cold_ms = 0
+        self.notice = ServerNotice()
         self.crash = ServerCrash()
         self.arrivals: list[Arrival] = []
 
@@ -104,9 +105,10 @@
 
     async def _answer_health(self, request: web.Request) -> web.Response:
         self.arrivals.append(Arrival('', request.path, {}, b''))
-        headers = {'Baobabhinge-Instance-Id': self.name}
-        if self.cold_ms:
-            headers['Baobabhinge-Cold-Ms'] = str(self.cold_ms)
+        headers = {
+            'Baobabhinge-Instance-Id': self.name,
+            **self.notice.describe_health(),
+        }
         return web.Response(headers=headers)
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
@@ -122,7 +124,10 @@
         if self.fault is ServerFault.sheds:
             return web.Response(
                 status=HTTPStatus.SERVICE_UNAVAILABLE,
-                headers={'Baobabhinge-Not-Executed': '1'},
+                headers={
+                    'Baobabhinge-Not-Executed': '1',
+                    **self.notice.describe_answer(),
+                },
             )
         arrival.has_run = True
         try:
@@ -136,7 +141,11 @@
         request: web.Request,
         arrival: Arrival,
     ) -> web.StreamResponse:
-        sealed = {ATTEMPT: arrival.attempt, SEAL: f'seal.{arrival.attempt}'}
+        sealed = {
+            ATTEMPT: arrival.attempt,
+            SEAL: f'seal.{arrival.attempt}',
+            **self.notice.describe_answer(),
+        }
         self.crash.check(request.path)
         if self.fault is ServerFault.answers_other:
             sealed[ATTEMPT] = 'another'
