Keep the limits that servers name, summed over all gateways

Nothing read the limit, so that placement took a server in need for a sound one.

Now one gateway of the region, chosen by rendezvous hashing as for cold servers, sends to a server with a limit, evenly spaced at three quarters of it; two that disagree stay below one and a half times. Health checks count. Gateways exchange the latest statement of each server. The others choose another server or region, or forward to that gateway; a call that finds all limits used up is refused at once with the time until the next one. Other regions are told that the server takes few calls. The limit ends with an answer that names none; a server that takes nothing gets a trial call each 5 s.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
@@ -120,13 +120,15 @@
         region : str
             Region of the receiving gateways.
         """
+        own = self.settings.own
         crashes = self.state.crashes
+        limits = self.state.limits.export()
         self.budget.gateway_count = 1 + len(self.gateways.list_live())
         return Heartbeat(
-            name=self.settings.own.name,
+            name=own.name,
             incarnation=self.ingress.lifecycle.incarnation,
             sequence=sequence,
-            region=self.settings.own.region,
+            region=own.region,
             caller_address=self.settings.caller_address,
             hop_address=self.settings.hop_address,
             is_ready=self.is_ready(),
@@ -138,6 +140,8 @@
             shut=list_unavailable(self.state),
             crashes=crashes.reporter.export(region),
             parts=crashes.parts.reporter.export(region),
+            # Only gateways of this region send to its servers.
+            limits=limits if region == own.region else (),
         )
 
     def is_watcher(self) -> bool:
@@ -167,6 +171,7 @@
         crashes = self.state.crashes
         crashes.reporter.merge(heartbeat.crashes)
         crashes.parts.reporter.merge(heartbeat.parts)
+        self.state.limits.merge(heartbeat.limits)
 
     def _list_addresses(self, regions: Sequence[str]) -> Sequence[str]:
         addresses = [
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
@@ -9,7 +9,9 @@
 from baobabhinge_gateway.forwarding.assembly import build_dispatcher
 from baobabhinge_gateway.forwarding.connector import build_strict_session
 from baobabhinge_gateway.forwarding.core import GatewayCore
-from baobabhinge_gateway.forwarding.health import HealthChecker
+from baobabhinge_gateway.forwarding.health_assembly import (
+    build_health_checker,
+)
 from baobabhinge_gateway.forwarding.listeners import (
     build_caller_listener,
     build_hop_listener,
@@ -73,7 +75,7 @@
             core, self._callers, dispatcher
         )
         for part in (
-            HealthChecker(http, self._backends, core.state),
+            build_health_checker(core, http, self._backends),
             self._heartbeats,
             SnapshotFetcher(http, core),
             build_hop_listener(core, dispatcher),
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/deployment_state.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/deployment_state.py
@@ -174,13 +174,16 @@
 def list_unavailable(state: DeploymentState) -> Sequence[str]:
     """Return the servers of the local region that other regions are to avoid.
 
-    These are the suspected servers, and the cold ones, which take few calls.
+    These are the suspected servers, and those that take few calls: cold ones,
+    and ones that name a limit.
     """
     return [
         server.name
         for server in state.catalogue.list_all()
         if state.is_local(server)
         and (
-            server.name in state.reliability.suspected or state.is_cold(server)
+            server.name in state.reliability.suspected
+            or state.is_cold(server)
+            or state.limits.find(server.name) is not None
         )
     ]
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/health.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/health.py
@@ -7,32 +7,15 @@
 import asyncio
 from datetime import timedelta
 
-import aiohttp
-import structlog
 from mode import Service
 
 from baobabhinge_gateway.deployment import BackendServer
-from baobabhinge_gateway.errors import NotReachedError
 from baobabhinge_gateway.forwarding.deployment_state import DeploymentState
-from baobabhinge_gateway.forwarding.exchange import (
-    OutboundRequest,
-    discard_body,
-    open_exchange,
-)
-from baobabhinge_gateway.forwarding.problems import (
-    ForwardingError,
-)
-from baobabhinge_gateway.forwarding.protocols import (
-    BackendProtocol,
-    HealthCheckResult,
-)
+from baobabhinge_gateway.forwarding.health_request import HealthRequester
+from baobabhinge_gateway.forwarding.limit_gate import LimitGate
 
 # Bounds the time until a server that recovered gets calls again.
 CHECK_PERIOD = timedelta(milliseconds=300)
-# Longer than a healthy server takes, even with a full queue before the check.
-CHECK_TIMEOUT = timedelta(milliseconds=800)
-
-log = structlog.get_logger(__name__)
 
 
 class HealthChecker(Service):
@@ -40,25 +23,25 @@
 
     Parameters
     ----------
-    http : aiohttp.ClientSession
-        Session for the checks; it is not closed here.
-    backends : BackendProtocol
-        Headers of a health check, and the meaning of its answer.
+    requester : HealthRequester
+        Sends the checks.
     state : DeploymentState
         Names the servers to check and records the results.
+    gate : LimitGate
+        Decides when a server that names a limit may be checked.
     """
 
     def __init__(
         self,
-        http: aiohttp.ClientSession,
-        backends: BackendProtocol,
+        requester: HealthRequester,
         state: DeploymentState,
+        gate: LimitGate,
     ) -> None:
         """Store the collaborators; checks begin when the service starts."""
         super().__init__()
-        self._http = http
-        self._backends = backends
+        self._requester = requester
         self._state = state
+        self._gate = gate
 
     async def on_start(self) -> None:
         """Start the loops of checks."""
@@ -67,7 +50,9 @@
 
     async def _check_forever(self) -> None:
         while not self.should_stop:
-            servers = list_servers_to_check(self._state)
+            servers = filter(
+                self._gate.may_send, list_servers_to_check(self._state)
+            )
             await asyncio.gather(*map(self._check, servers))
             await self.sleep(CHECK_PERIOD.total_seconds())
 
@@ -81,7 +66,8 @@
                 self.add_future(self._check(server))
 
     async def _check(self, server: BackendServer) -> None:
-        health = await self._request_health(server)
+        self._gate.record_send(server)
+        health = await self._requester.request(server)
         if health.has_ended:
             self._state.crashes.record_end(server.name)
         if not health.is_good:
@@ -93,35 +79,6 @@
             self._state.warmup.record_warm(server.name)
         self._state.reliability.clear(server.name)
 
-    async def _request_health(
-        self,
-        server: BackendServer,
-    ) -> HealthCheckResult:
-        service = self._state.find_service(server.service)
-        if service is None:
-            return HealthCheckResult(is_good=False)
-        outbound = OutboundRequest(
-            'GET',
-            server.address,
-            service.health_path,
-            self._backends.compose_check(server),
-            b'',
-            CHECK_TIMEOUT,
-        )
-        try:
-            async with open_exchange(self._http, outbound) as response:
-                await discard_body(response)
-                return self._backends.read_health(server, response)
-        except (NotReachedError, ForwardingError) as failure:
-            log.debug(
-                'health-check-failed',
-                server=server.name,
-                reason=repr(failure),
-            )
-            return HealthCheckResult(
-                is_good=False, has_ended=isinstance(failure, NotReachedError)
-            )
-
 
 def list_servers_to_check(state: DeploymentState) -> list[BackendServer]:
     """Return the servers of the local region that need a health check.
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/limit_gate.py
@@ -0,0 +1,67 @@
+"""Decision whether a server that names a limit may get another call.
+
+Load pattern: a server in need names fewer calls per second than callers send,
+through any of several gateways.
+"""
+
+from datetime import timedelta
+
+from baobabhinge_gateway.deployment import BackendServer
+from baobabhinge_gateway.forwarding.deployment_state import DeploymentState
+from baobabhinge_gateway.forwarding.region_directory import RegionDirectory
+from baobabhinge_gateway.forwarding.server_limits import (
+    MIN_RATE,
+    RATE_FRACTION,
+)
+
+NO_TIME = timedelta()
+SECOND = timedelta(seconds=1)
+
+
+class LimitGate:
+    """Keep the sum of what all gateways send within the limits of servers.
+
+    One gateway of the region sends all calls to a server with a limit. The
+    others choose another server, or forward to that gateway.
+
+    Parameters
+    ----------
+    state : DeploymentState
+        Holds the limits, and the times of the calls that were sent.
+    directory : RegionDirectory
+        Names the gateway that may send to a server.
+    """
+
+    __slots__ = ('_directory', '_state')
+
+    def __init__(
+        self, state: DeploymentState, directory: RegionDirectory
+    ) -> None:
+        """Store the collaborators."""
+        self._state = state
+        self._directory = directory
+
+    def is_limited(self, server: BackendServer) -> bool:
+        """Return whether ``server`` names a limit."""
+        return self._state.limits.find(server.name) is not None
+
+    def may_send(self, server: BackendServer) -> bool:
+        """Return whether this gateway may send a request to ``server`` now."""
+        return not self.is_limited(server) or (
+            self._directory.is_sole_sender(server)
+            and not self._state.limits.pacer.compute_pause(server.name)
+        )
+
+    def record_send(self, server: BackendServer) -> None:
+        """Record a request to ``server`` if it names a limit."""
+        rate = self._state.limits.find(server.name)
+        if rate is not None:
+            allowed = max(MIN_RATE, rate * RATE_FRACTION)
+            self._state.limits.pacer.record_call(server.name, allowed)
+
+    def compute_pause(self, server: BackendServer) -> timedelta:
+        """Return the time until ``server`` may get a call, as far as known."""
+        if self._directory.is_sole_sender(server):
+            return self._state.limits.pacer.compute_pause(server.name)
+        rate = self._state.limits.find(server.name)
+        return NO_TIME if rate is None else SECOND / max(MIN_RATE, rate)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/limit_reading.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/limit_reading.py
@@ -3,18 +3,12 @@
 import structlog
 from aiohttp import ClientResponse
 
-from baobabhinge_gateway.forwarding.protocols import (
-    AnswerVerdict,
-    BackendProtocol,
-)
+from baobabhinge_gateway.forwarding.protocols import BackendProtocol
 from baobabhinge_gateway.forwarding.server_limits import (
     ServerLimits,
     UnreadableLimitError,
 )
 
-# Verdicts on answers of the server that ran the call.
-RUN_VERDICTS = frozenset((AnswerVerdict.answered, AnswerVerdict.failed))
-
 log = structlog.get_logger(__name__)
 
 
@@ -23,13 +17,12 @@
     backends: BackendProtocol,
     server: str,
     response: ClientResponse,
-    verdict: AnswerVerdict,
+    *,
+    may_end: bool,
 ) -> None:
     """Record the limit that an answer names, or that it names none.
 
-    An answer to a call that ran ends a limit if it names none. One that
-    declines a call does not, as a server may decline calls before it knows its
-    own need. A limit that can't be read neither begins nor ends one.
+    A limit that can't be read neither begins nor ends one.
 
     Parameters
     ----------
@@ -38,11 +31,12 @@
     backends : BackendProtocol
         Reads the answer.
     server : str
-        Name of the server to which the call was sent.
+        Name of the server that answered.
     response : ClientResponse
         Head of its answer.
-    verdict : AnswerVerdict
-        What the head proves about the run of the call.
+    may_end : bool
+        Whether an answer that names no limit ends one. A server may decline
+        calls, and answer health checks, before it knows its own need.
     """
     try:
         rate = backends.read_limit(response)
@@ -51,6 +45,5 @@
             'server-limit-unreadable', server=server, text=str(unreadable)
         )
         return
-    is_named = rate is not None and verdict is AnswerVerdict.declined
-    if is_named or verdict in RUN_VERDICTS:
+    if may_end or rate is not None:
         limits.record(server, rate)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/protocols.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/protocols.py
@@ -154,5 +154,10 @@
     def list_names(self, region: str) -> Sequence[str]:
         """Return the names of live gateways of ``region``, own included."""
 
-    def list_hop_addresses(self, region: str) -> Sequence[str]:
-        """Return the ``host:port`` of other ready gateways of ``region``."""
+    def list_hop_addresses(
+        self, region: str, name: str | None = None
+    ) -> Sequence[str]:
+        """Return the ``host:port`` of other ready gateways of ``region``.
+
+        With ``name``, only that of the gateway called so.
+        """
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/region_directory.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/region_directory.py
@@ -8,7 +8,7 @@
 from baobabhinge_gateway.forwarding.estimates import ServerEstimate
 from baobabhinge_gateway.forwarding.protocols import GatewayListing
 from baobabhinge_gateway.forwarding.targets import Target
-from baobabhinge_gateway.forwarding.warmup import choose_warm_up_gateway
+from baobabhinge_gateway.forwarding.warmup import choose_sole_sender
 
 
 class RegionDirectory:
@@ -50,10 +50,19 @@
         self.gateways = gateways
         self._may_forward = may_forward
 
-    def is_warm_up_gateway(self, server: BackendServer) -> bool:
-        """Return whether no other gateway may send to a cold ``server``."""
-        names = self.gateways.list_names(self.local_region)
-        return choose_warm_up_gateway(server, names) == self.own_name
+    def is_sole_sender(self, server: BackendServer) -> bool:
+        """Return whether no other gateway may send to a restricted server."""
+        return self._choose_sole_sender(server) == self.own_name
+
+    def find_sole_sender(self, server: BackendServer) -> Target | None:
+        """Return the other gateway that alone may send to ``server``.
+
+        ``None`` if it is this gateway, or takes no forwarded calls.
+        """
+        sender = self._choose_sole_sender(server)
+        region = self.local_region
+        addresses = self.gateways.list_hop_addresses(region, sender)
+        return Target(addresses[0], region) if addresses else None
 
     def create_server_target(self, estimate: ServerEstimate) -> Target:
         """Return a backend server of the local region as a target."""
@@ -93,3 +102,7 @@
             and call.route.allows(region)
             and self.gateways.list_hop_addresses(region)
         ]
+
+    def _choose_sole_sender(self, server: BackendServer) -> str:
+        names = self.gateways.list_names(self.local_region)
+        return choose_sole_sender(server, names)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/restricted_selection.py
@@ -0,0 +1,128 @@
+"""Selection among servers that take few calls: cold ones, limited ones.
+
+Load pattern: all servers of a region have just returned or are in need, and no
+other region can take their calls.
+"""
+
+from collections.abc import Collection, Sequence
+from random import Random
+
+from baobabhinge_gateway.deployment import BackendServer
+from baobabhinge_gateway.forwarding.call import Call
+from baobabhinge_gateway.forwarding.deployment_state import (
+    DeploymentState,
+    list_available,
+)
+from baobabhinge_gateway.forwarding.estimates import ServerEstimate
+from baobabhinge_gateway.forwarding.limit_gate import LimitGate
+from baobabhinge_gateway.forwarding.limit_refusals import build_refusal
+from baobabhinge_gateway.forwarding.placement import Placement
+from baobabhinge_gateway.forwarding.region_directory import RegionDirectory
+from baobabhinge_gateway.forwarding.targets import Target
+
+
+class RestrictedSelector:
+    """Select a server that takes few calls, or the gateway that sends to it.
+
+    Parameters
+    ----------
+    placement : Placement
+        Estimates for the servers.
+    directory : RegionDirectory
+        Names the only gateway that may send to such a server.
+    state : DeploymentState
+        Holds the warm-up limits of cold servers.
+    random : Random
+        Generator that spreads the retries of callers.
+
+    Attributes
+    ----------
+    gate : LimitGate
+        Decides which servers with a limit may get a call.
+    """
+
+    __slots__ = ('_directory', '_placement', '_random', '_state', 'gate')
+
+    def __init__(
+        self,
+        placement: Placement,
+        directory: RegionDirectory,
+        state: DeploymentState,
+        random: Random,
+    ) -> None:
+        """Store the collaborators."""
+        self._placement = placement
+        self._directory = directory
+        self._state = state
+        self._random = random
+        self.gate = LimitGate(state, directory)
+
+    def choose(self, call: Call, tried: Collection[str]) -> Target:
+        """Return a target for a call that no other server can take.
+
+        Parameters
+        ----------
+        call : Call
+            The call.
+        tried : collection of str
+            Servers, gateways and regions that earlier attempts used.
+
+        Raises
+        ------
+        NotServedError
+            If there is none; it is a `ServersLimitedError` if the limits of
+            servers are the reason.
+        """
+        if not call.route.allows(self._directory.local_region):
+            raise build_refusal(call, (), self.gate, self._random)
+        cold = self._choose_cold(call, tried)
+        if cold is not None:
+            self._record_warm_up_call(call, cold)
+            return self._directory.create_server_target(cold)
+        limited = self._list_limited(call.service)
+        return self._forward(call, limited, tried)
+
+    def _choose_cold(
+        self, call: Call, tried: Collection[str]
+    ) -> ServerEstimate | None:
+        region = self._directory.local_region
+        for estimate in self._placement.list_cold(call, region, tried):
+            server = estimate.server
+            if (
+                self._state.warmup.may_send(server.name)
+                and self._directory.is_sole_sender(server)
+                and self.gate.may_send(server)
+            ):
+                return estimate
+        return None
+
+    def _record_warm_up_call(
+        self, call: Call, estimate: ServerEstimate
+    ) -> None:
+        rate = self._state.find_warm_up_rate(call.service)
+        self._state.warmup.record_call(estimate.server.name, rate)
+        self.gate.record_send(estimate.server)
+
+    def _list_limited(self, service: str) -> Sequence[BackendServer]:
+        return [
+            server
+            for server in list_available(self._state, service)
+            if self._state.is_local(server) and self.gate.is_limited(server)
+        ]
+
+    def _forward(
+        self,
+        call: Call,
+        limited: Sequence[BackendServer],
+        tried: Collection[str],
+    ) -> Target:
+        if not call.is_from_gateway:
+            found = map(self._directory.find_sole_sender, limited)
+            targets = [
+                target
+                for target in found
+                if target and target.name not in tried
+            ]
+            if targets:
+                return self._random.choice(targets)
+        raise build_refusal(call, limited, self.gate, self._random)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_limits.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_limits.py
@@ -12,13 +12,22 @@
 
 from baobabhinge_coordination.clock import Clock
 from baobabhinge_gateway.errors import GatewayError
+from baobabhinge_gateway.forwarding.call_pacing import CallPacer
 
 MILLISECOND = timedelta(milliseconds=1)
+# Fraction of a limit that is used. Two gateways that disagree about which one
+# may send stay below one and a half times the limit together.
+RATE_FRACTION = 0.75
+# A server that takes nothing gets a call from time to time, from whose answer
+# the end of its limit is learned.
+MIN_RATE = 0.2
 # An end is told to other gateways until each has received it.
 ENDED_RETENTION = timedelta(seconds=10)
 # A limit that no answer has confirmed for so long is dropped: the server gets
 # no calls at all, and names its limit again if it is still in need.
 LIMIT_RETENTION = timedelta(minutes=1)
+# Above the time in which a heartbeat reaches a gateway of the same region.
+REPETITION_MARGIN = timedelta(seconds=1)
 
 log = structlog.get_logger(__name__)
 
@@ -61,12 +70,18 @@
     ----------
     clock : Clock
         Clock of the statements.
+
+    Attributes
+    ----------
+    pacer : CallPacer
+        Times of the next calls to servers with a limit.
     """
 
-    __slots__ = ('_clock', '_statements')
+    __slots__ = ('_clock', '_statements', 'pacer')
 
     def __init__(self, clock: Clock) -> None:
         """Start without limits."""
+        self.pacer = CallPacer(clock)
         self._clock = clock
         self._statements: dict[str, _Statement] = {}
 
@@ -123,7 +138,13 @@
         if statement.is_expired(self._clock.read_monotonic()):
             return False
         known = self._statements.get(server)
-        return known is None or known.instant < statement.instant
+        if known is None:
+            return True
+        # Ages leave out the time of the message, so that a statement that is
+        # repeated back looks newer than it is.
+        is_repetition = known.rate == statement.rate
+        margin = REPETITION_MARGIN if is_repetition else timedelta()
+        return known.instant + margin < statement.instant
 
     def _replace(self, server: str, statement: _Statement) -> None:
         known = self._statements.get(server)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
@@ -24,6 +24,11 @@
 )
 from baobabhinge_gateway.forwarding.relay import FirstEventCallback
 
+# Verdicts on answers that the server gave to the call itself.
+SERVER_VERDICTS = frozenset(
+    (AnswerVerdict.answered, AnswerVerdict.failed, AnswerVerdict.declined)
+)
+
 
 class ServerSender:
     """Send calls to backend servers.
@@ -97,13 +102,14 @@
         outbound = self._build_request(call, estimate)
         async with open_exchange(self._http, outbound) as response:
             verdict = self._backends.classify_answer(call, response)
-            record_limit(
-                self._state.limits,
-                self._backends,
-                estimate.server.name,
-                response,
-                verdict,
-            )
+            if verdict in SERVER_VERDICTS:
+                record_limit(
+                    self._state.limits,
+                    self._backends,
+                    estimate.server.name,
+                    response,
+                    may_end=verdict is not AnswerVerdict.declined,
+                )
             if verdict is AnswerVerdict.misplaced:
                 name = estimate.server.name
                 self._state.reliability.suspect(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/shedding.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/shedding.py
@@ -49,7 +49,7 @@
     if excess > timedelta():
         raise OverloadError(
             f'the answer would come too late: expected wait {choice.wait}',
-            _compute_retry_after(excess, random),
+            compute_retry_after(excess, random),
         )
 
 
@@ -83,10 +83,19 @@
     if excess > timedelta():
         raise OverloadError(
             f'too many prompts are waiting: {queueing} until this one',
-            _compute_retry_after(excess, random),
+            compute_retry_after(excess, random),
         )
 
 
-def _compute_retry_after(excess: timedelta, random: Random) -> timedelta:
+def compute_retry_after(excess: timedelta, random: Random) -> timedelta:
+    """Return when to retry if capacity is expected after ``excess``.
+
+    Parameters
+    ----------
+    excess : timedelta
+        Time until a call can be served.
+    random : Random
+        Generator that spreads the retries of callers.
+    """
     retry_after = excess * (1 + RETRY_AFTER_JITTER * random.random())
     return min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, retry_after))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/target_selection.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/target_selection.py
@@ -6,7 +6,6 @@
 from baobabhinge_gateway.forwarding.call import Call
 from baobabhinge_gateway.forwarding.deployment_state import DeploymentState
 from baobabhinge_gateway.forwarding.estimates import ServerEstimate
-from baobabhinge_gateway.forwarding.failures import NotServedError
 from baobabhinge_gateway.forwarding.placement import Placement
 from baobabhinge_gateway.forwarding.rankings import Ranking
 from baobabhinge_gateway.forwarding.region_directory import RegionDirectory
@@ -15,8 +14,10 @@
     choose_region,
     find_shortest_wait,
 )
+from baobabhinge_gateway.forwarding.restricted_selection import (
+    RestrictedSelector,
+)
 from baobabhinge_gateway.forwarding.shedding import (
-    NO_SERVER_RETRY_AFTER,
     check_expected_wait,
     check_queueing,
 )
@@ -33,15 +34,21 @@
     directory : RegionDirectory
         Regions to which calls may be forwarded.
     state : DeploymentState
-        Holds the warm-up limits of cold servers, and the requests under which
-        servers ended.
+        Holds the requests under which servers ended.
     ranking : callable
         Order of the servers of the local region.
     random : Random
         Generator that breaks ties and spreads load.
     """
 
-    __slots__ = ('_directory', '_placement', '_random', '_ranking', '_state')
+    __slots__ = (
+        '_directory',
+        '_placement',
+        '_random',
+        '_ranking',
+        '_restricted',
+        '_state',
+    )
 
     def __init__(
         self,
@@ -55,6 +62,9 @@
         self._placement = placement
         self._directory = directory
         self._state = state
+        self._restricted = RestrictedSelector(
+            placement, directory, state, random
+        )
         self._ranking = ranking
         self._random = random
 
@@ -83,11 +93,12 @@
             call.route.objective,
         )
         if choice is None:
-            return self._choose_cold(call, tried)
+            return self._restricted.choose(call, tried)
         # A remote region is expected to rank its servers alike.
         best = self._ranking(estimates[choice.region], self._random)[0]
         self._check_load(call, choice, best)
         if choice.region == local_region:
+            self._restricted.gate.record_send(best.server)
             return self._directory.create_server_target(best)
         return self._directory.create_region_target(
             choice.region,
@@ -102,8 +113,13 @@
         regions = list(self._directory.list_reachable_regions(call, tried))
         if call.route.allows(self._directory.local_region):
             regions.append(self._directory.local_region)
+        may_send = self._restricted.gate.may_send
         return {
-            region: self._placement.list_warm(call, region, tried)
+            region: [
+                estimate
+                for estimate in self._placement.list_warm(call, region, tried)
+                if may_send(estimate.server)
+            ]
             for region in regions
         }
 
@@ -117,32 +133,3 @@
         check_expected_wait(choice, objective, self._random)
         if not call.has_begun:
             check_queueing(best.queueing, objective, self._random)
-
-    def _choose_cold(self, call: Call, tried: Collection[str]) -> Target:
-        local_region = self._directory.local_region
-        if call.route.allows(local_region):
-            for estimate in self._placement.list_cold(
-                call,
-                local_region,
-                tried,
-            ):
-                if self._may_warm_up(estimate):
-                    self._record_warm_up_call(call, estimate)
-                    return self._directory.create_server_target(estimate)
-        raise NotServedError(
-            f'no backend server of {call.service} takes calls now',
-            NO_SERVER_RETRY_AFTER,
-        )
-
-    def _record_warm_up_call(
-        self,
-        call: Call,
-        estimate: ServerEstimate,
-    ) -> None:
-        rate = self._state.find_warm_up_rate(call.service)
-        self._state.warmup.record_call(estimate.server.name, rate)
-
-    def _may_warm_up(self, estimate: ServerEstimate) -> bool:
-        is_responsible = self._directory.is_warm_up_gateway(estimate.server)
-        may_send = self._state.warmup.may_send(estimate.server.name)
-        return may_send and is_responsible
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_decisions.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_decisions.py
@@ -48,7 +48,7 @@
 )
 from baobabhinge_gateway.forwarding.warmup import (
     WarmUpLimiter,
-    choose_warm_up_gateway,
+    choose_sole_sender,
 )
 
 SECOND = timedelta(seconds=1)
@@ -177,9 +177,9 @@
         clock.advance(MILLISECOND)
         for name in names:
             limiter = limiters[name]
-            if choose_warm_up_gateway(
-                SERVER, names
-            ) == name and limiter.may_send('one'):
+            if choose_sole_sender(SERVER, names) == name and limiter.may_send(
+                'one'
+            ):
                 limiter.record_call('one', 1.9)
                 sent += 1
     assert 1 <= sent <= 1.9 * 1.5 + 3
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/warmup.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/warmup.py
@@ -11,12 +11,12 @@
 
 from baobabhinge_coordination.clock import Clock
 from baobabhinge_gateway.deployment import BackendServer
+from baobabhinge_gateway.forwarding.call_pacing import CallPacer
 
 # Fraction of the warm-up rate of a server that is used. Servers take 1.5 times
 # their rate plus three calls a second, so two gateways that disagree about
 # which one may send stay below that together.
 RATE_FRACTION = 1.0
-SECOND = timedelta(seconds=1)
 
 
 class WarmUpLimiter:
@@ -28,13 +28,13 @@
         Clock of the limits.
     """
 
-    __slots__ = ('_clock', '_cold_until', '_next_call')
+    __slots__ = ('_clock', '_cold_until', '_pacer')
 
     def __init__(self, clock: Clock) -> None:
         """Start without cold servers."""
         self._clock = clock
         self._cold_until: dict[str, timedelta] = {}
-        self._next_call: dict[str, timedelta] = {}
+        self._pacer = CallPacer(clock)
 
     def record_cold(self, server: str, cold_for: timedelta) -> None:
         """Record that ``server`` stays cold for ``cold_for``.
@@ -57,8 +57,7 @@
 
     def may_send(self, server: str) -> bool:
         """Return whether the limit allows a call to a cold ``server`` now."""
-        now = self._clock.read_monotonic()
-        return now >= self._next_call.get(server, timedelta())
+        return not self._pacer.compute_pause(server)
 
     def record_call(self, server: str, rate: float) -> None:
         """Record a call to a cold server, which delays the next one.
@@ -70,20 +69,19 @@
         rate : float
             Calls per second that it takes while it is cold.
         """
-        interval = SECOND / (rate * RATE_FRACTION)
-        self._next_call[server] = self._clock.read_monotonic() + interval
+        self._pacer.record_call(server, rate * RATE_FRACTION)
 
 
-def choose_warm_up_gateway(
+def choose_sole_sender(
     server: BackendServer,
     gateways: Sequence[str],
 ) -> str:
-    """Return the only gateway that may send calls to a cold ``server``.
+    """Return the only gateway that may send calls to a restricted ``server``.
 
     Parameters
     ----------
     server : BackendServer
-        A cold server.
+        A server that is cold or names a limit.
     gateways : sequence of str
         Names of the live gateways of its region.
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
@@ -6,6 +6,7 @@
 
 from baobabhinge_coordination.suspects import PartReport, SuspectReport
 from baobabhinge_gateway.forwarding.prefixes import CachedPrefix
+from baobabhinge_gateway.forwarding.server_limits import LimitReport
 from baobabhinge_gateway.forwarding.server_load import ServerLoad
 from baobabhinge_gateway.forwarding.snapshot import StoreRevisions
 
@@ -44,6 +45,8 @@
         Requests under which servers ended.
     parts : sequence of PartReport
         Parts of prompts that were present when servers ended.
+    limits : sequence of LimitReport
+        Limits that servers of its region name; told only in that region.
     """
 
     name: str
@@ -61,3 +64,4 @@
     shut: Sequence[str] = ()
     crashes: Sequence[SuspectReport] = ()
     parts: Sequence[PartReport] = ()
+    limits: Sequence[LimitReport] = ()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/table.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/table.py
@@ -117,12 +117,22 @@
             names.append(self.own.name)
         return sorted(names)
 
-    def list_hop_addresses(self, region: str) -> Sequence[str]:
-        """Return the hop addresses of other ready gateways of ``region``."""
+    def list_hop_addresses(
+        self, region: str, name: str | None = None
+    ) -> Sequence[str]:
+        """Return the hop addresses of other ready gateways of ``region``.
+
+        Parameters
+        ----------
+        region : str
+            Region of the gateways.
+        name : str, optional
+            Name of the only gateway that is wanted.
+        """
         return [
             heartbeat.hop_address
             for heartbeat in self.list_live(region)
-            if heartbeat.is_ready
+            if heartbeat.is_ready and name in {None, heartbeat.name}
         ]
 
     def list_caller_addresses(self, region: str) -> Sequence[str]:
