Survive answers of the store that break off without a length

An answer may come with neither a length nor chunks and end with its connection. If that of a new lease was cut, its JSON could not be read, and the service that registers the gateway crashed; the others of its region never heard of it, so that it was not listed within 10 s after the store had recovered.

Rows for answers that end with their connections: plain answers and streams, local and forwarded to another region, whole, reset and cut within an event (10), and answers of the store (2). The other rows guard what was right.

--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/server.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/server.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import enum
-import socket
-import struct
 from http import HTTPStatus
 
 import msgspec
@@ -11,6 +9,7 @@
 
 from baobabhinge_standins.host.crashes import ServerCrash
 from baobabhinge_standins.host.notices import ServerNotice
+from baobabhinge_standins.host.unframed import reset_connection, send_unframed
 
 EVENTS = 4
 EVENT_PAUSE_SECONDS = 0.02
@@ -30,10 +29,21 @@
     loses_answer = 'loses answer'
     answers_other = 'answers another request'
     resets_unframed = 'resets an answer without a length'
+    closes_unframed = 'ends a whole answer with its connection'
+    closes_within_event = 'ends a stream within an event'
     breaks_stream = 'breaks a stream within an event'
     hangs = 'hangs'
 
 
+UNFRAMED_FAULTS = frozenset(
+    (
+        ServerFault.resets_unframed,
+        ServerFault.closes_unframed,
+        ServerFault.closes_within_event,
+    )
+)
+
+
 class Arrival(msgspec.Struct):
     """One request that reached the server.
 
@@ -154,9 +164,14 @@
         if self.fault is ServerFault.hangs:
             await asyncio.sleep(EVENTS)
         if self.fault is ServerFault.loses_answer:
-            _abort(request)
-        if self.fault is ServerFault.resets_unframed:
-            await _reset_unframed(request, sealed)
+            reset_connection(request)
+        if self.fault in UNFRAMED_FAULTS:
+            await send_unframed(
+                request,
+                sealed,
+                _compose_unframed(request.path, self.fault),
+                is_reset=self.fault is ServerFault.resets_unframed,
+            )
         self.crash.check_prompt(request.headers.get(PROMPT, ''))
         if 'stream' in request.path:
             return await self._stream(request, arrival, sealed)
@@ -175,41 +190,29 @@
         first = int(request.headers.get(LAST_EVENT, 0)) + 1
         for number in range(first, EVENTS + 1):
             await asyncio.sleep(EVENT_PAUSE_SECONDS)
-            event = f'id: {number}\ndata: piece {number}\n\n'.encode()
+            event = compose_event(number)
             if (
                 self.fault is ServerFault.breaks_stream
                 and number > BREAKS_AFTER
             ):
                 await response.write(event[:7])
                 await asyncio.sleep(EVENT_PAUSE_SECONDS)
-                _abort(request)
+                reset_connection(request)
             await response.write(event)
         return response
 
 
-# Closing with this option sends a reset in place of a regular end.
-RESET_ON_CLOSE = struct.pack('ii', 1, 0)
-
-
-def _abort(request: web.Request) -> None:
-    if request.transport is not None:
-        opened = request.transport.get_extra_info('socket')
-        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        request.transport.abort()
-    raise ConnectionResetError
+def compose_event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return f'id: {number}\ndata: piece {number}\n\n'.encode()
 
 
-async def _reset_unframed(
-    request: web.Request,
-    sealed: dict[str, str],
-) -> None:
-    transport = request.transport
-    lines = [f'{name}: {text}' for name, text in sealed.items()]
-    head = '\r\n'.join(('HTTP/1.1 200 OK', *lines, 'Connection: close'))
-    if transport is not None and isinstance(transport, asyncio.Transport):
-        transport.write(f'{head}\r\n\r\npart'.encode())
-        await asyncio.sleep(EVENT_PAUSE_SECONDS)
-    _abort(request)
+def _compose_unframed(path: str, fault: ServerFault) -> bytes:
+    if 'stream' not in path:
+        return b'unframed'
+    events = b''.join(map(compose_event, range(1, EVENTS + 1)))
+    is_cut = fault is ServerFault.closes_within_event
+    return events[:-1] if is_cut else events
 
 
 def list_runs(server: HostServer) -> list[Arrival]:
