Tell other gateways at once which of several suspected parts is sound

Requests that shared three parts ended servers. An answer after repeated crashes is now sent at once, as crashes are. Answers in which a server reports a failure don't speak for a part any more: they may come before it began to write.

--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/part_index.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/part_index.py
@@ -5,7 +5,10 @@
 
 from baobabhinge_coordination.suspects.histories import DatedCrash
 from baobabhinge_coordination.suspects.part_histories import DatedAnswer
-from baobabhinge_coordination.suspects.part_retention import is_outweighed
+from baobabhinge_coordination.suspects.part_retention import (
+    is_outweighed,
+    is_repeated,
+)
 from baobabhinge_coordination.suspects.part_table import PartTable
 from baobabhinge_coordination.suspects.part_verdicts import (
     PartVerdicts,
@@ -74,7 +77,7 @@
         history.add_crash(crash)
         self._table.record_change(part, is_own=True)
 
-    def record_answer(self, parts: Iterable[str], run: str) -> None:
+    def record_answer(self, parts: Iterable[str], run: str) -> bool:
         """Record that a server has stood a run of a request.
 
         Parameters
@@ -83,14 +86,22 @@
             Fingerprints of the parts of the request.
         run : str
             Identity of the run.
+
+        Returns
+        -------
+        bool
+            Whether it may change the verdict on a part.
         """
         now = self._table.clock.read_monotonic()
+        is_news = False
         for part in parts:
             history = self._table.histories.get(part)
             if history is None or is_outweighed(history):
                 continue
             if history.add_answer(DatedAnswer(run, now)):
                 self._table.record_change(part, is_own=True)
+                is_news = is_news or is_repeated(history)
+        return is_news
 
     def compute_pause(self, parts: Collection[str]) -> timedelta:
         """Return for how long a request is refused, 0 if it is not.
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/part_retention.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/part_retention.py
@@ -16,8 +16,8 @@
 
 def find_expiry(history: PartHistory) -> timedelta:
     """Return the instant until which a part is remembered."""
-    is_repeated = len(history.crashes) >= REFUSING_CRASHES
-    retention = CULPRIT_RETENTION if is_repeated else SUSPECT_RETENTION
+    is_refusable = len(history.crashes) >= REFUSING_CRASHES
+    retention = CULPRIT_RETENTION if is_refusable else SUSPECT_RETENTION
     return history.crashes[-1].instant + retention
 
 
@@ -32,10 +32,14 @@
     return history.count_answers(latest) > limit
 
 
+def is_repeated(history: PartHistory) -> bool:
+    """Return whether servers ended with a part more than once."""
+    return len(history.crashes) >= CONFINING_CRASHES
+
+
 def is_lasting(history: PartHistory) -> bool:
     """Return whether a part is reported to peers until it expires."""
-    is_repeated = len(history.crashes) >= CONFINING_CRASHES
-    return is_repeated and not is_outweighed(history)
+    return is_repeated(history) and not is_outweighed(history)
 
 
 def rank_retention(history: PartHistory) -> tuple[int, timedelta]:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/crash_tracking.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/crash_tracking.py
@@ -51,8 +51,8 @@
     reporter : SuspectReporter
         Reports to and from other gateways.
     has_news : asyncio.Event
-        Set when other gateways are to be told of a crash, or of a run after
-        repeated crashes, at once.
+        Set when other gateways are to be told of a crash, or of a run or an
+        answer after repeated crashes, at once.
     """
 
     __slots__ = (
@@ -85,7 +85,7 @@
             If it may not be run now; it says when it may.
         """
         self.parts.check(call)
-        if not self._is_tracked(call):
+        if not _is_tracked(call, self._local_region, self._index):
             return
         pause = self._index.compute_pause(fingerprint_call(call))
         if pause > timedelta():
@@ -95,7 +95,7 @@
 
     def record_run(self, call: Call) -> None:
         """Record that ``call`` is sent to a server."""
-        if not self._is_tracked(call):
+        if not _is_tracked(call, self._local_region, self._index):
             return
         fingerprint = fingerprint_call(call)
         self._index.record_run(fingerprint)
@@ -104,14 +104,13 @@
 
     def record_answer(self, call: Call) -> None:
         """Record that a server answered ``call``, and did not end under it."""
-        self.parts.record_answer(call)
-        if self._is_tracked(call):
+        if _is_tracked(call, self._local_region, self._index):
             self._index.record_answer(fingerprint_call(call))
 
     def record_progress(self, call: Call) -> None:
         """Record that a server goes on with the answer to ``call``."""
         if not is_beginning(call, self._clock):
-            self.parts.record_answer(call)
+            self.record_stood_run(call)
 
     def record_end(self, server: str) -> None:
         """Count the end of ``server`` against the requests lost with it."""
@@ -129,6 +128,11 @@
         self.parts.record_crash(DatedCrash(server, lost.since), lost.parts)
         self.has_news.set()
 
-    def _is_tracked(self, call: Call) -> bool:
-        is_local = call.route.allows(self._local_region)
-        return is_local and not self._index.is_empty
+    def record_stood_run(self, call: Call) -> None:
+        """Record that a server stood a run of ``call``, whatever its prompt."""
+        if self.parts.record_answer(call):
+            self.has_news.set()
+
+
+def _is_tracked(call: Call, region: str, index: SuspectIndex) -> bool:
+    return call.route.allows(region) and not index.is_empty
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/part_tracking.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/part_tracking.py
@@ -101,11 +101,18 @@
             ),
         )
 
-    def record_answer(self, call: Call) -> None:
-        """Record that a server stood a run of ``call``."""
+    def record_answer(self, call: Call) -> bool:
+        """Record that a server stood a run of ``call``.
+
+        Returns
+        -------
+        bool
+            Whether other gateways are to be told at once.
+        """
         parts = self._list_parts(call)
-        if parts:
-            self._index.record_answer(parts, fingerprint_attempt(call))
+        if not parts:
+            return False
+        return self._index.record_answer(parts, fingerprint_attempt(call))
 
     def record_crash(
         self, crash: DatedCrash, parts: Mapping[str, tuple[str, ...]]
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
@@ -90,6 +90,8 @@
             server.name, has_failed=failed is not None
         )
         self._state.crashes.record_answer(call)
+        if failed is None:
+            self._state.crashes.record_stood_run(call)
         return failed
 
     async def _exchange(
