Let suspected parts expire although another part is refused

The next expiry was computed for the parts known at the time. A part that became a suspect while another was refused for 30 minutes stayed one for as long, in place of 5 minutes. test_a_suspected_part_expires_before_a_refused_one failed before (1 of 1) and holds now.

--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/part_table.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/part_table.py
@@ -62,6 +62,8 @@
             return known
         if len(self.histories) >= MAX_PARTS:
             self._drop(min(self.histories, key=self._rank))
+        # It may expire before all others.
+        self._next_expiry = self.clock.read_monotonic()
         self.histories[fingerprint] = PartHistory(regions)
         return self.histories[fingerprint]
 
