List the servers of a region only for calls with a suspected part

Each estimate listed all servers of its region once more, for a choice that only calls with a confined part need. No behaviour changes; the tests of forwarding hold.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/part_tracking.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/part_tracking.py
@@ -4,7 +4,7 @@
 each server that begins to answer one of them ends.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
 
 import structlog
@@ -76,7 +76,7 @@
             )
 
     def choose_only_server(
-        self, call: Call, servers: Sequence[BackendServer]
+        self, call: Call, list_servers: Callable[[], Sequence[BackendServer]]
     ) -> str | None:
         """Return the server that alone may run a call, ``None`` for any.
 
@@ -87,18 +87,19 @@
         ----------
         call : Call
             The call.
-        servers : sequence of BackendServer
-            All listed servers of the service in one region.
+        list_servers : callable
+            Returns all listed servers of the service in one region.
         """
         parts = self._list_parts(call)
         part = self._index.find_confined(parts) if parts else None
-        if part is None or not servers:
+        if part is None:
             return None
         return max(
-            (server.name for server in servers),
+            (server.name for server in list_servers()),
             key=lambda name: xxhash.xxh3_64_intdigest(
                 f'{part}/{name}'.encode()
             ),
+            default=None,
         )
 
     def record_answer(self, call: Call) -> bool:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/placement.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/placement.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Collection, Sequence
+from functools import partial
 
 from baobabhinge_gateway.deployment import BackendServer
 from baobabhinge_gateway.forwarding.call import Call
@@ -100,7 +101,7 @@
             and server.name not in tried
         ]
         only = state.crashes.parts.choose_only_server(
-            call, self._list_listed(call.service, region)
+            call, partial(self._list_listed, call.service, region)
         )
         return [one for one in candidates if only in {None, one.name}]
 
