Report only parts that may be refused until they expire

All gateways repeated each part with two crashes for 5 minutes with every heartbeat, which each of the others compares. A third crash is reported with the two before it, so that a gateway which starts in between misses nothing that is needed to refuse the part. test_part_index.py and test_crashing_parts.py hold.

--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/part_retention.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/part_retention.py
@@ -39,7 +39,8 @@
 
 def is_lasting(history: PartHistory) -> bool:
     """Return whether a part is reported to peers until it expires."""
-    return is_repeated(history) and not is_outweighed(history)
+    is_refusable = len(history.crashes) >= REFUSING_CRASHES
+    return is_refusable and not is_outweighed(history)
 
 
 def rank_retention(history: PartHistory) -> tuple[int, timedelta]:
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/part_table.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/part_table.py
@@ -70,9 +70,10 @@
     def record_change(self, fingerprint: str, *, is_own: bool) -> None:
         """Record new evidence on a part, and report it to peers.
 
-        Evidence of this member is reported for `REPORT_DURATION`. A part with
-        repeated crashes is reported by all members until it expires or answers
-        outweigh them, so that a peer that restarts learns of it.
+        Evidence of this member is reported for `REPORT_DURATION`, with all that
+        is known of the part. A part with enough crashes to be refused is
+        reported by all members until it expires or answers outweigh them, so
+        that a peer that restarts learns of it.
 
         Parameters
         ----------
