--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/tests/test_part_index.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/tests/test_part_index.py
@@ -173,7 +173,10 @@
 
 def test_a_suspected_part_expires_before_a_refused_one():
     member = create_member()
-    play(member, '1:a', '2:a', '3:a', '4:b')
+    play(member, '1:a', '2:a', '3:a')
+    member.clock.advance(HOUR / 10)
+    assert member.is_refused('a')
+    play(member, '4:b')
     member.clock.advance(HOUR / 6)
     assert member.is_refused('a')
     assert list(member.table.histories) == ['a']
