Tell how large heartbeats are and how late a configuration is applied

Metrics tell bytes sent by kind, the length of the latest datagram, datagrams that were not sent, the delay of the event loop, and for how long another gateway has had newer operators' state.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
@@ -161,6 +161,7 @@
         """Apply what another gateway reports of servers and requests."""
         if heartbeat.marks.is_ahead_of(self.updater.revisions):
             self.updater.is_behind.set()
+            self.updater.lag.begin(heartbeat.marks, self.updater.revisions)
         self.state.loads.record(heartbeat.name, heartbeat.loads)
         if heartbeat.region != self.settings.own.region:
             self.state.remote_regions.record(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
@@ -21,7 +21,7 @@
     CallerProtocol,
 )
 from baobabhinge_gateway.forwarding.snapshot_fetcher import SnapshotFetcher
-from baobabhinge_gateway.neighbours import HeartbeatService
+from baobabhinge_gateway.neighbours import HeartbeatService, PeerMetrics
 
 CHECK_INTERVAL = timedelta(milliseconds=50)
 # Fraction of the grace period in which new calls are accepted: after 2.4 s of
@@ -63,6 +63,10 @@
             core.gateways,
             core.compose_heartbeat,
             core.apply_heartbeat,
+            PeerMetrics(
+                core.ingress.metrics.registry, core.updater.lag.compute
+            ),
+            core.ingress.clock,
         )
 
     async def on_start(self) -> None:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/metrics.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/metrics.py
@@ -23,31 +23,33 @@
     ----------
     open_calls : int
         Calls without a final answer.
+    registry : CollectorRegistry
+        Registry of all metrics of the process.
     """
 
-    __slots__ = ('_ended', '_latency', '_open', '_registry', 'open_calls')
+    __slots__ = ('_ended', '_latency', '_open', 'open_calls', 'registry')
 
     def __init__(self) -> None:
         """Create a registry of its own, with all counts at zero."""
         self.open_calls = 0
-        self._registry = CollectorRegistry()
+        self.registry = CollectorRegistry()
         self._ended = Counter(
             'baobabhinge_calls_ended',
             'Calls by outcome',
             ('outcome',),
-            registry=self._registry,
+            registry=self.registry,
         )
         self._latency = Histogram(
             'baobabhinge_call_seconds',
             'Time from arrival to the end of the answer',
             ('outcome',),
             buckets=LATENCY_BUCKETS,
-            registry=self._registry,
+            registry=self.registry,
         )
         self._open = Gauge(
             'baobabhinge_calls_open',
             'Calls without a final answer',
-            registry=self._registry,
+            registry=self.registry,
         )
 
     @contextmanager
@@ -67,4 +69,4 @@
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         self._open.set(self.open_calls)
-        return generate_latest(self._registry)
+        return generate_latest(self.registry)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_updater.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_updater.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from datetime import timedelta
 
 import msgspec
 import structlog
@@ -10,6 +11,10 @@
 from baobabhinge_gateway.deployment.servers import list_missing
 from baobabhinge_gateway.forwarding.deployment_state import DeploymentState
 from baobabhinge_gateway.forwarding.snapshot import Snapshot, StoreRevisions
+from baobabhinge_gateway.forwarding.state_lag import StateLag
+
+MILLISECOND = timedelta(milliseconds=1)
+STORE = 'store'
 
 log = structlog.get_logger(__name__)
 
@@ -30,11 +35,19 @@
         Whether the latest request to the store was answered; set by its client.
     is_behind : asyncio.Event
         Set when another gateway reports a newer revision of the store.
+    lag : StateLag
+        Time since another gateway reported a newer configuration or evacuation.
     revisions : StoreRevisions
         Newest revisions of the store that were applied.
     """
 
-    __slots__ = ('_state', 'is_behind', 'is_store_reachable', 'revisions')
+    __slots__ = (
+        '_state',
+        'is_behind',
+        'is_store_reachable',
+        'lag',
+        'revisions',
+    )
 
     def __init__(self, state: DeploymentState) -> None:
         """Start at revision 0, with the store assumed to be reachable."""
@@ -42,6 +55,7 @@
         self.is_store_reachable = True
         self.is_behind = asyncio.Event()
         self.revisions = StoreRevisions()
+        self.lag = StateLag(state.clock)
 
     def evacuate(self, domains: frozenset[str], store_revision: int) -> None:
         """Evacuate these failure domains, and no others.
@@ -59,6 +73,8 @@
         """
         if store_revision < self.revisions.operators:
             return
+        if store_revision > self.revisions.operators:
+            self.lag.end()
         self.revisions = StoreRevisions(store_revision, self.revisions.servers)
         restored = self._state.configuration.evacuated - domains
         self._state.configuration.evacuate(domains)
@@ -67,9 +83,23 @@
             if is_restored and self._state.is_local(server):
                 self._state.reliability.suspect(server.name, 'evacuation ended')
 
-    def adopt(self, revision: Revision) -> None:
-        """Put a configuration in force unless a newer one is."""
-        self._state.configuration.adopt(revision)
+    def adopt(self, revision: Revision, source: str = STORE) -> None:
+        """Put a configuration in force unless a newer one is.
+
+        Parameters
+        ----------
+        revision : Revision
+            The configuration.
+        source : str, optional
+            Where it was read, for the log.
+        """
+        if self._state.configuration.adopt(revision):
+            log.info(
+                'configuration-applied',
+                version=revision.version,
+                source=source,
+                behind_ms=self.lag.compute() // MILLISECOND,
+            )
 
     def replace_servers(
         self, servers: Iterable[BackendServer], store_revision: int
@@ -150,7 +180,7 @@
     before = updater.revisions
     if snapshot.marks.operators > before.operators:
         if snapshot.revision is not None:
-            updater.adopt(snapshot.revision)
+            updater.adopt(snapshot.revision, 'another gateway')
         updater.evacuate(
             frozenset(snapshot.evacuated), snapshot.marks.operators
         )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/__init__.py
@@ -1,6 +1,7 @@
 """Heartbeats between gateways, which carry their state and loads."""
 
 from baobabhinge_gateway.neighbours.messages import Heartbeat as Heartbeat
+from baobabhinge_gateway.neighbours.metrics import PeerMetrics as PeerMetrics
 from baobabhinge_gateway.neighbours.service import (
     HeartbeatService as HeartbeatService,
 )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/service.py
@@ -8,7 +8,9 @@
 import structlog
 from mode import Service
 
+from baobabhinge_coordination.clock import Clock
 from baobabhinge_gateway.neighbours.messages import Heartbeat
+from baobabhinge_gateway.neighbours.metrics import PeerMetrics
 from baobabhinge_gateway.neighbours.table import (
     GatewayContact,
     GatewayTable,
@@ -36,14 +38,20 @@
         Records the heartbeats.
     on_heartbeat : callable
         Called with each heartbeat that the table did not know.
+    metrics : PeerMetrics
+        Counts datagrams that are not sent.
     """
 
     def __init__(
-        self, table: GatewayTable, on_heartbeat: HeartbeatHandler
+        self,
+        table: GatewayTable,
+        on_heartbeat: HeartbeatHandler,
+        metrics: PeerMetrics,
     ) -> None:
         """Store the collaborators."""
         self._table = table
         self._on_heartbeat = on_heartbeat
+        self._metrics = metrics
 
     def datagram_received(self, datagram: bytes, source: object) -> None:
         """Record one heartbeat; one that can't be decoded is dropped."""
@@ -57,7 +65,8 @@
 
     def error_received(self, failure: Exception) -> None:
         """Log that a datagram could not be sent."""
-        log.debug('heartbeat-not-sent', reason=repr(failure))
+        self._metrics.record_unsent()
+        log.warning('heartbeat-not-sent', reason=repr(failure))
 
 
 class HeartbeatService(Service):
@@ -71,6 +80,10 @@
         Returns the heartbeat with a sequence number for a region.
     on_heartbeat : callable
         Called with each heartbeat that the table did not know.
+    metrics : PeerMetrics
+        Records sizes and delays.
+    clock : Clock
+        Clock of the delays.
     """
 
     def __init__(
@@ -78,12 +91,16 @@
         table: GatewayTable,
         compose: HeartbeatComposer,
         on_heartbeat: HeartbeatHandler,
+        metrics: PeerMetrics,
+        clock: Clock,
     ) -> None:
         """Start without a socket; `on_start` opens it."""
         super().__init__()
         self._table = table
         self._compose = compose
-        self._receiver = HeartbeatReceiver(table, on_heartbeat)
+        self._metrics = metrics
+        self._clock = clock
+        self._receiver = HeartbeatReceiver(table, on_heartbeat, metrics)
         self._sequence = 0
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -118,6 +135,7 @@
     def _send(self, region: str, contacts: Sequence[GatewayContact]) -> None:
         heartbeat = self._compose(self._sequence, region)
         datagram = msgspec.msgpack.encode(heartbeat)
+        self._metrics.record_sent('heartbeat', len(datagram), len(contacts))
         for contact in contacts:
             if self._transport is not None:
                 self._transport.sendto(datagram, (contact.host, contact.port))
@@ -125,4 +143,7 @@
     async def _send_forever(self) -> None:
         while not self.should_stop:
             self.send_heartbeats()
+            due = self._clock.read_monotonic() + HEARTBEAT_INTERVAL
             await self.sleep(HEARTBEAT_INTERVAL.total_seconds())
+            delay = self._clock.read_monotonic() - due
+            self._metrics.record_loop_delay(max(timedelta(), delay))
