Send crash reports apart from heartbeats, within a bound on their bytes

Cause, as reproduced: reports on crashing requests and parts of prompts rode on the heartbeats by which gateways learn of a newer configuration. Their number was bounded, their bytes were not, and each observation of a repeated crash sent a whole heartbeat to all gateways at once. With full evidence and 20 observations a second, one of 83 gateways sent 16.7 MB a second over a link that bears 1.25 MB. Names of prompt parts, which callers choose, made heartbeats of 83 to 1,120 kB, of which none above 65,507 bytes is sent. The way back-up, a stale read each 5 s, was later than the bound of 4 s by itself.

Why this works: reports are datagrams of one packet within 62,500 bytes a second for all gateways together (a twentieth of a link of 10 Mbit/s, at any number of gateways), half of it kept for news, and the gateways take turns where it ends. A heartbeat is one packet whatever prompts hold. A gateway that hears no watcher for 1 s, or can't fetch what it was told of 1 s ago, reads the store itself, not from an old copy, each second. Operators' state is fetched ahead of the list of servers.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
@@ -1,26 +1,21 @@
 """State and decisions of one gateway process, without its listeners."""
 
 from collections.abc import Sequence
-from random import Random, SystemRandom
 
 from baobabhinge_coordination.clock import BootClock
 from baobabhinge_gateway.forwarding.deployment_state import (
     create_deployment_state,
     list_unavailable,
 )
-from baobabhinge_gateway.forwarding.ingress_context import IngressContext
-from baobabhinge_gateway.forwarding.metrics import CallMetrics
+from baobabhinge_gateway.forwarding.ingress_context import (
+    build_ingress_context,
+)
 from baobabhinge_gateway.forwarding.retry_budget import SharedRetryBudget
 from baobabhinge_gateway.forwarding.settings import ForwardingSettings
-from baobabhinge_gateway.forwarding.startup import StartupGate
 from baobabhinge_gateway.forwarding.state_updater import StateUpdater
-from baobabhinge_gateway.lifecycle import Lifecycle
+from baobabhinge_gateway.forwarding.watchers import list_watchers
 from baobabhinge_gateway.neighbours import GatewayTable, Heartbeat
 
-# One of them may be lost while another one drains. The other gateways of the
-# region receive changes from them within some 10 ms.
-WATCHERS_PER_REGION = 3
-
 
 class GatewayCore:
     """State of one gateway process, and the decisions taken on it.
@@ -67,14 +62,7 @@
             settings.regions,
         )
         self.updater = StateUpdater(self.state)
-        self.ingress = IngressContext(
-            clock,
-            self.state.configuration,
-            Random(SystemRandom().getrandbits(64)),
-            Lifecycle(clock),
-            CallMetrics(),
-            StartupGate(clock, self.state),
-        )
+        self.ingress = build_ingress_context(clock, self.state)
 
     def is_ready(self) -> bool:
         """Return whether callers may use this gateway."""
@@ -121,7 +109,6 @@
             Region of the receiving gateways.
         """
         own = self.settings.own
-        crashes = self.state.crashes
         limits = self.state.limits.export()
         self.budget.gateway_count = 1 + len(self.gateways.list_live())
         return Heartbeat(
@@ -138,8 +125,6 @@
             readings=self.state.announcements.drain(region),
             hears_store=self.updater.is_store_reachable,
             shut=list_unavailable(self.state),
-            crashes=crashes.reporter.export(region),
-            parts=crashes.parts.reporter.export(region),
             # Only gateways of this region send to its servers.
             limits=limits if region == own.region else (),
         )
@@ -150,12 +135,7 @@
         It is, if its name is among the first `WATCHERS_PER_REGION` names of the
         gateways of the region that reach the store.
         """
-        own = self.settings.own
-        live = self.gateways.list_live(own.region)
-        candidates = [
-            heartbeat.name for heartbeat in live if heartbeat.hears_store
-        ]
-        return own.name in sorted([*candidates, own.name])[:WATCHERS_PER_REGION]
+        return self.settings.own.name in list_watchers(self.gateways)
 
     def apply_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Apply what another gateway reports of servers and requests."""
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
@@ -12,6 +12,9 @@
 from baobabhinge_gateway.forwarding.health_assembly import (
     build_health_checker,
 )
+from baobabhinge_gateway.forwarding.heartbeat_assembly import (
+    build_heartbeat_service,
+)
 from baobabhinge_gateway.forwarding.listeners import (
     build_caller_listener,
     build_hop_listener,
@@ -21,9 +24,9 @@
     CallerProtocol,
 )
 from baobabhinge_gateway.forwarding.snapshot_fetcher import SnapshotFetcher
-from baobabhinge_gateway.neighbours import HeartbeatService, PeerMetrics
 
 CHECK_INTERVAL = timedelta(milliseconds=50)
+REPORT_PAUSE = timedelta(milliseconds=10)
 # Fraction of the grace period in which new calls are accepted: after 2.4 s of
 # 8 s most callers have resolved gateways again, as answers of the directory
 # expire after 2 s. A stream that began later might not end in the grace period.
@@ -59,15 +62,7 @@
         self._core = core
         self._callers = callers
         self._backends = backends
-        self._heartbeats = HeartbeatService(
-            core.gateways,
-            core.compose_heartbeat,
-            core.apply_heartbeat,
-            PeerMetrics(
-                core.ingress.metrics.registry, core.updater.lag.compute
-            ),
-            core.ingress.clock,
-        )
+        self._heartbeats = build_heartbeat_service(core)
 
     async def on_start(self) -> None:
         """Start all child services; the listener for callers is last."""
@@ -120,4 +115,6 @@
         while not self.should_stop:
             await has_news.wait()
             has_news.clear()
-            self._heartbeats.send_heartbeats(is_urgent=True)
+            self._heartbeats.send_reports(is_urgent=True)
+            # What becomes known meanwhile is told together.
+            await self.sleep(REPORT_PAUSE.total_seconds())
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress_context.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress_context.py
@@ -1,7 +1,7 @@
 """Dependencies that all incoming calls share."""
 
 from datetime import timedelta
-from random import Random
+from random import Random, SystemRandom
 
 import msgspec
 import structlog
@@ -9,6 +9,7 @@
 from baobabhinge_coordination.clock import Clock
 from baobabhinge_gateway.deployment import DeploymentConfiguration
 from baobabhinge_gateway.forwarding.call import Call
+from baobabhinge_gateway.forwarding.deployment_state import DeploymentState
 from baobabhinge_gateway.forwarding.metrics import CallMetrics
 from baobabhinge_gateway.forwarding.startup import StartupGate
 from baobabhinge_gateway.lifecycle import Lifecycle
@@ -78,6 +79,20 @@
         )
 
 
+def build_ingress_context(
+    clock: Clock, state: DeploymentState
+) -> IngressContext:
+    """Return the dependencies of the calls of a process that starts."""
+    return IngressContext(
+        clock,
+        state.configuration,
+        Random(SystemRandom().getrandbits(64)),
+        Lifecycle(clock),
+        CallMetrics(),
+        StartupGate(clock, state),
+    )
+
+
 def _measure_first_event_ms(call: Call | None) -> int | None:
     if call is None or call.first_event is None:
         return None
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/prefixes.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/prefixes.py
@@ -14,6 +14,7 @@
 from baobabhinge_coordination.clock import Clock
 from baobabhinge_gateway.deployment import BackendServer, Route
 from baobabhinge_gateway.forwarding.call import Demand
+from baobabhinge_gateway.forwarding.fitting import select_fitting
 
 # Engines evict the least recently used parts; a part without a request for
 # this long is assumed to be evicted.
@@ -25,6 +26,7 @@
 MIN_REMOTE_TOKENS = 1000
 # Entries in one heartbeat; together with the loads they fit into one packet.
 MAX_ENTRIES_PER_HEARTBEAT = 16
+MAX_BYTES_PER_HEARTBEAT = 640
 
 
 class CachedPrefix(msgspec.Struct, array_like=True, frozen=True):
@@ -149,11 +151,15 @@
                 pending.append(prefix)
 
     def drain(self, region: str) -> Sequence[CachedPrefix]:
-        """Return and remove the prefixes pending for ``region``."""
+        """Return and remove the prefixes pending for ``region``.
+
+        The latest ones that fit into `MAX_BYTES_PER_HEARTBEAT` are returned, as
+        callers choose the number of parts and their names.
+        """
         pending = self._pending.get(region, deque())
-        prefixes = tuple(pending)
+        latest = select_fitting(reversed(pending), MAX_BYTES_PER_HEARTBEAT)
         pending.clear()
-        return prefixes
+        return tuple(reversed(latest))
 
 
 def choose_prefix_engine(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot.py
@@ -7,6 +7,9 @@
 
 from baobabhinge_gateway.deployment import BackendServer, Revision
 
+# Above all revisions of the store: asks a gateway to leave out that part.
+UNWANTED = (1 << 63) - 1
+
 
 class StoreRevisions(msgspec.Struct, array_like=True, frozen=True):
     """Newest revisions of the store that a gateway has applied.
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_fetcher.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_fetcher.py
@@ -11,6 +11,7 @@
 from baobabhinge_gateway.forwarding.core import GatewayCore
 from baobabhinge_gateway.forwarding.exchange import fetch
 from baobabhinge_gateway.forwarding.problems import ForwardingError
+from baobabhinge_gateway.forwarding.snapshot import UNWANTED, StoreRevisions
 from baobabhinge_gateway.forwarding.state_updater import apply_snapshot
 from baobabhinge_gateway.neighbours import Heartbeat
 
@@ -57,18 +58,42 @@
             newer = list_newer_gateways(core)
             if newer:
                 source = core.ingress.random.choice(newer)
-                await self._fetch(source.hop_address)
-
-    async def _fetch(self, address: str) -> None:
-        path = '?'.join(
-            (SNAPSHOT_PATH, self._core.updater.revisions.format_query())
-        )
-        try:
-            body = await fetch(self._http, address, path, FETCH_TIMEOUT)
-        except (NotReachedError, ForwardingError) as lost:
-            log.info('snapshot-not-fetched', source=address, reason=repr(lost))
-            return
-        apply_snapshot(self._core.updater, body)
+                await self._fetch(source)
+
+    async def _fetch(self, source: Heartbeat) -> None:
+        updater = self._core.updater
+        for wanted in list_wanted(updater.revisions, source.marks):
+            path = f'{SNAPSHOT_PATH}?{wanted.format_query()}'
+            address = source.hop_address
+            try:
+                body = await fetch(self._http, address, path, FETCH_TIMEOUT)
+            except (NotReachedError, ForwardingError) as lost:
+                log.info(
+                    'snapshot-not-fetched', source=address, reason=repr(lost)
+                )
+                return
+            apply_snapshot(updater, body, wanted)
+
+
+def list_wanted(
+    own: StoreRevisions, newer: StoreRevisions
+) -> Sequence[StoreRevisions]:
+    """Return the revisions to ask for, one request each.
+
+    The operators' state goes ahead of the list of servers, which is longer and
+    changes more often.
+
+    Parameters
+    ----------
+    own, newer : StoreRevisions
+        Revisions of this gateway and of the one that is asked.
+    """
+    wanted = []
+    if newer.operators > own.operators:
+        wanted.append(StoreRevisions(own.operators, UNWANTED))
+    if newer.servers > own.servers:
+        wanted.append(StoreRevisions(UNWANTED, own.servers))
+    return wanted
 
 
 def choose_delay(core: GatewayCore) -> timedelta:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_updater.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_updater.py
@@ -167,10 +167,21 @@
     return msgspec.msgpack.encode(snapshot)
 
 
-def apply_snapshot(updater: StateUpdater, encoded: bytes) -> None:
+def apply_snapshot(
+    updater: StateUpdater, encoded: bytes, since: StoreRevisions
+) -> None:
     """Apply the parts of a snapshot that are newer than the local ones.
 
     A snapshot that can't be decoded is logged and ignored.
+
+    Parameters
+    ----------
+    updater : StateUpdater
+        Applies the parts.
+    encoded : bytes
+        The snapshot.
+    since : StoreRevisions
+        Revisions that were asked for; the snapshot leaves out what is older.
     """
     try:
         snapshot = msgspec.msgpack.decode(encoded, type=Snapshot)
@@ -178,13 +189,13 @@
         log.error('snapshot-unreadable', reason=str(malformed))
         return
     before = updater.revisions
-    if snapshot.marks.operators > before.operators:
+    if snapshot.marks.operators > max(before.operators, since.operators):
         if snapshot.revision is not None:
             updater.adopt(snapshot.revision, 'another gateway')
         updater.evacuate(
             frozenset(snapshot.evacuated), snapshot.marks.operators
         )
-    if snapshot.marks.servers > before.servers:
+    if snapshot.marks.servers > max(before.servers, since.servers):
         updater.replace_servers(snapshot.servers, snapshot.marks.servers)
     log.info(
         'snapshot-applied',
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_watchers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_watchers.py
@@ -10,6 +10,7 @@
 import msgspec
 import pytest
 
+from baobabhinge_coordination.clock import ManualClock
 from baobabhinge_gateway.deployment import (
     BackendServer,
     RequestLimits,
@@ -19,14 +20,18 @@
 from baobabhinge_gateway.forwarding.retry_budget import RetryBudgetLimits
 from baobabhinge_gateway.forwarding.settings import ForwardingSettings
 from baobabhinge_gateway.forwarding.snapshot import (
+    UNWANTED,
     Snapshot,
     StoreRevisions,
     parse_revisions,
 )
+from baobabhinge_gateway.forwarding.snapshot_fetcher import list_wanted
+from baobabhinge_gateway.forwarding.state_lag import StateLag
 from baobabhinge_gateway.forwarding.state_updater import (
     apply_snapshot,
     encode_snapshot,
 )
+from baobabhinge_gateway.forwarding.watchers import is_informed
 from baobabhinge_gateway.neighbours import GatewayContact, Heartbeat
 
 REGIONS = {'west-a': 'west', 'east-a': 'east'}
@@ -122,7 +127,7 @@
     assert len(snapshot.servers) == servers
     receiver = build_core()
     receiver.updater.revisions = since
-    apply_snapshot(receiver.updater, encoded)
+    apply_snapshot(receiver.updater, encoded, since)
     assert (receiver.state.configuration.version == 3) == has_revision
     assert len(receiver.state.catalogue.list_all()) == servers
 
@@ -147,3 +152,60 @@
     core.updater.replace_servers([], 9)
     assert core.updater.revisions == StoreRevisions(0, 9)
     assert not core.state.catalogue.list_all()
+
+
+@pytest.mark.parametrize(
+    ('own', 'newer', 'wanted'),
+    [
+        ((5, 7), (5, 7), []),
+        ((5, 7), (6, 7), [(5, UNWANTED)]),
+        ((5, 7), (5, 9), [(UNWANTED, 7)]),
+        ((5, 7), (6, 9), [(5, UNWANTED), (UNWANTED, 7)]),
+        ((5, 9), (6, 7), [(5, UNWANTED)]),
+    ],
+)
+def test_operators_state_is_fetched_ahead_of_the_servers(own, newer, wanted):
+    """A configuration waited for the list of all servers."""
+    revisions = list_wanted(StoreRevisions(*own), StoreRevisions(*newer))
+    assert revisions == [StoreRevisions(*one) for one in wanted]
+
+
+@pytest.mark.parametrize(
+    ('since', 'version', 'servers'),
+    [
+        (StoreRevisions(0, UNWANTED), 3, 1),
+        (StoreRevisions(UNWANTED, 0), 0, 0),
+    ],
+)
+def test_a_part_that_was_not_asked_for_is_left_as_it_is(
+    since, version, servers
+):
+    """A list of servers that is left out is not an empty one."""
+    source = build_core('a')
+    source.updater.adopt(Revision(3, (), {}, RequestLimits()))
+    source.updater.evacuate(frozenset(), 5)
+    source.updater.replace_servers([], 9)
+    receiver = build_core()
+    receiver.updater.replace_servers([SERVER], 7)
+    encoded = encode_snapshot(source.updater, source.state, since)
+    apply_snapshot(receiver.updater, encoded, since)
+    assert receiver.state.configuration.version == version
+    assert len(receiver.state.catalogue.list_all()) == servers
+
+
+@pytest.mark.parametrize(
+    ('names', 'reports_newer', 'is_told'),
+    [((), False, False), (('a',), False, True), (('a',), True, False)],
+)
+def test_a_gateway_reads_the_store_itself_unless_it_is_told(
+    names, reports_newer, is_told
+):
+    core = build_core()
+    clock = ManualClock()
+    lag = StateLag(clock)
+    for name in names:
+        core.gateways.record_heartbeat(build_heartbeat(name))
+    if reports_newer:
+        lag.begin(StoreRevisions(1, 0), StoreRevisions())
+        clock.advance(timedelta(milliseconds=1001))
+    assert is_informed(core.gateways, lag) == is_told
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/__init__.py
@@ -1,7 +1,19 @@
-"""Heartbeats between gateways, which carry their state and loads."""
+"""Datagrams between gateways: heartbeats with state and loads, reports."""
 
+from baobabhinge_gateway.neighbours.messages import (
+    CrashReports as CrashReports,
+)
 from baobabhinge_gateway.neighbours.messages import Heartbeat as Heartbeat
 from baobabhinge_gateway.neighbours.metrics import PeerMetrics as PeerMetrics
+from baobabhinge_gateway.neighbours.receiver import (
+    DatagramReceiver as DatagramReceiver,
+)
+from baobabhinge_gateway.neighbours.receiver import (
+    PeerHandlers as PeerHandlers,
+)
+from baobabhinge_gateway.neighbours.report_sender import (
+    ReportSender as ReportSender,
+)
 from baobabhinge_gateway.neighbours.service import (
     HeartbeatService as HeartbeatService,
 )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
@@ -1,4 +1,4 @@
-"""Heartbeat that one gateway sends to another."""
+"""Messages that one gateway sends to others as datagrams."""
 
 from collections.abc import Mapping, Sequence
 
@@ -41,10 +41,8 @@
     shut : sequence of str
         Servers of its region that it observed to be unavailable: they get few
         calls or none.
-    crashes : sequence of SuspectReport
-        Requests under which servers ended.
-    parts : sequence of PartReport
-        Parts of prompts that were present when servers ended.
+    crashes, parts : sequence of SuspectReport, sequence of PartReport
+        Empty; earlier versions send what `CrashReports` carries.
     limits : sequence of LimitReport
         Limits that servers of its region name; told only in that region.
     """
@@ -65,3 +63,21 @@
     crashes: Sequence[SuspectReport] = ()
     parts: Sequence[PartReport] = ()
     limits: Sequence[LimitReport] = ()
+
+
+class CrashReports(msgspec.Struct, array_like=True, tag='crashes'):
+    """Evidence of one gateway on what ends servers.
+
+    Callers cause it, so it is sent apart from heartbeats, within a bound on its
+    bytes.
+
+    Parameters
+    ----------
+    requests : sequence of SuspectReport
+        Requests under which servers ended.
+    parts : sequence of PartReport
+        Parts of prompts that were present when servers ended.
+    """
+
+    requests: Sequence[SuspectReport] = ()
+    parts: Sequence[PartReport] = ()
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/receiver.py
@@ -0,0 +1,107 @@
+"""Receiving of datagrams of other gateways."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import msgspec
+import structlog
+
+from baobabhinge_gateway.neighbours.datagrams import decode_message
+from baobabhinge_gateway.neighbours.messages import CrashReports, Heartbeat
+from baobabhinge_gateway.neighbours.metrics import PeerMetrics
+from baobabhinge_gateway.neighbours.table import (
+    GatewayContact,
+    GatewayTable,
+)
+
+HeartbeatHandler = Callable[[Heartbeat], None]
+ReportHandler = Callable[[CrashReports], None]
+
+log = structlog.get_logger(__name__)
+
+
+class PeerHandlers(msgspec.Struct, frozen=True):
+    """Functions to which received messages are passed.
+
+    Parameters
+    ----------
+    on_heartbeat : callable
+        Called with each heartbeat that the table did not know.
+    on_reports : callable
+        Called with reports of crashes.
+    """
+
+    on_heartbeat: HeartbeatHandler
+    on_reports: ReportHandler
+
+
+class DatagramReceiver(asyncio.DatagramProtocol):
+    """Receive datagrams of other gateways.
+
+    Parameters
+    ----------
+    table : GatewayTable
+        Records the heartbeats.
+    handlers : PeerHandlers
+        Get what is received.
+    metrics : PeerMetrics
+        Counts datagrams that are not sent.
+    """
+
+    def __init__(
+        self,
+        table: GatewayTable,
+        handlers: PeerHandlers,
+        metrics: PeerMetrics,
+    ) -> None:
+        """Store the collaborators."""
+        self._table = table
+        self._handlers = handlers
+        self._metrics = metrics
+
+    def datagram_received(self, datagram: bytes, source: object) -> None:
+        """Pass on one message; one that can't be decoded is dropped."""
+        try:
+            message = decode_message(datagram)
+        except msgspec.MsgspecError as unreadable:
+            log.warning('heartbeat-unreadable', reason=str(unreadable))
+            return
+        if isinstance(message, CrashReports):
+            self._handlers.on_reports(message)
+        elif self._table.record_heartbeat(message):
+            self._handlers.on_heartbeat(message)
+
+    def error_received(self, failure: Exception) -> None:
+        """Record that a datagram could not be sent."""
+        self._metrics.record_unsent()
+        log.warning('heartbeat-not-sent', reason=repr(failure))
+
+
+@asynccontextmanager
+async def open_socket(
+    receiver: DatagramReceiver, own: GatewayContact
+) -> AsyncIterator[asyncio.DatagramTransport]:
+    """Open the socket of a gateway, and close it at the end.
+
+    Parameters
+    ----------
+    receiver : DatagramReceiver
+        Gets the datagrams.
+    own : GatewayContact
+        Address of the socket.
+
+    Yields
+    ------
+    asyncio.DatagramTransport
+        Sends datagrams.
+    """
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(
+        lambda: receiver,
+        local_addr=(own.host, own.port),
+    )
+    try:
+        yield transport
+    finally:
+        transport.close()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/table.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/table.py
@@ -48,17 +48,19 @@
 
     Attributes
     ----------
+    clock : Clock
+        Clock for the arrival of heartbeats.
     contacts : dict of str to GatewayContact
         Contacts of other gateways by name, live or not.
     """
 
-    __slots__ = ('_clock', '_heartbeats', '_received', 'contacts', 'own')
+    __slots__ = ('_heartbeats', '_received', 'clock', 'contacts', 'own')
 
     def __init__(self, own: GatewayContact, clock: Clock) -> None:
         """Start without other gateways."""
         self.own = own
         self.contacts: dict[str, GatewayContact] = {}
-        self._clock = clock
+        self.clock = clock
         self._heartbeats: dict[str, Heartbeat] = {}
         self._received: dict[str, timedelta] = {}
 
@@ -101,7 +103,7 @@
                 is_ready=heartbeat.is_ready,
             )
         self._heartbeats[heartbeat.name] = heartbeat
-        self._received[heartbeat.name] = self._clock.read_monotonic()
+        self._received[heartbeat.name] = self.clock.read_monotonic()
         host = heartbeat.caller_address.rpartition(':')[0]
         self.add_contact(
             GatewayContact(
@@ -143,15 +145,21 @@
             if heartbeat.is_ready
         ]
 
-    def list_live(self, region: str | None = None) -> Sequence[Heartbeat]:
+    def list_live(
+        self,
+        region: str | None = None,
+        timeout: timedelta = HEARTBEAT_TIMEOUT,
+    ) -> Sequence[Heartbeat]:
         """Return the latest heartbeats of other live gateways.
 
         Parameters
         ----------
         region : str, optional
             Region of the gateways; all regions if it is left out.
+        timeout : timedelta, optional
+            Longest time since the heartbeat.
         """
-        oldest = self._clock.read_monotonic() - HEARTBEAT_TIMEOUT
+        oldest = self.clock.read_monotonic() - timeout
         return [
             heartbeat
             for heartbeat in self._heartbeats.values()
