--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/servers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/servers.py
@@ -47,6 +47,7 @@
             'backend-server-listed',
             server=server.name,
             service=server.service,
+            software=server.software,
             is_leaving=server.is_leaving,
             cold_ms=server.cold_for // timedelta(milliseconds=1),
         )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/services.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/services.py
@@ -77,6 +77,8 @@
         How much longer it is cold, as of the time of writing the entry.
     started : int
         Start of the incarnation, in Unix milliseconds; 0 if unknown.
+    software : str
+        Version of the software that it runs; empty if unknown.
     """
 
     name: str
@@ -87,3 +89,4 @@
     is_leaving: bool = False
     cold_for: timedelta = NO_TIME
     started: int = 0
+    software: str = ''
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
@@ -77,6 +77,9 @@
         Set on calls for model engines.
     last_event : str or None
         Id of the event after which a stream is to be resumed.
+    resumes : str or None
+        Attempt that brought the first event of that stream, if the caller names
+        it.
     """
 
     attempt: str
@@ -87,6 +90,7 @@
     patience: timedelta | None = None
     demand: Demand | None = None
     last_event: str | None = None
+    resumes: str | None = None
 
     @property
     def path(self) -> str:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/dispatch.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/dispatch.py
@@ -107,6 +107,8 @@
             attempt=call.head.attempt,
             target=target.name,
             region=target.region,
+            software=target.software,
+            resumes=call.head.resumes,
             wait_ms=target.wait_ms,
             in_flight=target.calls,
             sends=progress.sends,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/targets.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/targets.py
@@ -39,6 +39,11 @@
             return (self.name, self.region)
         return (self.name,)
 
+    @property
+    def software(self) -> str | None:
+        """Version of the software of a backend server."""
+        return self.estimate.server.software if self.estimate else None
+
     @property
     def calls(self) -> int | None:
         """Calls in flight at a backend server before this one."""
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/scene.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/scene.py
@@ -71,9 +71,10 @@
         name: str,
         service: str,
         zone: str,
+        software: str = 'v1',
     ) -> HostServer:
         """Serve one backend server and list it."""
-        server = HostServer(name, service, zone)
+        server = HostServer(name, service, zone, software)
         opened = await self._open(server.build_app())
         server.address = opened.address
         server.crash.end = opened.end
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/server.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/server.py
@@ -81,9 +81,12 @@
         Requests in order, health checks included.
     """
 
-    def __init__(self, name: str, service: str, zone: str) -> None:
+    def __init__(
+        self, name: str, service: str, zone: str, software: str = 'v1'
+    ) -> None:
         """Fail at nothing."""
         self.name = name
+        self._software = software
         self._service = service
         self._zone = zone
         self.address = ''
@@ -92,13 +95,18 @@
         self.crash = ServerCrash()
         self.arrivals: list[Arrival] = []
 
+    @property
+    def software(self) -> str:
+        """Version of its software, as its entry tells."""
+        return self._software
+
     def describe(self, **changed: object) -> dict[str, object]:
         """Return its entry in the list."""
         return {
             'service': self._service,
             'address': self.address,
             'zone': self._zone,
-            'version': 'v1',
+            'version': self.software,
             'slots': 6,
             'state': 'ready',
             'cold-left-ms': 0,
