Keep streams at the version of the software that began them

Cause: nothing read the version of an entry nor the attempt that a caller names in Resumes; a stream that went on was placed like a new one, and its service was drawn anew.

Why this works: the version and the service of the server that brings the first event are kept with the call, within one answer, over forwarded calls and for copies of the call; placement lists only servers that match. Where one version alone was listed for longer than a call may last, nothing has to be asked.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/servers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/servers.py
@@ -7,6 +7,7 @@
 
 from baobabhinge_coordination.clock import Clock
 from baobabhinge_gateway.deployment.services import BackendServer
+from baobabhinge_gateway.deployment.software_history import SoftwareHistory
 
 # Entries that expire in a store outage are registered again within 2 s of
 # its end.
@@ -23,17 +24,29 @@
     clock : Clock
         Clock for the retention of removed entries.
 
+    Attributes
+    ----------
+    history : SoftwareHistory
+        Versions whose servers are listed no longer.
+
     Notes
     -----
     An entry that is removed during or soon after a failure of the store is kept
     for `EXPIRED_ENTRY_RETENTION`, as the store may have dropped it by mistake.
     """
 
-    __slots__ = ('_clock', '_removal_times', '_servers', '_stable_from')
+    __slots__ = (
+        '_clock',
+        '_removal_times',
+        '_servers',
+        '_stable_from',
+        'history',
+    )
 
     def __init__(self, clock: Clock) -> None:
         """Start without servers and without a recorded store failure."""
         self._clock = clock
+        self.history = SoftwareHistory(clock)
         self._servers: dict[str, BackendServer] = {}
         self._removal_times: dict[str, timedelta] = {}
         self._stable_from = clock.read_monotonic()
@@ -41,8 +54,11 @@
     def put(self, server: BackendServer) -> bool:
         """Add or replace a server; return whether it is new or changed."""
         self._removal_times.pop(server.name, None)
-        if self._servers.get(server.name) == server:
+        known = self._servers.get(server.name)
+        if known == server:
             return False
+        if known is not None and known.software != server.software:
+            self.history.record_gone(known)
         log.info(
             'backend-server-listed',
             server=server.name,
@@ -89,11 +105,40 @@
         for name, end in tuple(self._removal_times.items()):
             if now >= end:
                 self._removal_times.pop(name)
-                self._servers.pop(name, None)
+                gone = self._servers.pop(name, None)
+                if gone is not None:
+                    self.history.record_gone(gone)
                 log.info('backend-server-gone', server=name)
         return list(self._servers.values())
 
 
+def find_sole_software(
+    catalogue: ServerCatalogue, service: str, within: timedelta
+) -> str | None:
+    """Return the only version that servers of a service have run lately.
+
+    ``None`` if there were several, or if some of them may not be known.
+
+    Parameters
+    ----------
+    catalogue : ServerCatalogue
+        Listed servers.
+    service : str
+        Name of the service.
+    within : timedelta
+        Longest time since a server of the version was listed.
+    """
+    if not catalogue.history.is_known_for(within):
+        return None
+    versions = {
+        server.software
+        for server in catalogue.list_all()
+        if server.service == service
+    }
+    versions |= catalogue.history.list_gone(service, within)
+    return versions.pop() if len(versions) == 1 else None
+
+
 def is_serving(catalogue: ServerCatalogue, name: str) -> bool:
     """Return whether a server is listed and has not announced its end."""
     return any(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/assembly.py
@@ -12,12 +12,14 @@
 )
 from baobabhinge_gateway.forwarding.senders import Senders
 from baobabhinge_gateway.forwarding.server_sender import ServerSender
+from baobabhinge_gateway.forwarding.take_ups import TakeUps
 
 
 def build_dispatcher(
     core: GatewayCore,
     http: aiohttp.ClientSession,
     backends: BackendProtocol,
+    take_ups: TakeUps,
 ) -> Dispatcher:
     """Return the dispatcher that sends calls over ``http``.
 
@@ -29,9 +31,11 @@
         Session for all calls; it is not closed here.
     backends : BackendProtocol
         Protocol of the backend servers.
+    take_ups : TakeUps
+        Records where streams begin.
     """
     state = core.state
-    delivery = Delivery(backends)
+    delivery = Delivery(backends, take_ups.record_begin)
     senders = Senders(
         ServerSender(http, delivery, state, backends),
         HopSender(http, delivery, state),
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from baobabhinge_gateway.deployment import Route
+from baobabhinge_gateway.deployment import BackendServer, Route
+from baobabhinge_gateway.forwarding.stream_origins import StreamOrigin
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -130,6 +131,11 @@
         Monotonic time at which the first chunk of the latest run arrived.
     fingerprint : str
         Digest of the request; empty until `fingerprint_call` is used.
+    origin : StreamOrigin or None
+        Where the stream began, once an event of it was passed on or its caller
+        has taken it up.
+    run_software : str or None
+        Version of the software of the server that runs the call.
     part_fingerprints : tuple of str or None
         Digests of parts of the prompt; ``None`` until `fingerprint_parts` is
         used.
@@ -150,6 +156,14 @@
     run_event: timedelta | None = None
     fingerprint: str = ''
     part_fingerprints: tuple[str, ...] | None = None
+    origin: StreamOrigin | None = None
+    run_software: str | None = None
+
+    def may_run_on(self, server: BackendServer) -> bool:
+        """Return whether ``server`` may begin the call or go on with it."""
+        if self.origin is None:
+            return True
+        return self.origin.matches(server.service, server.software)
 
     @property
     def has_begun(self) -> bool:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
@@ -12,13 +12,11 @@
 from baobabhinge_gateway.forwarding.health_assembly import (
     build_health_checker,
 )
-from baobabhinge_gateway.forwarding.heartbeat_assembly import (
-    build_heartbeat_service,
-)
 from baobabhinge_gateway.forwarding.listeners import (
     build_caller_listener,
     build_hop_listener,
 )
+from baobabhinge_gateway.forwarding.peer_exchange import PeerExchange
 from baobabhinge_gateway.forwarding.protocols import (
     BackendProtocol,
     CallerProtocol,
@@ -62,16 +60,20 @@
         self._core = core
         self._callers = callers
         self._backends = backends
-        self._heartbeats = build_heartbeat_service(core)
+        peers = PeerExchange(core)
+        self._heartbeats = peers.heartbeats
+        self._take_ups = peers.take_ups
 
     async def on_start(self) -> None:
         """Start all child services; the listener for callers is last."""
         core = self._core
         log.info('starting', incarnation=core.ingress.lifecycle.incarnation)
         http = await self.add_async_context(build_strict_session())
-        dispatcher = build_dispatcher(core, http, self._backends)
+        dispatcher = build_dispatcher(
+            core, http, self._backends, self._take_ups
+        )
         self._caller_listener = build_caller_listener(
-            core, self._callers, dispatcher
+            core, self._callers, dispatcher, self._take_ups
         )
         for part in (
             build_health_checker(core, http, self._backends),
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/delivery.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/delivery.py
@@ -15,7 +15,11 @@
     BackendProtocol,
     Responder,
 )
-from baobabhinge_gateway.forwarding.relay import FirstEventCallback, StreamRelay
+from baobabhinge_gateway.forwarding.relay import (
+    BeginCallback,
+    FirstEventCallback,
+    StreamRelay,
+)
 
 
 class FailedAnswer(msgspec.Struct, frozen=True):
@@ -33,13 +37,18 @@
     ----------
     backends : BackendProtocol
         Protocol that delimits the events of a stream.
+    on_begin : callable
+        Called before the first event of a stream is passed on.
     """
 
-    __slots__ = ('_backends',)
+    __slots__ = ('_backends', '_on_begin')
 
-    def __init__(self, backends: BackendProtocol) -> None:
-        """Store the protocol."""
+    def __init__(
+        self, backends: BackendProtocol, on_begin: BeginCallback
+    ) -> None:
+        """Store the collaborators."""
         self._backends = backends
+        self._on_begin = on_begin
 
     async def deliver(
         self,
@@ -84,7 +93,9 @@
                 'the answer does not belong to this request'
             )
         if call.route.kind.is_streamed and verdict is AnswerVerdict.answered:
-            relay = StreamRelay(self._backends, responder, on_first_event)
+            relay = StreamRelay(
+                self._backends, responder, on_first_event, self._on_begin
+            )
             await relay.run(call, response)
             return None
         headers = keep_end_to_end(response.headers.items())
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop.py
@@ -4,6 +4,7 @@
 """
 
 from datetime import timedelta
+from urllib.parse import unquote
 
 import msgspec
 from aiohttp import ClientResponse, web
@@ -17,10 +18,12 @@
     MalformedCallError,
 )
 from baobabhinge_gateway.forwarding.protocols import AnswerVerdict
+from baobabhinge_gateway.forwarding.stream_origins import StreamOrigin
 
 HOP_PATH = '/calls'
 VERDICT_HEADER = 'Hop-Verdict'
 RUNS_HEADER = 'Hop-Runs'
+SOFTWARE_HEADER = 'Hop-Software'
 RETRY_AFTER_HEADER = 'Hop-Retry-After-Ms'
 LENGTH_BYTES = 4
 MAX_ENVELOPE_BYTES = 1 << 20
@@ -45,6 +48,7 @@
     left: int
     attempts_left: int
     last_event: str | None
+    origin: StreamOrigin | None = None
 
 
 class HopProtocol:
@@ -74,6 +78,7 @@
                 left // MICROSECOND,
                 call.attempts_left - call.runs,
                 call.last_event,
+                call.origin,
             ),
         )
         length = len(envelope).to_bytes(LENGTH_BYTES, 'big')
@@ -88,6 +93,13 @@
         count = response.headers.get(RUNS_HEADER, '')
         return int(count) if count.isdecimal() else call.attempts_left
 
+    def read_software(self, response: ClientResponse) -> str:
+        """Return the version of the software that began a stream.
+
+        It is empty if the other gateway does not tell it.
+        """
+        return unquote(response.headers.get(SOFTWARE_HEADER, ''))
+
     def read_retry_after(self, response: ClientResponse) -> timedelta:
         """Return when a refused call may be sent again, 0 if it is not told."""
         milliseconds = response.headers.get(RETRY_AFTER_HEADER, '')
@@ -154,4 +166,5 @@
         attempts_left=envelope.attempts_left,
         is_from_gateway=True,
         last_event=envelope.last_event,
+        origin=envelope.origin,
     )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_sender.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_sender.py
@@ -65,6 +65,7 @@
             async with open_exchange(self._http, outbound) as response:
                 # The answer replaces the assumption that all runs were used.
                 call.runs = before + self._hop.read_runs(call, response)
+                call.run_software = self._hop.read_software(response)
                 verdict = self._hop.classify_answer(response)
                 if verdict is AnswerVerdict.refused:
                     raise CrashingCallError(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
@@ -13,13 +13,15 @@
     read_body,
 )
 from baobabhinge_gateway.forwarding.call import Call
-from baobabhinge_gateway.forwarding.dispatch import Dispatcher
 from baobabhinge_gateway.forwarding.ingress_context import IngressContext
 from baobabhinge_gateway.forwarding.problems import (
     NoConfigurationError,
     NoRouteError,
 )
-from baobabhinge_gateway.forwarding.protocols import CallerProtocol
+from baobabhinge_gateway.forwarding.protocols import (
+    CallDispatcher,
+    CallerProtocol,
+)
 from baobabhinge_gateway.forwarding.responder import HttpResponder
 
 
@@ -32,7 +34,7 @@
         Dependencies that all incoming calls share.
     protocol : CallerProtocol
         Protocol of the callers.
-    dispatcher : Dispatcher
+    dispatcher : CallDispatcher
         Answers the calls.
     """
 
@@ -42,7 +44,7 @@
         self,
         context: IngressContext,
         protocol: CallerProtocol,
-        dispatcher: Dispatcher,
+        dispatcher: CallDispatcher,
     ) -> None:
         """Store the collaborators."""
         self._context = context
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/listeners.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/listeners.py
@@ -5,7 +5,12 @@
 from baobabhinge_gateway.forwarding.hop_ingress import HopIngress
 from baobabhinge_gateway.forwarding.http_listener import HttpListener
 from baobabhinge_gateway.forwarding.ingress import CallerIngress
-from baobabhinge_gateway.forwarding.protocols import CallerProtocol
+from baobabhinge_gateway.forwarding.protocols import (
+    CallDispatcher,
+    CallerProtocol,
+)
+from baobabhinge_gateway.forwarding.take_up_dispatch import TakeUpDispatcher
+from baobabhinge_gateway.forwarding.take_ups import TakeUps
 
 
 def build_hop_listener(
@@ -20,8 +25,10 @@
 def build_caller_listener(
     core: GatewayCore,
     protocol: CallerProtocol,
-    dispatcher: Dispatcher,
+    dispatcher: CallDispatcher,
+    take_ups: TakeUps,
 ) -> HttpListener:
     """Return the listener for requests of callers."""
-    callers = CallerIngress(core.ingress, protocol, dispatcher)
+    bound = TakeUpDispatcher(take_ups, dispatcher)
+    callers = CallerIngress(core.ingress, protocol, bound)
     return HttpListener(core.settings.caller_address, callers.answer)
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/peer_exchange.py
@@ -0,0 +1,59 @@
+"""Construction of the exchange of datagrams with other gateways."""
+
+from baobabhinge_gateway.forwarding.core import GatewayCore
+from baobabhinge_gateway.forwarding.crash_reports import CrashExchange
+from baobabhinge_gateway.forwarding.origin_exchange import OriginExchange
+from baobabhinge_gateway.forwarding.stream_origins import OriginTable
+from baobabhinge_gateway.forwarding.take_ups import TakeUps
+from baobabhinge_gateway.neighbours import (
+    DatagramReceiver,
+    HeartbeatService,
+    PeerHandlers,
+    PeerMetrics,
+    ReportSender,
+)
+
+
+class PeerExchange:
+    """Exchange of heartbeats, crash reports and origins of streams.
+
+    Parameters
+    ----------
+    core : GatewayCore
+        State and decisions of the gateway.
+
+    Attributes
+    ----------
+    heartbeats : HeartbeatService
+        Sends and receives the datagrams.
+    take_ups : TakeUps
+        Finds and records the origins of streams.
+    """
+
+    __slots__ = ('heartbeats', 'take_ups')
+
+    def __init__(self, core: GatewayCore) -> None:
+        """Connect the parts; nothing is started."""
+        table = core.gateways
+        metrics = PeerMetrics(
+            core.ingress.metrics.registry, core.updater.lag.compute
+        )
+        crashes = CrashExchange(core.state.crashes, core.ingress.random)
+        origins = OriginExchange(
+            OriginTable(table.clock),
+            table,
+            lambda *message: self.heartbeats.send_message(*message),
+        )
+        handlers = PeerHandlers(
+            core.apply_heartbeat, crashes.merge, origins.receive
+        )
+        self.heartbeats = HeartbeatService(
+            table,
+            core.compose_heartbeat,
+            ReportSender(table, crashes, metrics, table.clock),
+            DatagramReceiver(table, handlers, metrics),
+            metrics,
+        )
+        self.take_ups = TakeUps(
+            origins, core.state, core.settings.list_regions()
+        )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/placement.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/placement.py
@@ -99,6 +99,7 @@
             for server in list_available(state, call.service)
             if state.regions.get(server.failure_domain) == region
             and server.name not in tried
+            and call.may_run_on(server)
         ]
         only = state.crashes.parts.choose_only_server(
             call, partial(self._list_listed, call.service, region)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/protocols.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/protocols.py
@@ -148,6 +148,19 @@
         """End a stream that is complete."""
 
 
+class CallDispatcher(Protocol):
+    """Dispatcher of calls to backend servers or other gateways."""
+
+    async def serve(self, call: Call, responder: Responder) -> None:
+        """Answer ``call`` through ``responder``.
+
+        Raises
+        ------
+        ForwardingError
+            If the call ends without an answer of a backend server.
+        """
+
+
 class GatewayListing(Protocol):
     """Live gateways by region, as their heartbeats show."""
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/relay.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/relay.py
@@ -18,6 +18,7 @@
 MAX_EVENT_BYTES = 1 << 20
 
 FirstEventCallback = Callable[[], None]
+BeginCallback = Callable[[Call], None]
 
 
 def ignore_first_event() -> None:
@@ -37,17 +38,27 @@
         Channel to the caller.
     on_first_event : callable
         Called for each chunk that arrives; only the first call counts.
+    on_begin : callable
+        Called before the first event is passed on to the caller.
     """
 
-    __slots__ = ('_backends', '_on_first_event', '_pending', '_responder')
+    __slots__ = (
+        '_backends',
+        '_on_begin',
+        '_on_first_event',
+        '_pending',
+        '_responder',
+    )
 
     def __init__(
         self,
         backends: BackendProtocol,
         responder: Responder,
         on_first_event: FirstEventCallback,
+        on_begin: BeginCallback,
     ) -> None:
         """Prepare the relay with nothing pending."""
+        self._on_begin = on_begin
         self._backends = backends
         self._responder = responder
         self._on_first_event = on_first_event
@@ -75,8 +86,7 @@
             raise StreamBrokenError(repr(broken)) from broken
         if self._pending:
             raise StreamBrokenError('the stream ended within an event')
-        if not self._responder.has_started:
-            await self._start(response)
+        await self._start(call, response)
         await self._responder.finish()
 
     async def _relay_events(
@@ -91,7 +101,7 @@
             if len(self._pending) - length > MAX_EVENT_BYTES:
                 raise AnswerTooLongError('an event is over the size limit')
             if length:
-                await self._start(response)
+                await self._start(call, response)
                 await self._write(call, self._pending[:length])
                 self._pending = self._pending[length:]
 
@@ -101,7 +111,10 @@
         if last is not None:
             call.last_event = last
 
-    async def _start(self, response: aiohttp.ClientResponse) -> None:
+    async def _start(
+        self, call: Call, response: aiohttp.ClientResponse
+    ) -> None:
         if not self._responder.has_started:
+            self._on_begin(call)
             headers = keep_end_to_end(response.headers.items())
             await self._responder.start(response.status, headers)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/run_report.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/run_report.py
@@ -1,11 +1,16 @@
 """Report, in the answer to a forwarded call, on whether the call ran."""
 
 from http import HTTPStatus
+from urllib.parse import quote
 
 from baobabhinge_gateway.errors import CallError, Outcome
 from baobabhinge_gateway.forwarding.call import Call, Headers
 from baobabhinge_gateway.forwarding.crashing_calls import CrashingCallError
-from baobabhinge_gateway.forwarding.hop import RUNS_HEADER, VERDICT_HEADER
+from baobabhinge_gateway.forwarding.hop import (
+    RUNS_HEADER,
+    SOFTWARE_HEADER,
+    VERDICT_HEADER,
+)
 from baobabhinge_gateway.forwarding.protocols import AnswerVerdict
 
 
@@ -39,10 +44,15 @@
         """
         verdict = self.verdict or _classify_status(status)
         runs = self.call.runs if self.call else 0
+        origin = self.call.origin if self.call else None
+        software = (
+            ((SOFTWARE_HEADER, quote(origin.software)),) if origin else ()
+        )
         return (
             *headers,
             (VERDICT_HEADER, verdict.value),
             (RUNS_HEADER, str(runs)),
+            *software,
         )
 
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
@@ -73,6 +73,7 @@
         """
         server = estimate.server
         call.run_event = None
+        call.run_software = server.software
         self._state.record_prefill(call, server)
         self._state.crashes.record_run(call)
         with (
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_updater.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_updater.py
@@ -111,6 +111,7 @@
             self.revisions.operators, store_revision
         )
         listed = list(servers)
+        self._state.catalogue.history.record_list()
         known = self._state.catalogue.list_all()
         for name in list_missing(known, listed):
             self._state.catalogue.remove(name)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/__init__.py
@@ -4,6 +4,10 @@
     CrashReports as CrashReports,
 )
 from baobabhinge_gateway.neighbours.messages import Heartbeat as Heartbeat
+from baobabhinge_gateway.neighbours.messages import OriginQuery as OriginQuery
+from baobabhinge_gateway.neighbours.messages import (
+    OriginRecord as OriginRecord,
+)
 from baobabhinge_gateway.neighbours.metrics import PeerMetrics as PeerMetrics
 from baobabhinge_gateway.neighbours.receiver import (
     DatagramReceiver as DatagramReceiver,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/datagrams.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/datagrams.py
@@ -6,18 +6,18 @@
 
 import msgspec
 
-from baobabhinge_gateway.neighbours.messages import CrashReports, Heartbeat
+from baobabhinge_gateway.neighbours.messages import Heartbeat, PeerMessage
 
 MARKER = b'\xc1'
 
 
-def encode_message(message: Heartbeat | CrashReports) -> bytes:
+def encode_message(message: Heartbeat | PeerMessage) -> bytes:
     """Return the datagram that carries ``message``."""
     encoded = msgspec.msgpack.encode(message)
     return encoded if isinstance(message, Heartbeat) else MARKER + encoded
 
 
-def decode_message(datagram: bytes) -> Heartbeat | CrashReports:
+def decode_message(datagram: bytes) -> Heartbeat | PeerMessage:
     """Return the message of a datagram.
 
     Raises
@@ -27,5 +27,5 @@
     """
     if datagram.startswith(MARKER):
         encoded = datagram.removeprefix(MARKER)
-        return msgspec.msgpack.decode(encoded, type=CrashReports)
+        return msgspec.msgpack.decode(encoded, type=PeerMessage)
     return msgspec.msgpack.decode(datagram, type=Heartbeat)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
@@ -9,6 +9,7 @@
 from baobabhinge_gateway.forwarding.server_limits import LimitReport
 from baobabhinge_gateway.forwarding.server_load import ServerLoad
 from baobabhinge_gateway.forwarding.snapshot import StoreRevisions
+from baobabhinge_gateway.forwarding.stream_origins import StreamOrigin
 
 
 class Heartbeat(msgspec.Struct, array_like=True):
@@ -81,3 +82,38 @@
 
     requests: Sequence[SuspectReport] = ()
     parts: Sequence[PartReport] = ()
+
+
+class OriginRecord(msgspec.Struct, array_like=True, tag='origin'):
+    """Origin of a stream, told to the gateways that are to keep it.
+
+    It is also the answer to an `OriginQuery`.
+
+    Parameters
+    ----------
+    key : str
+        Digest of the attempt that began the stream.
+    origin : StreamOrigin or None
+        Where it began; ``None`` in an answer if it is not known.
+    is_answer : bool
+        Whether it answers a query.
+    """
+
+    key: str
+    origin: StreamOrigin | None
+    is_answer: bool = False
+
+
+class OriginQuery(msgspec.Struct, array_like=True, tag='origin-query'):
+    """Question for the origin of a stream.
+
+    Parameters
+    ----------
+    key : str
+        Digest of the attempt that began the stream.
+    """
+
+    key: str
+
+
+PeerMessage = CrashReports | OriginRecord | OriginQuery
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/receiver.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/receiver.py
@@ -8,7 +8,12 @@
 import structlog
 
 from baobabhinge_gateway.neighbours.datagrams import decode_message
-from baobabhinge_gateway.neighbours.messages import CrashReports, Heartbeat
+from baobabhinge_gateway.neighbours.messages import (
+    CrashReports,
+    Heartbeat,
+    OriginQuery,
+    OriginRecord,
+)
 from baobabhinge_gateway.neighbours.metrics import PeerMetrics
 from baobabhinge_gateway.neighbours.table import (
     GatewayContact,
@@ -17,6 +22,8 @@
 
 HeartbeatHandler = Callable[[Heartbeat], None]
 ReportHandler = Callable[[CrashReports], None]
+Address = tuple[str, int]
+OriginHandler = Callable[[OriginRecord | OriginQuery, Address], None]
 
 log = structlog.get_logger(__name__)
 
@@ -30,10 +37,13 @@
         Called with each heartbeat that the table did not know.
     on_reports : callable
         Called with reports of crashes.
+    on_origin : callable
+        Called with messages about streams, and the address of the sender.
     """
 
     on_heartbeat: HeartbeatHandler
     on_reports: ReportHandler
+    on_origin: OriginHandler
 
 
 class DatagramReceiver(asyncio.DatagramProtocol):
@@ -60,7 +70,7 @@
         self._handlers = handlers
         self._metrics = metrics
 
-    def datagram_received(self, datagram: bytes, source: object) -> None:
+    def datagram_received(self, datagram: bytes, source: Address) -> None:
         """Pass on one message; one that can't be decoded is dropped."""
         try:
             message = decode_message(datagram)
@@ -69,6 +79,8 @@
             return
         if isinstance(message, CrashReports):
             self._handlers.on_reports(message)
+        elif isinstance(message, (OriginRecord, OriginQuery)):
+            self._handlers.on_origin(message, source)
         elif self._table.record_heartbeat(message):
             self._handlers.on_heartbeat(message)
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/report_sender.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/report_sender.py
@@ -129,6 +129,6 @@
         reserve = 0 if is_urgent else self._budget.capacity * URGENT_FRACTION
         if not self._budget.try_spend(length, reserve):
             return False
-        self._metrics.record_sent('reports', length, 1)
+        self._metrics.record_sent(CrashReports.__name__, length, 1)
         self._turn += 1
         return True
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/service.py
@@ -7,15 +7,15 @@
 from mode import Service
 
 from baobabhinge_gateway.neighbours.datagrams import encode_message
-from baobabhinge_gateway.neighbours.messages import Heartbeat
+from baobabhinge_gateway.neighbours.messages import Heartbeat, PeerMessage
 from baobabhinge_gateway.neighbours.metrics import PeerMetrics
 from baobabhinge_gateway.neighbours.receiver import (
+    Address,
     DatagramReceiver,
     open_socket,
 )
 from baobabhinge_gateway.neighbours.report_sender import ReportSender
 from baobabhinge_gateway.neighbours.table import (
-    GatewayContact,
     GatewayTable,
     group_by_region,
 )
@@ -83,7 +83,10 @@
         groups = group_by_region(self._table.contacts.values())
         for region, contacts in groups.items():
             if self._is_remote_due or region == self._table.own.region:
-                self._send_heartbeat(region, contacts)
+                self.send_message(
+                    self._compose(self._sequence, region),
+                    [contact.address for contact in contacts],
+                )
 
     def send_reports(self, *, is_urgent: bool) -> None:
         """Send crash reports, if there are any, as far as the budget goes.
@@ -98,19 +101,21 @@
             is_urgent=is_urgent, has_remote=has_remote
         )
         for datagram, contact in due:
-            self._send(datagram, contact)
+            self._send(datagram, contact.address)
 
-    def _send_heartbeat(
-        self, region: str, contacts: Sequence[GatewayContact]
+    def send_message(
+        self, message: Heartbeat | PeerMessage, addresses: Sequence[Address]
     ) -> None:
-        datagram = encode_message(self._compose(self._sequence, region))
-        self._metrics.record_sent('heartbeat', len(datagram), len(contacts))
-        for contact in contacts:
-            self._send(datagram, contact)
-
-    def _send(self, datagram: bytes, contact: GatewayContact) -> None:
+        """Send one message to gateways, each by its host and port."""
+        datagram = encode_message(message)
+        kind = type(message).__name__
+        self._metrics.record_sent(kind, len(datagram), len(addresses))
+        for address in addresses:
+            self._send(datagram, address)
+
+    def _send(self, datagram: bytes, address: Address) -> None:
         if self._transport is not None:
-            self._transport.sendto(datagram, (contact.host, contact.port))
+            self._transport.sendto(datagram, address)
 
     async def _send_forever(self) -> None:
         while not self.should_stop:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/table.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/table.py
@@ -35,6 +35,11 @@
     host: str
     port: int
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port."""
+        return (self.host, self.port)
+
 
 class GatewayTable:
     """Contacts and latest heartbeats of other gateways.
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/server.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/server.py
@@ -95,18 +95,13 @@
         self.crash = ServerCrash()
         self.arrivals: list[Arrival] = []
 
-    @property
-    def software(self) -> str:
-        """Version of its software, as its entry tells."""
-        return self._software
-
     def describe(self, **changed: object) -> dict[str, object]:
         """Return its entry in the list."""
         return {
             'service': self._service,
             'address': self.address,
             'zone': self._zone,
-            'version': self.software,
+            'version': self._software,
             'slots': 6,
             'state': 'ready',
             'cold-left-ms': 0,
