Let gateways that know longer tell which version alone has served

Such a gateway now asks those that have listed the servers for longer; the question for an origin carries the service and the time limit. After a restart of all gateways at once nobody knows, which is left open.

A stream that goes on is not refused for the prompts before it at the few servers that may take it.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/software_history.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/software_history.py
@@ -6,7 +6,7 @@
 from baobabhinge_gateway.deployment.services import BackendServer
 
 # Longest time for which a version is remembered after its last server is gone.
-VERSION_RETENTION = timedelta(minutes=10)
+VERSION_RETENTION = timedelta(minutes=1)
 
 
 class SoftwareHistory:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/peer_exchange.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/peer_exchange.py
@@ -1,5 +1,8 @@
 """Construction of the exchange of datagrams with other gateways."""
 
+from functools import partial
+
+from baobabhinge_gateway.deployment.servers import find_sole_software
 from baobabhinge_gateway.forwarding.core import GatewayCore
 from baobabhinge_gateway.forwarding.crash_reports import CrashExchange
 from baobabhinge_gateway.forwarding.origin_exchange import OriginExchange
@@ -43,6 +46,7 @@
             OriginTable(table.clock),
             table,
             lambda *message: self.heartbeats.send_message(*message),
+            partial(find_sole_software, core.state.catalogue),
         )
         handlers = PeerHandlers(
             core.apply_heartbeat, crashes.merge, origins.receive
@@ -54,6 +58,4 @@
             DatagramReceiver(table, handlers, metrics),
             metrics,
         )
-        self.take_ups = TakeUps(
-            origins, core.state, core.settings.list_regions()
-        )
+        self.take_ups = TakeUps(origins, core.settings.list_regions())
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/take_ups.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/take_ups.py
@@ -10,15 +10,16 @@
 
 import structlog
 
-from baobabhinge_gateway.deployment.servers import find_sole_software
 from baobabhinge_gateway.forwarding.call import Call
-from baobabhinge_gateway.forwarding.deployment_state import DeploymentState
 from baobabhinge_gateway.forwarding.failures import NotServedError
 from baobabhinge_gateway.forwarding.fingerprints import (
     DIGEST_BYTES,
     update_digest,
 )
-from baobabhinge_gateway.forwarding.origin_exchange import OriginExchange
+from baobabhinge_gateway.forwarding.origin_exchange import (
+    OriginExchange,
+    StreamQuestion,
+)
 from baobabhinge_gateway.forwarding.stream_origins import StreamOrigin
 
 # The caller is to begin anew, for which nothing has to be waited for.
@@ -42,23 +43,19 @@
     ----------
     exchange : OriginExchange
         Origins that gateways keep.
-    state : DeploymentState
-        Versions of the listed servers.
     regions : sequence of str
         All regions.
     """
 
-    __slots__ = ('_exchange', '_regions', '_state')
+    __slots__ = ('_exchange', '_regions')
 
     def __init__(
         self,
         exchange: OriginExchange,
-        state: DeploymentState,
         regions: Sequence[str],
     ) -> None:
         """Store the collaborators."""
         self._exchange = exchange
-        self._state = state
         self._regions = regions
 
     def record_begin(self, call: Call) -> None:
@@ -95,31 +92,26 @@
         call.service = origin.service
 
     async def _find(self, call: Call) -> StreamOrigin | None:
-        origin = self._find_sole(call)
-        way = 'only version'
-        if origin is None and call.head.resumes is not None:
-            key = compute_key(call.head.host, call.head.resumes)
-            origin = await self._exchange.find(key, self._list_regions(call))
-            way = 'gateways'
+        services = [split.service for split in call.route.splits]
+        # Without a name of the attempt, only a sole version tells the origin.
+        began = call.head.resumes or call.head.attempt
+        origin = await self._exchange.find(
+            StreamQuestion(
+                compute_key(call.head.host, began),
+                services[0] if len(services) == 1 else '',
+                call.route.time_limit + NOTICE_MARGIN,
+                tuple(self._list_regions(call)),
+            )
+        )
         log.info(
             'stream-taken-up',
             attempt=call.head.attempt,
             resumes=call.head.resumes,
             service=origin.service if origin else None,
             software=origin.software if origin else None,
-            way=way if origin else 'unknown',
         )
         return origin
 
-    def _find_sole(self, call: Call) -> StreamOrigin | None:
-        """Return the only origin that a stream of this route may have."""
-        if len(call.route.splits) > 1:
-            return None
-        within = call.route.time_limit + NOTICE_MARGIN
-        service = call.route.splits[0].service
-        software = find_sole_software(self._state.catalogue, service, within)
-        return StreamOrigin(service, software) if software else None
-
     def _list_regions(self, call: Call) -> Sequence[str]:
         return [one for one in self._regions if call.route.allows(one)]
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/target_selection.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/target_selection.py
@@ -131,5 +131,6 @@
     ) -> None:
         objective = call.route.objective
         check_expected_wait(choice, objective, self._random)
-        if not call.has_begun:
+        # A stream that goes on has few servers, and those have worked for it.
+        if call.origin is None and not call.has_begun:
             check_queueing(best.queueing, objective, self._random)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
@@ -111,9 +111,15 @@
     ----------
     key : str
         Digest of the attempt that began the stream.
+    service : str
+        The only service that may have begun it; empty if there are several.
+    within_ms : int
+        Longest time since it began, in milliseconds.
     """
 
     key: str
+    service: str
+    within_ms: int
 
 
 PeerMessage = CrashReports | OriginRecord | OriginQuery
