Copy prompts only between servers of one version of the software

Nobody reported it; what two versions write does not fit together. The test of three rows was written with the code.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/placement.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/placement.py
@@ -20,6 +20,7 @@
 from baobabhinge_gateway.forwarding.prefix_copying import (
     PrefixSource,
     PromptEstimator,
+    choose_source,
     find_prefix_source,
 )
 
@@ -131,7 +132,7 @@
             estimate = PromptEstimator(
                 call.head.demand,
                 engine,
-                source,
+                choose_source(source, server),
                 call.route.priority,
                 call.route.time_limit,
             ).estimate(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/prefix_copying.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/prefix_copying.py
@@ -153,6 +153,18 @@
     return PrefixSource(first_engine) if first_engine else None
 
 
+def choose_source(
+    source: PrefixSource | None, server: BackendServer
+) -> PrefixSource | None:
+    """Return the source if ``server`` may copy from it, else ``None``.
+
+    What servers with different versions of the software keep does not fit.
+    """
+    if source is None or source.server.software != server.software:
+        return None
+    return source
+
+
 def count_memory(demand: Demand) -> int:
     """Return the average tokens of a call: its prompt and half the output."""
     return demand.prompt + demand.output // 2
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_prefix_copying.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_prefix_copying.py
@@ -28,6 +28,10 @@
 )
 from baobabhinge_gateway.forwarding.failures import OverloadError
 from baobabhinge_gateway.forwarding.placement import Placement
+from baobabhinge_gateway.forwarding.prefix_copying import (
+    PrefixSource,
+    choose_source,
+)
 from baobabhinge_gateway.forwarding.prefixes import CachedPrefix
 from baobabhinge_gateway.forwarding.rankings import find_ranking
 from baobabhinge_gateway.forwarding.region_directory import RegionDirectory
@@ -224,3 +228,14 @@
     return TargetSelector(
         Placement(state), directory, state, ranking, Random(1)
     )
+
+
+@pytest.mark.parametrize(
+    ('software', 'is_copied'), [('v1', True), ('v2', False), ('', False)]
+)
+def test_a_prefix_is_copied_only_within_one_version(software, is_copied):
+    """What two versions keep does not fit together."""
+    server = BackendServer('one', 'model', 'one:1', 'west-a', software='v1')
+    other = msgspec.structs.replace(server, name='two', software=software)
+    source = PrefixSource(server, 5000)
+    assert (choose_source(source, other) is source) == is_copied
