--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/servers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/servers.py
@@ -6,6 +6,7 @@
 import structlog
 
 from baobabhinge_coordination.clock import Clock
+from baobabhinge_gateway.deployment.removals import RemovalTable
 from baobabhinge_gateway.deployment.services import BackendServer
 from baobabhinge_gateway.deployment.software_history import SoftwareHistory
 
@@ -28,6 +29,8 @@
     ----------
     history : SoftwareHistory
         Versions whose servers are listed no longer.
+    removals : RemovalTable
+        Servers whose entries are gone, and for how much longer they are kept.
 
     Notes
     -----
@@ -37,10 +40,10 @@
 
     __slots__ = (
         '_clock',
-        '_removal_times',
         '_servers',
         '_stable_from',
         'history',
+        'removals',
     )
 
     def __init__(self, clock: Clock) -> None:
@@ -48,12 +51,12 @@
         self._clock = clock
         self.history = SoftwareHistory(clock)
         self._servers: dict[str, BackendServer] = {}
-        self._removal_times: dict[str, timedelta] = {}
+        self.removals = RemovalTable(clock)
         self._stable_from = clock.read_monotonic()
 
     def put(self, server: BackendServer) -> bool:
         """Add or replace a server; return whether it is new or changed."""
-        self._removal_times.pop(server.name, None)
+        self.removals.cancel(server.name)
         known = self._servers.get(server.name)
         if known == server:
             return False
@@ -75,9 +78,7 @@
         if name not in self._servers:
             return
         delay = timedelta() if self.is_store_stable else EXPIRED_ENTRY_RETENTION
-        self._removal_times.setdefault(
-            name, self._clock.read_monotonic() + delay
-        )
+        self.removals.begin(name, delay)
         if delay:
             log.info('backend-server-lapsing', server=name)
 
@@ -101,14 +102,11 @@
 
     def list_all(self) -> Sequence[BackendServer]:
         """Return every listed server, without those whose retention ended."""
-        now = self._clock.read_monotonic()
-        for name, end in tuple(self._removal_times.items()):
-            if now >= end:
-                self._removal_times.pop(name)
-                gone = self._servers.pop(name, None)
-                if gone is not None:
-                    self.history.record_gone(gone)
-                log.info('backend-server-gone', server=name)
+        for name in self.removals.pop_due():
+            gone = self._servers.pop(name, None)
+            if gone is not None:
+                self.history.record_gone(gone)
+            log.info('backend-server-gone', server=name)
         return list(self._servers.values())
 
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot.py
@@ -60,9 +60,13 @@
         Failure domains that are to get no calls.
     servers : tuple of BackendServer
         All backend servers, left out if the receiver has them.
+    lapsing_ms : mapping of str to int
+        Servers whose entries are gone, and for how much longer they are kept,
+        in milliseconds. They are not among ``servers``.
     """
 
     marks: StoreRevisions
     revision: Revision | None = None
     evacuated: tuple[str, ...] = ()
     servers: tuple[BackendServer, ...] = ()
+    lapsing_ms: Mapping[str, int] = {}
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_updater.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_updater.py
@@ -1,7 +1,7 @@
 """Changes from the store or from another gateway, applied to the state."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from datetime import timedelta
 
 import msgspec
@@ -15,6 +15,7 @@
 
 MILLISECOND = timedelta(milliseconds=1)
 STORE = 'store'
+NO_RETENTION: Mapping[str, timedelta] = {}
 
 log = structlog.get_logger(__name__)
 
@@ -102,9 +103,23 @@
             )
 
     def replace_servers(
-        self, servers: Iterable[BackendServer], store_revision: int
+        self,
+        servers: Iterable[BackendServer],
+        store_revision: int,
+        lapsing: Mapping[str, timedelta] = NO_RETENTION,
     ) -> None:
-        """Apply the complete list of backend servers at a store revision."""
+        """Apply the complete list of backend servers at a store revision.
+
+        Parameters
+        ----------
+        servers : iterable of BackendServer
+            The listed servers.
+        store_revision : int
+            Store revision of the list.
+        lapsing : mapping of str to timedelta, optional
+            For how much longer another gateway keeps servers that are listed
+            no longer.
+        """
         if store_revision < self.revisions.servers:
             return
         self.revisions = StoreRevisions(
@@ -115,6 +130,8 @@
         known = self._state.catalogue.list_all()
         for name in list_missing(known, listed):
             self._state.catalogue.remove(name)
+        for name, left in lapsing.items():
+            self._state.catalogue.removals.limit(name, left)
         for server in listed:
             self.put_server(server, store_revision)
 
@@ -164,7 +181,14 @@
         snapshot.revision = state.configuration.revision
         snapshot.evacuated = tuple(sorted(state.configuration.evacuated))
     if updater.revisions.servers > since.servers:
-        snapshot.servers = tuple(state.catalogue.list_all())
+        listed = state.catalogue.list_all()
+        lapsing = state.catalogue.removals.list_left()
+        snapshot.servers = tuple(
+            server for server in listed if server.name not in lapsing
+        )
+        snapshot.lapsing_ms = {
+            name: left // MILLISECOND for name, left in lapsing.items()
+        }
     return msgspec.msgpack.encode(snapshot)
 
 
@@ -197,7 +221,13 @@
             frozenset(snapshot.evacuated), snapshot.marks.operators
         )
     if snapshot.marks.servers > max(before.servers, since.servers):
-        updater.replace_servers(snapshot.servers, snapshot.marks.servers)
+        lapsing = {
+            name: left * MILLISECOND
+            for name, left in snapshot.lapsing_ms.items()
+        }
+        updater.replace_servers(
+            snapshot.servers, snapshot.marks.servers, lapsing
+        )
     log.info(
         'snapshot-applied',
         operators=updater.revisions.operators,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_watchers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_watchers.py
@@ -209,3 +209,40 @@
         lag.begin(StoreRevisions(1, 0), StoreRevisions())
         clock.advance(timedelta(milliseconds=1001))
     assert is_informed(core.gateways, lag) == is_told
+
+
+def build_lapsing_core(name):
+    """Return a core that has lost the entry of a server in an outage."""
+    core = build_core(name)
+    core.updater.replace_servers([SERVER], 7)
+    core.updater.record_store_failure()
+    core.updater.replace_servers([], 9)
+    return core
+
+
+def exchange_snapshots(source, receiver):
+    since = StoreRevisions(UNWANTED, 0)
+    encoded = encode_snapshot(source.updater, source.state, since)
+    apply_snapshot(receiver.updater, encoded, since)
+
+
+def test_snapshots_do_not_keep_a_server_for_longer():
+    """Each snapshot began the time anew for which a lost server is kept."""
+    source = build_lapsing_core('a')
+    receiver = build_core('b')
+    receiver.updater.replace_servers([SERVER], 7)
+    receiver.updater.record_store_failure()
+    exchange_snapshots(source, receiver)
+    left = source.state.catalogue.removals.list_left()[SERVER.name]
+    kept = receiver.state.catalogue.removals.list_left()[SERVER.name]
+    assert kept <= left + timedelta(milliseconds=1)
+    assert receiver.state.catalogue.list_all()
+
+
+def test_a_server_that_is_gone_is_not_listed_again_by_a_snapshot():
+    receiver = build_core('b')
+    receiver.updater.replace_servers([SERVER], 7)
+    receiver.updater.replace_servers([], 8)
+    assert not receiver.state.catalogue.list_all()
+    exchange_snapshots(build_lapsing_core('a'), receiver)
+    assert not receiver.state.catalogue.list_all()
