Let crashes close together not hide those before them

Found on the way: evidence on a part was judged by the set of latest crashes with the fewest answers between them, and only then asked whether these crashes are far enough apart. A part that was refused after five crashes was allowed again when three more came within 250 ms, as they do when many requests with it run.

The set is chosen among those that are enough to refuse the part now.

--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/part_cases.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/part_cases.py
@@ -1,6 +1,7 @@
 """Evidence against one part of requests, as far as it is strong enough."""
 
 from collections.abc import Iterable, Mapping, Sequence
+from datetime import timedelta
 
 import msgspec
 
@@ -14,6 +15,11 @@
 REFUSING_CRASHES = 3
 # A part that some runs stand is refused if a third of them or more crash.
 MAX_ANSWERS_PER_CRASH = 2
+# A few servers that end together, as when a failure domain loses power, have a
+# cause other than the requests that they run. Above the time in which peers
+# learn of a crash in another region.
+MIN_CRASH_SPAN = timedelta(milliseconds=250)
+MANY_CRASHES = 6
 
 
 class PartCase(msgspec.Struct, frozen=True):
@@ -40,7 +46,7 @@
     def sort_key(self) -> tuple[bool, float, int]:
         """Return a key that sorts the strongest evidence first."""
         count = len(self.crashes)
-        return count < REFUSING_CRASHES, self.answers / count, -count
+        return not can_refuse(self.crashes), self.answers / count, -count
 
     def is_like(self, other: 'PartCase') -> bool:
         """Return whether the evidence does not tell two parts apart."""
@@ -62,6 +68,14 @@
         ]
 
 
+def can_refuse(crashes: Sequence[DatedCrash]) -> bool:
+    """Return whether crashes, oldest first, are enough to refuse a part."""
+    if len(crashes) < REFUSING_CRASHES:
+        return False
+    span = crashes[-1].instant - crashes[0].instant
+    return span >= MIN_CRASH_SPAN or len(crashes) >= MANY_CRASHES
+
+
 def list_cases(histories: Mapping[str, PartHistory]) -> Sequence[PartCase]:
     """Return the cases that are strong enough, the strongest first.
 
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/part_verdicts.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/part_verdicts.py
@@ -14,18 +14,12 @@
 from baobabhinge_coordination.suspects.histories import DatedCrash
 from baobabhinge_coordination.suspects.part_cases import (
     CONFINING_CRASHES,
-    REFUSING_CRASHES,
     PartCase,
+    can_refuse,
     list_cases,
 )
 from baobabhinge_coordination.suspects.part_histories import PartHistory
 
-# A few servers that end together, as when a failure domain loses power, have a
-# cause other than the requests that they run. Above the time in which peers
-# learn of a crash in another region.
-MIN_CRASH_SPAN = timedelta(milliseconds=250)
-MANY_CRASHES = 6
-
 
 class Culprit(msgspec.Struct, frozen=True):
     """Parts of which one, or all together, crash servers.
@@ -83,11 +77,7 @@
 
 
 def _is_refused(case: PartCase, explained: Sequence[DatedCrash]) -> bool:
-    crashes = case.list_unexplained(explained)
-    if len(crashes) < REFUSING_CRASHES:
-        return False
-    span = crashes[-1].instant - crashes[0].instant
-    return span >= MIN_CRASH_SPAN or len(crashes) >= MANY_CRASHES
+    return can_refuse(case.list_unexplained(explained))
 
 
 def _build_culprit(alike: Sequence[PartCase]) -> Culprit:
--- a/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/tests/test_part_index.py
+++ b/packages/baobabhinge-coordination/src/baobabhinge_coordination/suspects/tests/test_part_index.py
@@ -127,6 +127,23 @@
     assert member.is_refused('a')
 
 
+def test_crashes_close_together_do_not_hide_those_before():
+    """A part with five crashes over a second was allowed again by three more.
+
+    The last three came within 250 ms and had no answer between them.
+    """
+    member = create_member()
+    for number in range(5):
+        member.crash(f'before-{number}', 'a')
+        member.answer('a')
+        member.clock.advance(SECOND / 4)
+    assert member.is_refused('a')
+    for number in range(3):
+        member.crash(f'close-{number}', 'a')
+        member.clock.advance(SECOND / 20)
+    assert member.is_refused('a')
+
+
 @pytest.mark.parametrize('order', tuple(permutations(range(3))))
 def test_evidence_of_several_members_adds_up_in_any_order(order):
     clock = ManualClock()
