--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/servers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/servers.py
@@ -129,14 +129,31 @@
     if not catalogue.history.is_known_for(within):
         return None
     versions = {
-        server.software
-        for server in catalogue.list_all()
-        if server.service == service
+        software
+        for name, software in list_recent_software(catalogue, within)
+        if name == service
     }
-    versions |= catalogue.history.list_gone(service, within)
     return versions.pop() if len(versions) == 1 else None
 
 
+def list_recent_software(
+    catalogue: ServerCatalogue, within: timedelta
+) -> frozenset[tuple[str, str]]:
+    """Return services and versions of servers that were listed lately.
+
+    Parameters
+    ----------
+    catalogue : ServerCatalogue
+        Listed servers.
+    within : timedelta
+        Longest time since a server of the version was listed.
+    """
+    listed = {
+        (server.service, server.software) for server in catalogue.list_all()
+    }
+    return catalogue.history.list_gone(within) | listed
+
+
 def is_serving(catalogue: ServerCatalogue, name: str) -> bool:
     """Return whether a server is listed and has not announced its end."""
     return any(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/software_history.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/software_history.py
@@ -1,5 +1,6 @@
 """Versions of the software that the servers of a service have run lately."""
 
+from collections.abc import Iterable
 from datetime import timedelta
 
 from baobabhinge_coordination.clock import Clock
@@ -19,22 +20,40 @@
 
     Attributes
     ----------
-    since : timedelta or None
-        When the first complete list was applied; ``None`` before.
+    since : timedelta
+        Time from which all versions are known.
     """
 
-    __slots__ = ('_clock', '_gone', 'since')
+    __slots__ = ('_clock', '_gone', '_has_list', 'since')
 
     def __init__(self, clock: Clock) -> None:
         """Start without a list."""
         self._clock = clock
         self._gone: dict[tuple[str, str], timedelta] = {}
-        self.since: timedelta | None = None
+        self._has_list = False
+        self.since = clock.read_monotonic()
 
     def record_list(self) -> None:
         """Record that a complete list of the servers was applied."""
-        if self.since is None:
-            self.since = self._clock.read_monotonic()
+        if not self._has_list:
+            self._has_list = True
+            self.since = min(self.since, self._clock.read_monotonic())
+
+    def inherit(
+        self, versions: Iterable[tuple[str, str]], span: timedelta
+    ) -> None:
+        """Add what a process knew that has ended.
+
+        Parameters
+        ----------
+        versions : iterable of tuple of str
+            Services and versions that it had listed lately.
+        span : timedelta
+            Time for which it had known all versions.
+        """
+        now = self._clock.read_monotonic()
+        self._gone.update(dict.fromkeys(versions, now))
+        self.since = min(self.since, now - span)
 
     def record_gone(self, server: BackendServer) -> None:
         """Record that a server, or its version, is listed no longer."""
@@ -46,25 +65,21 @@
             if now - instant <= VERSION_RETENTION
         }
 
-    def list_gone(self, service: str, within: timedelta) -> frozenset[str]:
-        """Return the versions of a service whose servers went lately.
-
-        Parameters
-        ----------
-        service : str
-            Name of the service.
-        within : timedelta
-            Longest time since then.
-        """
+    def list_gone(self, within: timedelta) -> frozenset[tuple[str, str]]:
+        """Return services and versions whose servers went ``within`` a time."""
         oldest = self._clock.read_monotonic() - within
         return frozenset(
-            software
-            for (name, software), instant in self._gone.items()
-            if name == service and instant >= oldest
+            version
+            for version, instant in self._gone.items()
+            if instant >= oldest
         )
 
+    def measure_span(self) -> timedelta:
+        """Return for how long all versions are known."""
+        return self._clock.read_monotonic() - self.since
+
     def is_known_for(self, span: timedelta) -> bool:
         """Return whether all versions of the latest ``span`` are known."""
-        if self.since is None or span > VERSION_RETENTION:
+        if not self._has_list or span > VERSION_RETENTION:
             return False
         return self._clock.read_monotonic() - self.since >= span
