--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/software_history.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/software_history.py
@@ -24,14 +24,15 @@
         Time from which all versions are known.
     """
 
-    __slots__ = ('_clock', '_gone', '_has_list', 'since')
+    __slots__ = ('_clock', '_gone', '_has_list', '_started', 'since')
 
     def __init__(self, clock: Clock) -> None:
         """Start without a list."""
         self._clock = clock
         self._gone: dict[tuple[str, str], timedelta] = {}
         self._has_list = False
-        self.since = clock.read_monotonic()
+        self._started = clock.read_monotonic()
+        self.since = self._started
 
     def record_list(self) -> None:
         """Record that a complete list of the servers was applied."""
@@ -42,7 +43,11 @@
     def inherit(
         self, versions: Iterable[tuple[str, str]], span: timedelta
     ) -> None:
-        """Add what a process knew that has ended.
+        """Add what another process knew when it wrote its entry.
+
+        A process that has run for longer than `VERSION_RETENTION` knows more by
+        itself, and leaves it out: two processes would otherwise remind each
+        other of a version for ever.
 
         Parameters
         ----------
@@ -52,6 +57,8 @@
             Time for which it had known all versions.
         """
         now = self._clock.read_monotonic()
+        if now - self._started > VERSION_RETENTION:
+            return
         self._gone.update(dict.fromkeys(versions, now))
         self.since = min(self.since, now - span)
 
