--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/servers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/servers.py
@@ -126,7 +126,9 @@
     within : timedelta
         Longest time since a server of the version was listed.
     """
-    if not catalogue.history.is_known_for(within):
+    # Without the store, other gateways may list servers that this one does not.
+    is_current = catalogue.is_store_stable
+    if not is_current or not catalogue.history.is_known_for(within):
         return None
     versions = {
         software
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/tests/test_software_history.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/tests/test_software_history.py
@@ -85,3 +85,16 @@
     catalogue = ServerCatalogue(ManualClock())
     catalogue.history.inherit([('model', 'v1')], 60 * SECOND)
     assert find_sole_software(catalogue, 'model', WITHIN) is None
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'software'), [(0, None), (2, None), (3, 'v1')]
+)
+def test_no_version_is_known_alone_while_the_store_fails(seconds, software):
+    """Others may list servers of another version meanwhile."""
+    clock = ManualClock()
+    catalogue = build_catalogue(clock, build_server('a', 'v1'))
+    clock.advance(60 * SECOND)
+    catalogue.record_store_failure()
+    clock.advance(seconds * SECOND)
+    assert find_sole_software(catalogue, 'model', WITHIN) == software
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/take_ups.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/take_ups.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from baobabhinge_gateway.forwarding.bodies import DEFAULT_TIME_LIMIT
 from baobabhinge_gateway.forwarding.call import Call
 from baobabhinge_gateway.forwarding.failures import NotServedError
 from baobabhinge_gateway.forwarding.fingerprints import (
@@ -99,7 +100,7 @@
             StreamQuestion(
                 compute_key(call.head.host, began),
                 services[0] if len(services) == 1 else '',
-                call.route.time_limit + NOTICE_MARGIN,
+                (call.route.time_limit or DEFAULT_TIME_LIMIT) + NOTICE_MARGIN,
                 tuple(self._list_regions(call)),
             )
         )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/metrics.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/metrics.py
@@ -18,7 +18,7 @@
         another one has.
     """
 
-    __slots__ = ('_delay', '_largest', '_sent', '_unsent')
+    __slots__ = ('_delay', '_length', '_sent', '_unsent')
 
     def __init__(
         self,
@@ -37,7 +37,7 @@
             'Datagrams to other gateways that could not be sent',
             registry=registry,
         )
-        self._largest = Gauge(
+        self._length = Gauge(
             'baobabhinge_peer_datagram_bytes',
             'Length of the latest datagram to other gateways',
             ('kind',),
@@ -58,7 +58,7 @@
     def record_sent(self, kind: str, length: int, receivers: int) -> None:
         """Record that ``length`` bytes were sent to each of some gateways."""
         self._sent.labels(kind).inc(length * receivers)
-        self._largest.labels(kind).set(length)
+        self._length.labels(kind).set(length)
 
     def record_unsent(self) -> None:
         """Record that a datagram was not sent."""
