Wait for the end of an engine before it is restarted in a test

Trace: the assertion found no return code, while the next tests were refused connections at the port of that engine (14292): its process had ended. The call is refused as soon as the connection breaks; the event loop learns of the end of the process later. The test now waits for the end, 10 s at most, and still asserts it. 22 of 22 of the file pass.

--- a/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_region_bound.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/tests/test_region_bound.py
@@ -251,6 +251,9 @@
     async def restart():
         for engine in run.roster.list_by(Role.engine, 'west'):
             child = run.processes.get(engine.name)
+            # The end of a process is noticed some time after its connections.
+            async with asyncio.timeout(10):
+                await child.process.wait()
             assert child.process.returncode is not None
             await run.processes.restart(engine.name)
         await wait_until(is_answered)
