--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/crashes.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/crashes.py
@@ -1,5 +1,6 @@
 """Requests under which a stand-in of a backend server ends."""
 
+import asyncio
 from collections.abc import Callable
 
 
@@ -15,23 +16,34 @@
         request with it. Empty for none.
     answers_left : int
         How many requests with `part` it answers before it ends under one.
+    delay : float
+        Seconds from the begin of a run with `target` to the end of the server,
+        also if the caller leaves meanwhile.
     has_happened : bool
         Whether it has ended.
     end : callable or None
         Closes its listener and its connections; set once it listens.
     """
 
-    __slots__ = ('answers_left', 'end', 'has_happened', 'part', 'target')
+    __slots__ = (
+        'answers_left',
+        'delay',
+        'end',
+        'has_happened',
+        'part',
+        'target',
+    )
 
     def __init__(self) -> None:
         """Stand all requests."""
         self.target = ''
         self.part = ''
         self.answers_left = 0
+        self.delay: float = 0
         self.has_happened = False
         self.end: Callable[[], None] | None = None
 
-    def check(self, target: str) -> None:
+    async def check(self, target: str) -> None:
         """End the server if it does not stand the target of a request.
 
         Raises
@@ -40,6 +52,10 @@
             If it has ended.
         """
         if self.target and self.target in target:
+            if self.delay:
+                loop = asyncio.get_running_loop()
+                loop.call_later(self.delay, self._close)
+                await asyncio.sleep(2 * self.delay)
             self._end()
 
     def check_prompt(self, prompt: str) -> None:
@@ -62,7 +78,10 @@
             self.answers_left -= 1
 
     def _end(self) -> None:
+        self._close()
+        raise ConnectionResetError
+
+    def _close(self) -> None:
         self.has_happened = True
         if self.end is not None:
             self.end()
-        raise ConnectionResetError
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/replacement.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/replacement.py
@@ -1,4 +1,4 @@
-"""Replacement of stand-ins of backend servers that have ended."""
+"""Replacement of gateways, and of stand-ins of servers that have ended."""
 
 from baobabhinge_gateway.forwarding.core import GatewayCore
 from baobabhinge_standins.host.configuration import PLAIN
@@ -23,6 +23,12 @@
     return len(ended)
 
 
+async def restart_gateway(scene: HostScene, name: str, zone: str) -> None:
+    """Stop a gateway and run it again, with nothing of what it knew."""
+    await scene.programs.pop(name).stop()
+    await scene.add_gateway(name, zone)
+
+
 def _is_up_to_date(core: GatewayCore, scene: HostScene) -> bool:
     listed = set(scene.servers)
     usable = {one.name for one in core.state.catalogue.list_usable(PLAIN)}
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/scene.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/scene.py
@@ -93,6 +93,7 @@
         )
         started.crash.target = server.crash.target
         started.crash.part = server.crash.part
+        started.crash.delay = server.crash.delay
         return started
 
     async def add_gateway(self, name: str, zone: str) -> Program:
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/server.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/server.py
@@ -155,7 +155,7 @@
             SEAL: f'seal.{arrival.attempt}',
             **dict(self.notice.describe_answer()),
         }
-        self.crash.check(request.path)
+        await self.crash.check(request.path)
         if self.fault is ServerFault.answers_other:
             sealed[ATTEMPT] = 'another'
         if self.fault is ServerFault.fails:
