Count ends of servers whose entries go first

Cause: a server that is listed no longer was held to have left as planned, so its end did not count.

PROTOCOL.md: a server whose entry is removed goes on serving for drain-ms, so that one whose connections break sooner has not left as planned.

Change: the end counts if the server had announced nothing, and its entry is gone for less than half of that time; the rest is for what a gateway learns late.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/servers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/servers.py
@@ -76,10 +76,11 @@
 
     def remove(self, name: str) -> None:
         """Remove a server, after the retention time if the store failed."""
-        if name not in self._servers:
+        server = self._servers.get(name)
+        if server is None:
             return
         delay = timedelta() if self.is_store_stable else EXPIRED_ENTRY_RETENTION
-        self.removals.begin(name, delay)
+        self.removals.begin(name, delay, is_announced=server.is_leaving)
         if delay:
             log.info('backend-server-lapsing', server=name)
 
@@ -167,8 +168,27 @@
     return catalogue.history.list_gone(within) | listed
 
 
-def is_serving(catalogue: ServerCatalogue, name: str) -> bool:
-    """Return whether a server is listed and has not announced its end."""
+def is_serving(
+    catalogue: ServerCatalogue, name: str, notice: timedelta
+) -> bool:
+    """Return whether a server is not expected to end now.
+
+    It is not if it is listed and has not announced its end, or if its entry is
+    gone since less than ``notice``: the entry of a server that has crashed may
+    go first.
+
+    Parameters
+    ----------
+    catalogue : ServerCatalogue
+        Listed servers.
+    name : str
+        Name of the server.
+    notice : timedelta
+        Time for which a server serves on at least after its entry is gone.
+    """
+    age = catalogue.removals.compute_age(name)
+    if age is not None:
+        return age < notice
     return any(
         server.name == name and not server.is_leaving
         for server in catalogue.list_all()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/failure_recording.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/failure_recording.py
@@ -20,6 +20,9 @@
 from baobabhinge_gateway.forwarding.part_fingerprints import fingerprint_parts
 
 MILLISECOND = timedelta(milliseconds=1)
+# Of the time for which servers serve on after their entries are gone; a gateway
+# learns late that an entry is gone.
+CERTAIN_FRACTION = 0.5
 
 log = structlog.get_logger(__name__)
 
@@ -62,8 +65,10 @@
         reliability.record_outcome(server.name, has_failed=True)
         reliability.suspect(server.name, str(lost))
         # Servers that leave end under the calls that they still run.
-        is_leaving = state.statements.departures.is_leaving(server)
-        if not is_leaving and is_serving(state.catalogue, server.name):
+        departures = state.statements.departures
+        notice = departures.notice * CERTAIN_FRACTION
+        is_leaving = departures.is_leaving(server)
+        if not is_leaving and is_serving(state.catalogue, server.name, notice):
             state.crashes.lost_runs.record(call, server)
         raise
     except TimeLimitError:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_departures.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_departures.py
@@ -38,16 +38,21 @@
         Clock of the announcements.
     notice : timedelta, optional
         Time for which a server serves on.
+
+    Attributes
+    ----------
+    notice : timedelta
+        Time for which a server serves on.
     """
 
-    __slots__ = ('_clock', '_notice', '_told')
+    __slots__ = ('_clock', '_told', 'notice')
 
     def __init__(
         self, clock: Clock, notice: timedelta = DEFAULT_NOTICE
     ) -> None:
         """Start without announcements."""
         self._clock = clock
-        self._notice = notice
+        self.notice = notice
         self._told: OrderedDict[Incarnation, timedelta] = OrderedDict()
 
     def record(self, server: BackendServer) -> None:
@@ -71,7 +76,7 @@
         if told is None:
             return True
         elapsed = self._clock.read_monotonic() - told
-        return elapsed < self._notice - SENDING_MARGIN
+        return elapsed < self.notice - SENDING_MARGIN
 
     def _find(self, incarnation: Incarnation) -> timedelta | None:
         told = self._told.get(incarnation)
