Relay calls of gateways that have lost their servers

Cause: a call went to a server of the own region or to another region, never to a gateway of the own region that reaches the servers; other regions left out every server that any gateway of its region reported, so that one partitioned gateway in each region emptied all of them; and unreached servers were held to have ended, against all requests in flight.

Change: a gateway that finds all servers of its region, or eight of them, out of reach since any answered takes itself for partitioned. Its heartbeats say so: others ignore its view of servers, choose no sole sender, checker or target among such gateways, and the directory names them last. It relays calls through a gateway of its region that reaches a server, once at most; so does a call whose connection was refused at once. It checks three servers at a time until one answers, and counts no end of a server as long as no other service answers.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
@@ -82,9 +82,17 @@
         self.ingress = build_ingress_context(clock, self.state, random)
 
     def is_ready(self) -> bool:
-        """Return whether callers may use this gateway."""
+        """Return whether callers may use this gateway.
+
+        Without any server of its region, it has to know another gateway that
+        reaches servers.
+        """
         is_draining = self.ingress.lifecycle.is_draining
-        return self.state.is_loaded and not is_draining
+        is_usable = self.state.is_loaded and not is_draining
+        return is_usable and (
+            _update_reach(self.state, self.gateways)
+            or _has_way_round(self.gateways, self.settings.list_regions())
+        )
 
     def list_caller_addresses(self, region: str, host: str) -> Sequence[str]:
         """Return the ``host:port`` of the gateways that a caller is to use.
@@ -94,7 +102,8 @@
         any other region are returned only if no gateway of the caller's region
         is live: while its gateways are being replaced, the caller waits for
         one rather than send region-bound data to another region. A gateway that
-        has just started, or stood, can't know that none is live.
+        has just started, or stood, can't know that none is live. Gateways that
+        reach no servers are returned only if no others are found.
 
         Parameters
         ----------
@@ -110,11 +119,12 @@
         tiers = [[region], allowed]
         if is_region_lost(self.gateways, region):
             tiers.append(everywhere)
-        for tier in tiers:
-            addresses = self._list_addresses(tier)
-            if addresses:
-                return addresses
-        return []
+        listed = (
+            self._list_addresses(tier, reaches_servers=reaches_servers)
+            for reaches_servers in (True, False)
+            for tier in tiers
+        )
+        return next(filter(None, listed), [])
 
     def compose_heartbeat(self, sequence: int, region: str) -> Heartbeat:
         """Return the next heartbeat for the gateways of one region.
@@ -149,6 +159,7 @@
             limits=limits,
             relays=True,
             cold=self._sharing.list_cold(self.state) if is_local else (),
+            reaches_servers=_update_reach(self.state, self.gateways),
         )
 
     def is_watcher(self) -> bool:
@@ -169,24 +180,42 @@
             self.updater.lag.begin(heartbeat.marks, self.updater.revisions)
         self.state.loads.record(heartbeat.name, heartbeat.loads)
         if heartbeat.region != self.settings.own.region:
+            # What a gateway without links believes says nothing of servers.
             self.state.remote_regions.record(
-                heartbeat.name, heartbeat.region, heartbeat.shut
+                heartbeat.name,
+                heartbeat.region,
+                heartbeat.shut if heartbeat.reaches_servers else (),
             )
         for prefix in heartbeat.readings:
             self.state.prefixes.record(prefix)
         _merge_reports(self.state, heartbeat)
 
-    def _list_addresses(self, regions: Sequence[str]) -> Sequence[str]:
+    def _list_addresses(
+        self, regions: Sequence[str], *, reaches_servers: bool
+    ) -> Sequence[str]:
         addresses = [
             address
             for region in regions
-            for address in self.gateways.list_caller_addresses(region)
+            for address in self.gateways.list_caller_addresses(
+                region, reaches_servers=reaches_servers
+            )
         ]
-        if self.settings.own.region in regions and self.is_ready():
+        reaches = _update_reach(self.state, self.gateways)
+        is_own = reaches == reaches_servers and self.is_ready()
+        if is_own and self.settings.own.region in regions:
             addresses.append(self.settings.caller_address)
         return sorted(addresses)
 
 
+def _update_reach(state: DeploymentState, gateways: GatewayTable) -> bool:
+    gateways.reaches_servers = not state.is_partitioned
+    return gateways.reaches_servers
+
+
+def _has_way_round(gateways: GatewayTable, regions: Sequence[str]) -> bool:
+    return any(map(gateways.list_hop_addresses, regions))
+
+
 def _merge_reports(state: DeploymentState, heartbeat: Heartbeat) -> None:
     state.crashes.reporter.merge(heartbeat.crashes)
     state.crashes.parts.reporter.merge(heartbeat.parts)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/deployment_state.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/deployment_state.py
@@ -78,6 +78,15 @@
         has_servers = bool(self.catalogue.list_all())
         return self.configuration.revision is not None and has_servers
 
+    @property
+    def is_partitioned(self) -> bool:
+        """Whether this gateway reaches no server of the local region."""
+        return self.reliability.reach.is_partitioned(
+            server.name
+            for server in self.catalogue.list_all()
+            if self.is_local(server) and not server.is_leaving
+        )
+
     def is_local(self, server: BackendServer) -> bool:
         """Return whether ``server`` is in the region of this gateway."""
         return self.regions.get(server.failure_domain) == self.local_region
@@ -145,16 +154,25 @@
 
 
 def list_available(
-    state: DeploymentState, service: str
+    state: DeploymentState, service: str, *, has_suspected: bool = False
 ) -> Sequence[BackendServer]:
     """Return the servers of a service to which calls may be sent.
 
     Left out are servers that are leaving, evacuated, suspected, or reported as
     unavailable by a gateway of their own region.
+
+    Parameters
+    ----------
+    state : DeploymentState
+        Servers, and what is observed of them.
+    service : str
+        Name of the service.
+    has_suspected : bool, optional
+        Whether to return suspected servers too.
     """
     return [
         server
-        for server in _list_sound(state, service)
+        for server in _list_sound(state, service, has_suspected=has_suspected)
         if not state.statements.departures.is_leaving(server)
     ]
 
@@ -175,11 +193,11 @@
 
 
 def _list_sound(
-    state: DeploymentState, service: str
+    state: DeploymentState, service: str, *, has_suspected: bool = False
 ) -> Sequence[BackendServer]:
-    excluded = (
-        state.reliability.suspected | state.remote_regions.list_unavailable()
-    )
+    excluded = state.remote_regions.list_unavailable()
+    if not has_suspected:
+        excluded |= state.reliability.suspected
     return [
         server
         for server in state.catalogue.list_usable(service)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/failure_recording.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/failure_recording.py
@@ -51,7 +51,7 @@
     try:
         yield
     except NotReachedError:
-        reliability.suspect(server.name, 'not reached')
+        reliability.suspect_unreached(server.name, 'not reached')
         raise
     except (UnknownOutcomeError, StreamBrokenError) as lost:
         log.info(
@@ -63,7 +63,7 @@
             answering_ms=_compute_answering_ms(state, call),
         )
         reliability.record_outcome(server.name, has_failed=True)
-        reliability.suspect(server.name, str(lost))
+        reliability.suspect_unreached(server.name, str(lost))
         # Servers that leave end under the calls that they still run.
         departures = state.statements.departures
         notice = departures.notice * CERTAIN_FRACTION
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/gateway_listing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/gateway_listing.py
@@ -1,6 +1,6 @@
 """Interface to what is known of other gateways."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import Protocol
 
 
@@ -19,12 +19,20 @@
         """Times in which this process did not run."""
 
     def list_names(self, region: str) -> Sequence[str]:
-        """Return the names of live gateways of ``region``, own included."""
+        """Return the names of live gateways of ``region``, own included.
+
+        Those that reach no servers are left out.
+        """
 
     def list_hop_addresses(
-        self, region: str, name: str | None = None
+        self,
+        region: str,
+        name: str | None = None,
+        *,
+        servers: Collection[str] = (),
     ) -> Sequence[str]:
         """Return the ``host:port`` of other ready gateways of ``region``.
 
-        With ``name``, only that of the gateway called so.
+        Those that reach no servers are left out. With ``name``, only that of
+        the gateway called so; with ``servers``, only of those that reach one.
         """
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/health.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/health.py
@@ -9,16 +9,23 @@
 from datetime import timedelta
 from functools import partial
 
+import structlog
+
 from baobabhinge_gateway.deployment import BackendServer
 from baobabhinge_gateway.forwarding.check_sharing import CheckSharing
-from baobabhinge_gateway.forwarding.deployment_state import DeploymentState
+from baobabhinge_gateway.forwarding.deployment_state import (
+    DeploymentState,
+)
 from baobabhinge_gateway.forwarding.health_request import HealthRequester
+from baobabhinge_gateway.forwarding.link_probing import LinkProbing
 from baobabhinge_gateway.forwarding.send_gate import SendGate
 from baobabhinge_gateway.supervision import SupervisedService
 
 # Bounds the time until a server that recovered gets calls again.
 CHECK_PERIOD = timedelta(milliseconds=300)
 
+log = structlog.get_logger(__name__)
+
 
 class HealthChecker(SupervisedService):
     """Check suspected and possibly cold servers of the local region.
@@ -33,6 +40,8 @@
         Decides when a server with a limit or a pause may be checked.
     sharing : CheckSharing
         Decides which gateways check servers that may be cold.
+    probing : LinkProbing
+        Decides what to check when the links to all servers may be gone.
     """
 
     def __init__(
@@ -41,6 +50,7 @@
         state: DeploymentState,
         gate: SendGate,
         sharing: CheckSharing,
+        probing: LinkProbing,
     ) -> None:
         """Store the collaborators; checks begin when the service starts."""
         super().__init__()
@@ -48,6 +58,7 @@
         self._state = state
         self._gate = gate
         self._sharing = sharing
+        self._probing = probing
 
     async def on_start(self) -> None:
         """Start the loops of checks."""
@@ -60,7 +71,10 @@
                 self._gate.may_send,
                 list_servers_to_check(self._state, self._sharing.is_checker),
             )
-            await asyncio.gather(*map(self._check, servers))
+            await asyncio.gather(
+                *map(self._check, self._probing.choose_checks(servers)),
+                *map(self._probe, self._probing.list_untried()),
+            )
             await self.sleep(CHECK_PERIOD.total_seconds())
 
     async def _check_lost_runs(self) -> None:
@@ -79,7 +93,7 @@
         self._gate.record_send(server)
         health = await self._requester.request(server)
         if health.has_ended:
-            self._state.crashes.record_end(server.name)
+            await self._record_end(server)
         if not health.is_good:
             return
         self._state.crashes.lost_runs.remove(server.name)
@@ -89,6 +103,29 @@
             self._state.warmup.record_warm(server.name)
         self._state.reliability.clear(server.name)
 
+    async def _record_end(self, server: BackendServer) -> None:
+        """Record that a server has ended, unless the links to all are gone."""
+        if not self._state.crashes.lost_runs.has_lost(server.name):
+            return
+        unknown = self._probing.list_witnesses(server)
+        await asyncio.gather(*map(self._probe, unknown))
+        if self._probing.is_sound(server):
+            log.info('backend-server-unreached', server=server.name)
+            self._state.crashes.lost_runs.remove(server.name)
+        else:
+            self._state.crashes.record_end(server.name)
+
+    async def _probe(self, server: BackendServer) -> None:
+        """Find out whether a server is reached that nothing is wrong with."""
+        if not self._gate.may_send(server):
+            return
+        self._gate.record_send(server)
+        health = await self._requester.request(server)
+        if health.has_ended:
+            self._state.reliability.suspect_unreached(
+                server.name, 'not reached'
+            )
+
 
 def list_servers_to_check(
     state: DeploymentState, is_checker: Callable[[BackendServer], bool]
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/health_assembly.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/health_assembly.py
@@ -6,6 +6,7 @@
 from baobabhinge_gateway.forwarding.core import GatewayCore
 from baobabhinge_gateway.forwarding.health import HealthChecker
 from baobabhinge_gateway.forwarding.health_request import HealthRequester
+from baobabhinge_gateway.forwarding.link_probing import LinkProbing
 from baobabhinge_gateway.forwarding.protocols import BackendProtocol
 from baobabhinge_gateway.forwarding.selection_assembly import (
     build_region_directory,
@@ -34,4 +35,5 @@
         core.state,
         SendGate(core.state, build_region_directory(core)),
         CheckSharing(core.gateways, core.updater),
+        LinkProbing(core.state, core.ingress.random),
     )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/health_request.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/health_request.py
@@ -67,6 +67,7 @@
         )
         try:
             async with open_exchange(self._http, outbound) as response:
+                self._state.reliability.reach.record_reached()
                 await discard_body(response)
                 return self._read(server, response)
         except (NotReachedError, ForwardingError) as failure:
@@ -75,9 +76,10 @@
                 server=server.name,
                 reason=repr(failure),
             )
-            return HealthCheckResult(
-                is_good=False, has_ended=isinstance(failure, NotReachedError)
-            )
+            is_unreached = isinstance(failure, NotReachedError)
+            if is_unreached:
+                self._state.reliability.reach.record_unreached(server.name)
+            return HealthCheckResult(is_good=False, has_ended=is_unreached)
 
     def _read(
         self, server: BackendServer, response: aiohttp.ClientResponse
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/lost_runs.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/lost_runs.py
@@ -97,6 +97,11 @@
         }
         return [lost.server for lost in self._lost.values()]
 
+    def has_lost(self, server: str) -> bool:
+        """Return whether any run was lost with ``server``, or abandoned."""
+        self._add_abandoned(server)
+        return server in self._lost
+
     def remove(self, server: str) -> LostRuns | None:
         """Remove and return the runs that were lost with ``server``.
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/placement.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/placement.py
@@ -52,6 +52,8 @@
         call: Call,
         region: str,
         tried: Collection[str] = (),
+        *,
+        has_suspected: bool = False,
     ) -> Sequence[ServerEstimate]:
         """Return estimates for the warm servers of ``region``.
 
@@ -63,8 +65,12 @@
             Region of the servers.
         tried : collection of str, optional
             Servers to leave out.
+        has_suspected : bool, optional
+            Whether to return suspected servers too.
         """
-        candidates = self._list_candidates(call, region, tried)
+        candidates = self._list_candidates(
+            call, region, tried, has_suspected=has_suspected
+        )
         source = find_prefix_source(self._state, call, candidates)
         return [
             self._estimate(call, server, source)
@@ -124,8 +130,12 @@
         call: Call,
         region: str,
         tried: Collection[str],
+        *,
+        has_suspected: bool = False,
     ) -> Sequence[BackendServer]:
-        available = list_available(self._state, call.service)
+        available = list_available(
+            self._state, call.service, has_suspected=has_suspected
+        )
         return self._select(call, region, tried, available)
 
     def _select(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/reliability.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/reliability.py
@@ -10,6 +10,7 @@
 import structlog
 
 from baobabhinge_coordination.clock import Clock
+from baobabhinge_gateway.forwarding.server_reach import ServerReach
 
 # Weight of the newest outcome: about the last fifteen outcomes count.
 NEWEST_FRACTION = 0.07
@@ -39,16 +40,19 @@
 
     Attributes
     ----------
+    reach : ServerReach
+        Servers that this gateway does not reach.
     suspected : set of str
         Servers that get no calls until a health check passes.
     """
 
-    __slots__ = ('_clock', '_rates', 'suspected')
+    __slots__ = ('_clock', '_rates', 'reach', 'suspected')
 
     def __init__(self, clock: Clock) -> None:
         """Start without outcomes and without suspected servers."""
         self._clock = clock
         self._rates: dict[str, _FailureRate] = {}
+        self.reach = ServerReach(clock)
         self.suspected: set[str] = set()
 
     def suspect(self, server: str, reason: str) -> None:
@@ -65,6 +69,11 @@
             log.info('backend-server-suspected', server=server, reason=reason)
             self.suspected.add(server)
 
+    def suspect_unreached(self, server: str, reason: str) -> None:
+        """Suspect a ``server`` to which a connection failed; see `suspect`."""
+        self.suspect(server, reason)
+        self.reach.record_unreached(server)
+
     def clear(self, server: str) -> None:
         """Clear the suspicion of a ``server`` that passed a health check."""
         if server in self.suspected:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/restricted_selection.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/restricted_selection.py
@@ -13,6 +13,7 @@
     list_available,
 )
 from baobabhinge_gateway.forwarding.estimates import ServerEstimate
+from baobabhinge_gateway.forwarding.local_relays import LocalRelays
 from baobabhinge_gateway.forwarding.placement import Placement
 from baobabhinge_gateway.forwarding.region_directory import RegionDirectory
 from baobabhinge_gateway.forwarding.restricted_refusals import (
@@ -41,9 +42,18 @@
     ----------
     gate : SendGate
         Decides which servers with a limit may get a call.
+    relays : LocalRelays
+        Gateways of the region that reach servers which this one does not.
     """
 
-    __slots__ = ('_directory', '_placement', '_random', '_state', 'gate')
+    __slots__ = (
+        '_directory',
+        '_placement',
+        '_random',
+        '_state',
+        'gate',
+        'relays',
+    )
 
     def __init__(
         self,
@@ -58,6 +68,7 @@
         self._state = state
         self._random = random
         self.gate = SendGate(state, directory)
+        self.relays = LocalRelays(placement, directory, state, random)
 
     def choose(self, call: Call, tried: Collection[str]) -> Target:
         """Return a target for a call that no other server can take.
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
@@ -99,6 +99,7 @@
     ) -> FailedAnswer | None:
         outbound = self._build_request(call, estimate, run)
         async with open_exchange(self._http, outbound) as response:
+            self._state.reliability.reach.record_reached()
             verdict = self._backends.classify_answer(call, response)
             if verdict in SERVER_VERDICTS:
                 record_statement(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/target_selection.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/target_selection.py
@@ -90,7 +90,8 @@
         """
         self._state.crashes.check(call)
         local_region = self._directory.local_region
-        estimates = self._estimate_regions(call, tried)
+        relayed = self._estimate_relayed(call, tried)
+        estimates = self._estimate_regions(call, tried, relayed)
         choice = choose_region(
             local_region,
             {one: find_shortest_wait(estimates[one]) for one in estimates},
@@ -101,6 +102,8 @@
         # A remote region is expected to rank its servers alike.
         best = self._ranking(estimates[choice.region], self._random)[0]
         self._check_load(call, choice, best)
+        if choice.region == local_region and relayed:
+            return self._restricted.relays.create_target(relayed)
         if choice.region == local_region:
             self._restricted.gate.record_send(best.server)
             return self._directory.create_server_target(best)
@@ -113,11 +116,12 @@
         self,
         call: Call,
         tried: Collection[str],
+        relayed: Sequence[ServerEstimate],
     ) -> Mapping[str, Sequence[ServerEstimate]]:
         local = self._directory.local_region
         estimates: dict[str, Sequence[ServerEstimate]] = {}
         if call.route.allows(local):
-            estimates[local] = self._estimate(call, local, tried)
+            estimates[local] = relayed or self._estimate(call, local, tried)
         local_wait = find_shortest_wait(estimates.get(local, ()))
         shortest = compute_shortest_wait(self._state, call)
         if may_forward(local_wait, shortest, call.route.objective):
@@ -125,6 +129,18 @@
                 estimates[region] = self._estimate(call, region, tried)
         return estimates
 
+    def _estimate_relayed(
+        self, call: Call, tried: Collection[str]
+    ) -> Sequence[ServerEstimate]:
+        local = self._directory.local_region
+        if not self._state.reliability.reach.unreached or not call.route.allows(
+            local
+        ):
+            return ()
+        if self._estimate(call, local, tried):
+            return ()
+        return self._restricted.relays.estimate(call, tried)
+
     def _estimate(
         self, call: Call, region: str, tried: Collection[str]
     ) -> Sequence[ServerEstimate]:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/targets.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/targets.py
@@ -11,7 +11,7 @@
 
 
 class Target(msgspec.Struct, frozen=True):
-    """A backend server, or a gateway of a remote region.
+    """A backend server, or another gateway.
 
     Parameters
     ----------
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
@@ -59,6 +59,8 @@
         Whether the receiver is to pass the heartbeat on in its region.
     cold : sequence of ColdReport
         Cold servers of its region, told only there and while the store fails.
+    reaches_servers : bool
+        Whether it reaches any server of its region, as far as it knows.
     """
 
     name: str
@@ -80,6 +82,7 @@
     relays: bool = False
     is_to_relay: bool = False
     cold: Sequence[ColdReport] = ()
+    reaches_servers: bool = True
 
 
 class HeartbeatBundle(msgspec.Struct, array_like=True, tag='bundle'):
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/table.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/table.py
@@ -1,7 +1,7 @@
 """Table of the gateways that send heartbeats."""
 
 from collections import defaultdict
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from datetime import timedelta
 
 import msgspec
@@ -65,6 +65,8 @@
         Clock for the arrival of heartbeats.
     contacts : dict of str to GatewayContact
         Contacts of other gateways by name, live or not.
+    reaches_servers : bool
+        Whether this gateway reaches any server of its region.
     stalls : StallMonitor
         Times in which this process did not run.
     """
@@ -75,6 +77,7 @@
         'clock',
         'contacts',
         'own',
+        'reaches_servers',
         'stalls',
     )
 
@@ -83,6 +86,7 @@
         self.own = own
         self.contacts: dict[str, GatewayContact] = {}
         self.clock = clock
+        self.reaches_servers = True
         self.stalls = StallMonitor(clock)
         self._heartbeats: dict[str, Heartbeat] = {}
         self._received: dict[str, timedelta] = {}
@@ -137,36 +141,67 @@
         return True
 
     def list_names(self, region: str) -> Sequence[str]:
-        """Return the names of live gateways of ``region``, with this one."""
-        names = [heartbeat.name for heartbeat in self.list_live(region)]
-        if region == self.own.region:
+        """Return the names of live gateways of ``region``, with this one.
+
+        Left out are those that reach no servers, unless this one does not
+        either: they can do nothing for others.
+        """
+        names = [
+            heartbeat.name
+            for heartbeat in self.list_live(region)
+            if heartbeat.reaches_servers
+        ]
+        is_local = region == self.own.region
+        if is_local and (self.reaches_servers or not names):
             names.append(self.own.name)
         return sorted(names)
 
     def list_hop_addresses(
-        self, region: str, name: str | None = None
+        self,
+        region: str,
+        name: str | None = None,
+        *,
+        servers: Collection[str] = (),
     ) -> Sequence[str]:
         """Return the hop addresses of other ready gateways of ``region``.
 
+        Those that reach no servers are left out.
+
         Parameters
         ----------
         region : str
             Region of the gateways.
         name : str, optional
             Name of the only gateway that is wanted.
+        servers : collection of str, optional
+            Names of servers, one of which the gateways are to reach.
         """
         return [
             heartbeat.hop_address
             for heartbeat in self.list_live(region)
-            if heartbeat.is_ready and name in {None, heartbeat.name}
+            if heartbeat.is_ready
+            and heartbeat.reaches_servers
+            and name in {None, heartbeat.name}
+            and not (servers and set(heartbeat.shut).issuperset(servers))
         ]
 
-    def list_caller_addresses(self, region: str) -> Sequence[str]:
-        """Return the caller addresses of other ready gateways of ``region``."""
+    def list_caller_addresses(
+        self, region: str, *, reaches_servers: bool = True
+    ) -> Sequence[str]:
+        """Return the caller addresses of other ready gateways of ``region``.
+
+        Parameters
+        ----------
+        region : str
+            Region of the gateways.
+        reaches_servers : bool, optional
+            Whether to return those that reach servers, or the others.
+        """
         return [
             heartbeat.caller_address
             for heartbeat in self.list_live(region)
             if heartbeat.is_ready
+            and heartbeat.reaches_servers == reaches_servers
         ]
 
     def list_live(
