Make no calls wait at brittle servers

Change: gateways of a region share the slots of such a server evenly, so that all their calls together find a place; with more gateways than slots, the sole sender has all. A gateway that has just started takes one place. The number is told with heartbeats in the region, like limits; a service counts as brittle as a whole, so that servers which have just fallen and returned do too. A refusal stops the gateway's calls to the server for its share of half of what the server stands. Odd numbers have no effect; of several, the smallest holds.

The stand-in sent one field of each name only; it sends all now.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
@@ -138,9 +138,12 @@
         """
         own = self.settings.own
         is_local = region == own.region
-        limits = self.state.statements.limits.export() if is_local else ()
+        statements = self.state.statements
         if is_local:
             self.budget.gateway_count = 1 + len(self.gateways.list_live())
+            statements.brittle.gateway_count = len(
+                self.gateways.list_names(own.region)
+            )
         return Heartbeat(
             name=own.name,
             incarnation=self.ingress.lifecycle.incarnation,
@@ -156,7 +159,8 @@
             hears_store=self.updater.is_store_reachable,
             shut=list_unavailable(self.state),
             # Only gateways of this region send to its servers.
-            limits=limits,
+            limits=statements.limits.export() if is_local else (),
+            brittle=statements.brittle.table.export() if is_local else (),
             relays=True,
             cold=self._sharing.list_cold(self.state) if is_local else (),
             reaches_servers=_update_reach(self.state, self.gateways),
@@ -220,4 +224,5 @@
     state.crashes.reporter.merge(heartbeat.crashes)
     state.crashes.parts.reporter.merge(heartbeat.parts)
     state.statements.limits.merge(heartbeat.limits)
+    state.statements.brittle.table.merge(heartbeat.brittle)
     merge_cold(state.warmup, heartbeat.cold)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_limits.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_limits.py
@@ -59,26 +59,23 @@
         return now - self.instant > retention
 
 
-class ServerLimits:
-    """Latest statement of each server that names, or named, a limit.
+class LimitTable:
+    """Latest statement of each server, or service, that names a limit.
 
     Parameters
     ----------
     clock : Clock
         Clock of the statements.
-
-    Attributes
-    ----------
-    pacer : CallPacer
-        Times of the next calls to servers with a limit.
+    kind : str
+        What is limited, for the log.
     """
 
-    __slots__ = ('_clock', '_statements', 'pacer')
+    __slots__ = ('_clock', '_kind', '_statements')
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, kind: str) -> None:
         """Start without limits."""
-        self.pacer = CallPacer(clock)
         self._clock = clock
+        self._kind = kind
         self._statements: dict[str, _Statement] = {}
 
     def find(self, server: str) -> float | None:
@@ -149,6 +146,38 @@
         if statement.rate == before:
             return
         if statement.rate is None:
-            log.info('server-limit-ended', server=server, rate=before)
+            log.info(
+                'server-limit-ended',
+                server=server,
+                rate=before,
+                kind=self._kind,
+            )
         else:
-            log.info('server-limit-named', server=server, rate=statement.rate)
+            log.info(
+                'server-limit-named',
+                server=server,
+                rate=statement.rate,
+                kind=self._kind,
+            )
+
+
+class ServerLimits(LimitTable):
+    """Calls per second that servers take.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of the statements.
+
+    Attributes
+    ----------
+    pacer : CallPacer
+        Times of the next calls to servers with a limit.
+    """
+
+    __slots__ = ('pacer',)
+
+    def __init__(self, clock: Clock) -> None:
+        """Start without limits."""
+        super().__init__(clock, 'calls')
+        self.pacer = CallPacer(clock)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
@@ -108,6 +108,8 @@
                     self._backends.read_statement(response),
                     may_end_limit=verdict is not AnswerVerdict.declined,
                 )
+            if verdict is AnswerVerdict.declined:
+                self._state.statements.brittle.record_refusal(estimate.server)
             if verdict in TAKEN_VERDICTS:
                 run.sent.record_taken()
             if verdict is AnswerVerdict.misplaced:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_statements.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_statements.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from baobabhinge_coordination.clock import Clock
+from baobabhinge_gateway.forwarding.brittle_servers import BrittleServers
 from baobabhinge_gateway.forwarding.server_departures import (
     DEFAULT_NOTICE,
     ServerDepartures,
@@ -31,6 +32,11 @@
     unreadable_limit, unreadable_pause : str
         Start of a limit or of a pause without a meaning, such as a negative
         number; it has no effect. Empty otherwise.
+    refusals : float or None
+        Calls that it turns away in a second without falling over; ``None`` if
+        it does not say that it is brittle.
+    unreadable_refusals : str
+        Start of such a number without a meaning; it has no effect.
     """
 
     limit: float | None = None
@@ -39,6 +45,8 @@
     pause_end: datetime | None = None
     unreadable_limit: str = ''
     unreadable_pause: str = ''
+    refusals: float | None = None
+    unreadable_refusals: str = ''
 
 
 class StatementTable:
@@ -55,6 +63,8 @@
 
     Attributes
     ----------
+    brittle : BrittleServers
+        Services whose servers fall over when they turn calls away.
     clock : Clock
         Clock of the statements.
     limits : ServerLimits
@@ -65,7 +75,7 @@
         Servers that want no requests for a while.
     """
 
-    __slots__ = ('clock', 'departures', 'limits', 'pauses')
+    __slots__ = ('brittle', 'clock', 'departures', 'limits', 'pauses')
 
     def __init__(
         self,
@@ -74,6 +84,7 @@
         notice: timedelta = DEFAULT_NOTICE,
     ) -> None:
         """Start without statements."""
+        self.brittle = BrittleServers(clock)
         self.clock = clock
         self.limits = ServerLimits(clock)
         self.departures = ServerDepartures(clock, notice)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/statement_reading.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/statement_reading.py
@@ -21,7 +21,8 @@
 ) -> None:
     """Record what one answer says of its server.
 
-    A limit that can't be read neither begins nor ends one.
+    A limit, or a number of refusals, that can't be read neither begins nor ends
+    one.
 
     Parameters
     ----------
@@ -32,12 +33,13 @@
     statement : ServerStatement
         What it says.
     may_end_limit : bool
-        Whether an answer that names no limit ends one. A server may decline
+        Whether an answer that names none ends one. A server may decline
         calls, and answer health checks, before it knows its own need.
     """
     if statement.is_leaving:
         table.departures.record(server)
     _record_pause(table, server, statement)
+    _record_brittleness(table, server, statement, may_end=may_end_limit)
     if statement.unreadable_limit:
         log.warning(
             'server-limit-unreadable',
@@ -48,6 +50,24 @@
         table.limits.record(server.name, statement.limit)
 
 
+def _record_brittleness(
+    table: StatementTable,
+    server: BackendServer,
+    statement: ServerStatement,
+    *,
+    may_end: bool,
+) -> None:
+    if statement.unreadable_refusals:
+        log.warning(
+            'server-brittleness-unreadable',
+            server=server.name,
+            text=statement.unreadable_refusals,
+        )
+    is_unreadable = bool(statement.unreadable_refusals)
+    if statement.refusals is not None or (may_end and not is_unreadable):
+        table.brittle.table.record(server.service, statement.refusals)
+
+
 def _record_pause(
     table: StatementTable, server: BackendServer, statement: ServerStatement
 ) -> None:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
@@ -61,6 +61,9 @@
         Cold servers of its region, told only there and while the store fails.
     reaches_servers : bool
         Whether it reaches any server of its region, as far as it knows.
+    brittle : sequence of LimitReport
+        Refusals in a second that servers of brittle services stand, by service;
+        told only in its region.
     """
 
     name: str
@@ -83,6 +86,7 @@
     is_to_relay: bool = False
     cold: Sequence[ColdReport] = ()
     reaches_servers: bool = True
+    brittle: Sequence[LimitReport] = ()
 
 
 class HeartbeatBundle(msgspec.Struct, array_like=True, tag='bundle'):
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/notices.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/notices.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from baobabhinge_standins.host.brittleness import ServerBrittleness
+
 LEAVING = ('Server-Leaving', '1')
 PAUSE = 'Retry-After'
 
@@ -15,6 +17,9 @@
 
     Parameters
     ----------
+    brittle : sequence of str
+        How many requests it turns away in a second without falling over, told
+        by all answers, each in a field of its own; empty if it is not brittle.
     cold_ms : int
         How much longer it is cold, told by its health check.
     limit : str
@@ -30,8 +35,11 @@
         requests; told by answers with which it declines a request.
     health_pauses : sequence of str
         The same, told by health checks, which fail then.
+    brittleness : ServerBrittleness
+        Its room, and the refusals that it stands, whatever it tells.
     """
 
+    brittle: Sequence[str] = ()
     cold_ms: int = 0
     limit: str = ''
     health_limit: str = ''
@@ -39,10 +47,13 @@
     is_leaving_in_health: bool = False
     pauses: Sequence[str] = ()
     health_pauses: Sequence[str] = ()
+    brittleness: ServerBrittleness = msgspec.field(
+        default_factory=ServerBrittleness
+    )
 
     def describe_answer(self) -> Fields:
         """Return the headers of an answer."""
-        fields = []
+        fields = self._describe_brittleness()
         if self.limit:
             fields.append(('Server-Limit', self.limit))
         if self.is_leaving:
@@ -56,7 +67,8 @@
 
     def describe_health(self) -> Fields:
         """Return the headers of an answer to a health check."""
-        fields = [(PAUSE, text) for text in self.health_pauses]
+        fields = self._describe_brittleness()
+        fields.extend((PAUSE, text) for text in self.health_pauses)
         if self.cold_ms:
             fields.append(('Baobabhinge-Cold-Ms', str(self.cold_ms)))
         if self.health_limit:
@@ -64,3 +76,6 @@
         if self.is_leaving_in_health:
             fields.append(LEAVING)
         return fields
+
+    def _describe_brittleness(self) -> list[tuple[str, str]]:
+        return [('Server-Brittle', text) for text in self.brittle]
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/server.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/server.py
@@ -128,7 +128,10 @@
         self.arrivals.append(arrival)
         if request.headers.get('Baobabhinge-Expect-Instance') != self.name:
             return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST)
-        if self.fault is ServerFault.sheds:
+        if (
+            self.fault is ServerFault.sheds
+            or not self.notice.brittleness.try_begin()
+        ):
             return web.Response(
                 status=HTTPStatus.SERVICE_UNAVAILABLE,
                 headers=CIMultiDict(
@@ -144,18 +147,23 @@
         except (asyncio.CancelledError, ConnectionError):
             arrival.has_left = True
             raise
+        finally:
+            self.notice.brittleness.end()
 
     async def _run(
         self,
         request: web.Request,
         arrival: Arrival,
     ) -> web.StreamResponse:
-        sealed = {
-            ATTEMPT: arrival.attempt,
-            SEAL: f'seal.{arrival.attempt}',
-            **dict(self.notice.describe_answer()),
-        }
+        sealed = CIMultiDict(
+            [
+                (ATTEMPT, arrival.attempt),
+                (SEAL, f'seal.{arrival.attempt}'),
+                *self.notice.describe_answer(),
+            ]
+        )
         await self.crash.check(request.path)
+        await asyncio.sleep(self.notice.brittleness.work_seconds)
         if self.fault is ServerFault.answers_other:
             sealed[ATTEMPT] = 'another'
         if self.fault is ServerFault.fails:
@@ -181,7 +189,7 @@
         self,
         request: web.Request,
         arrival: Arrival,
-        sealed: dict[str, str],
+        sealed: CIMultiDict[str],
     ) -> web.StreamResponse:
         response = web.StreamResponse(headers=sealed)
         response.content_type = 'text/event-stream'
