Take no copy of a refusal for the answer to another call

Callers saw: 503, not run, for requests that a server had run or was running, if the server wrote an earlier refusal once more on the kept connection (REFUSED).

Cause: a refusal was believed whatever attempt it named, and connections were kept after refusals, which need not name any.

That costs new connections to servers that refuse.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/connector.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/connector.py
@@ -88,6 +88,16 @@
         return await super()._get(key, traces)
 
 
+def close_idle_connections(http: aiohttp.ClientSession, address: str) -> None:
+    """Close the idle connections of a session to ``host:port``.
+
+    On one of them, a second copy of the latest answer may follow.
+    """
+    connector = http.connector
+    if isinstance(connector, StrictConnector):
+        connector.close_idle(f'http://{address}')
+
+
 def _open_socket(address: Any) -> socket.socket:
     family, kind, protocol = address[:3]
     opened = socket.socket(family, kind, protocol)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/server_sender.py
@@ -22,7 +22,10 @@
     BackendProtocol,
     Responder,
 )
-from baobabhinge_gateway.forwarding.statement_reading import record_statement
+from baobabhinge_gateway.forwarding.statement_reading import (
+    record_refusal,
+    record_statement,
+)
 
 # Verdicts on answers that the server gave to the call itself.
 SERVER_VERDICTS = frozenset(
@@ -109,7 +112,9 @@
                     may_end_limit=verdict is not AnswerVerdict.declined,
                 )
             if verdict is AnswerVerdict.declined:
-                self._state.statements.brittle.record_refusal(estimate.server)
+                record_refusal(
+                    self._state.statements, self._http, estimate.server
+                )
             if verdict in TAKEN_VERDICTS:
                 run.sent.record_taken()
             if verdict is AnswerVerdict.misplaced:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/statement_reading.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/statement_reading.py
@@ -1,8 +1,10 @@
 """Recording of what backend servers say of themselves on their answers."""
 
+import aiohttp
 import structlog
 
 from baobabhinge_gateway.deployment import BackendServer
+from baobabhinge_gateway.forwarding.connector import close_idle_connections
 from baobabhinge_gateway.forwarding.server_pauses import NO_TIME
 from baobabhinge_gateway.forwarding.server_statements import (
     ServerStatement,
@@ -50,6 +52,27 @@
         table.limits.record(server.name, statement.limit)
 
 
+def record_refusal(
+    table: StatementTable, http: aiohttp.ClientSession, server: BackendServer
+) -> None:
+    """Record that a server has turned a call away.
+
+    A copy of that answer may follow, and need not name its attempt, so that the
+    connection is not used again.
+
+    Parameters
+    ----------
+    table : StatementTable
+        Statements of all servers.
+    http : aiohttp.ClientSession
+        Session of the call.
+    server : BackendServer
+        The server.
+    """
+    table.brittle.record_refusal(server)
+    close_idle_connections(http, server.address)
+
+
 def _record_brittleness(
     table: StatementTable,
     server: BackendServer,
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/repeating.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/repeating.py
@@ -16,6 +16,8 @@
 EMPTY_STATUSES = frozenset((204, 304))
 ENTRY_SLOTS = 6
 HEALTHY = 200
+UNAVAILABLE = 503
+REFUSED = {'Baobabhinge-Not-Executed': '1', 'Content-Length': '0'}
 # Between the late copy of an answer and the answer to the next request.
 ANSWER_SECONDS = 0.03
 
@@ -27,6 +29,10 @@
     at_once = 'together with the answer'
     later = 'before the next request'
     within_next = 'once the next request has arrived'
+    instead = 'in place of the answer to the next request'
+
+
+LATE = frozenset((CopyTime.within_next, CopyTime.instead))
 
 
 class RepeatingServer(msgspec.Struct):
@@ -42,6 +48,12 @@
         Sent before each answer.
     copied : CopyTime
         When answers are repeated.
+    refused : list of bool
+        As long as the number of the next requests that are refused.
+    names_refused : bool
+        Whether refusals name the attempt.
+    runs : list of str
+        Attempts that were run.
     """
 
     name: str
@@ -51,6 +63,9 @@
     status: int = 200
     interim: bytes = b''
     copied: CopyTime = CopyTime.never
+    refused: list[bool] = []
+    names_refused: bool = True
+    runs: list[str] = []
 
     def describe(self) -> dict[str, object]:
         """Return its entry in the list."""
@@ -76,10 +91,9 @@
                 if late:
                     writer.write(late)
                     await asyncio.sleep(ANSWER_SECONDS)
-                writer.write(self.interim + answer)
-                late = b''
-                if self.copied is CopyTime.within_next:
-                    late = answer
+                if not late or self.copied is not CopyTime.instead:
+                    writer.write(self.interim + answer)
+                late = answer if self.copied in LATE else b''
                 await self._repeat(writer, answer)
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
@@ -104,6 +118,11 @@
 
     def _compose(self, attempt: str) -> tuple[bytes, bytes]:
         """Return head and body of the answer to an attempt or health check."""
+        if attempt and self.refused:
+            self.refused.pop()
+            named = attempt if self.names_refused else ''
+            return _compose_head(UNAVAILABLE, {ATTEMPT: named, **REFUSED}), b''
+        self.runs.append(attempt)
         status = self.status if attempt else HEALTHY
         body = '' if status in EMPTY_STATUSES else f'answer to {attempt}'
         fields = {
