Ask other gateways before a sole version is taken for an origin

Cause: a gateway that listed one version only took it for the origin at once. Its list may be a second or two old while it hears of no other gateway, or has just woken, so that it lacks the servers of a new version.

Change: it asks first, as for any origin that it does not keep. Answers tell whether several versions are known. Its own knowledge counts if another gateway has answered and none knows several, or if there is no other.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/servers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/servers.py
@@ -150,6 +150,24 @@
     return versions.pop() if len(versions) == 1 else None
 
 
+def has_several_software(
+    catalogue: ServerCatalogue, service: str, within: timedelta
+) -> bool:
+    """Return whether servers of a service have run several versions lately.
+
+    Parameters
+    ----------
+    catalogue : ServerCatalogue
+        Listed servers.
+    service : str
+        Name of the service.
+    within : timedelta
+        Longest time since a server of a version was listed.
+    """
+    recent = list_recent_software(catalogue, within)
+    return len([name for name, _software in recent if name == service]) > 1
+
+
 def list_recent_software(
     catalogue: ServerCatalogue, within: timedelta
 ) -> frozenset[tuple[str, str]]:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/origin_exchange.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/origin_exchange.py
@@ -29,6 +29,12 @@
 
 
 SoleSoftwareFinder = Callable[[str, timedelta], str | None]
+SeveralFinder = Callable[[str, timedelta], bool]
+
+
+def know_none(service: str, within: timedelta) -> bool:
+    """Return that no versions of a service are known."""
+    return False
 
 
 class StreamQuestion(msgspec.Struct, frozen=True):
@@ -55,12 +61,27 @@
 class _Pending:
     """Answers that are missing to one question."""
 
-    __slots__ = ('answered', 'missing')
+    __slots__ = ('answered', 'has_several', 'is_heard', 'missing')
 
     def __init__(self, missing: set[Address]) -> None:
         """Wait for these gateways."""
         self.missing = missing
         self.answered = asyncio.Event()
+        self.is_heard = not missing
+        self.has_several = False
+
+    @property
+    def agrees(self) -> bool:
+        """Whether others, if there are any, know of no other version."""
+        return self.is_heard and not self.has_several
+
+    def record(self, answer: OriginRecord, source: Address) -> None:
+        """Record one answer."""
+        self.is_heard = True
+        self.has_several |= answer.has_several
+        self.missing.discard(source)
+        if answer.origin is not None or not self.missing:
+            self.answered.set()
 
 
 class OriginExchange:
@@ -76,9 +97,18 @@
         Sends a message to the addresses of gateways.
     find_sole : callable
         Returns the only version of a service within some time, if there is one.
+    has_several : callable, optional
+        Returns whether several versions of a service were known then.
     """
 
-    __slots__ = ('_find_sole', '_gateways', '_questions', '_send', 'table')
+    __slots__ = (
+        '_find_sole',
+        '_gateways',
+        '_has_several',
+        '_questions',
+        '_send',
+        'table',
+    )
 
     def __init__(
         self,
@@ -86,9 +116,11 @@
         gateways: GatewayTable,
         send: MessageSender,
         find_sole: SoleSoftwareFinder,
+        has_several: SeveralFinder = know_none,
     ) -> None:
         """Start without questions."""
         self._find_sole = find_sole
+        self._has_several = has_several
         self._gateways = gateways
         self._send = send
         self._questions: dict[str, _Pending] = {}
@@ -115,11 +147,22 @@
         )
 
     async def find(self, question: StreamQuestion) -> StreamOrigin | None:
-        """Return an origin, asking other gateways if it is not known here."""
-        if self._find(question) is None:
-            asked = list_asked(question.key, question.regions, self._gateways)
-            await self._ask(question, {contact.address for contact in asked})
-        return self._find(question)
+        """Return an origin, asking other gateways if it is not kept here.
+
+        The only version that this gateway knows is taken for the origin if
+        another gateway answers and knows no others, or there is none: this one
+        may not have heard of the latest servers.
+        """
+        kept = self.table.find(question.key)
+        if kept is not None:
+            return kept
+        asked = list_asked(question.key, question.regions, self._gateways)
+        pending = await self._ask(
+            question, {contact.address for contact in asked}
+        )
+        if pending.agrees:
+            return self._find(question)
+        return self.table.find(question.key)
 
     def receive(
         self, message: OriginRecord | OriginQuery, source: Address
@@ -130,16 +173,19 @@
             found = self._find(
                 StreamQuestion(message.key, message.service, within, ())
             )
-            answer = OriginRecord(message.key, found, is_answer=True)
+            answer = OriginRecord(
+                message.key,
+                found,
+                is_answer=True,
+                has_several=self._has_several(message.service, within),
+            )
             self._send(answer, [source])
             return
         if message.origin is not None:
             self.table.record(message.key, message.origin)
         pending = self._questions.get(message.key)
         if pending is not None and message.is_answer:
-            pending.missing.discard(source)
-            if message.origin is not None or not pending.missing:
-                pending.answered.set()
+            pending.record(message, source)
 
     def _find(self, question: StreamQuestion) -> StreamOrigin | None:
         kept = self.table.find(question.key)
@@ -148,9 +194,11 @@
         software = self._find_sole(question.service, question.within)
         return StreamOrigin(question.service, software) if software else None
 
-    async def _ask(self, question: StreamQuestion, asked: set[Address]) -> None:
+    async def _ask(
+        self, question: StreamQuestion, asked: set[Address]
+    ) -> _Pending:
         if not asked:
-            return
+            return _Pending(asked)
         key = question.key
         # Several requests may take up one stream at the same time.
         pending = self._questions.setdefault(key, _Pending(asked))
@@ -161,6 +209,7 @@
             async with asyncio.timeout(ANSWER_TIMEOUT.total_seconds()):
                 await pending.answered.wait()
         except TimeoutError:
-            return
+            return pending
         finally:
             self._questions.pop(key, None)
+        return pending
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/peer_exchange.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/peer_exchange.py
@@ -2,7 +2,10 @@
 
 from functools import partial
 
-from baobabhinge_gateway.deployment.servers import find_sole_software
+from baobabhinge_gateway.deployment.servers import (
+    find_sole_software,
+    has_several_software,
+)
 from baobabhinge_gateway.forwarding.core import GatewayCore
 from baobabhinge_gateway.forwarding.crash_reports import CrashExchange
 from baobabhinge_gateway.forwarding.origin_exchange import OriginExchange
@@ -48,6 +51,7 @@
             table,
             lambda *message: self.heartbeats.send_message(*message),
             partial(find_sole_software, core.state.catalogue),
+            partial(has_several_software, core.state.catalogue),
         )
         plan = HeartbeatPlan(table, core.compose_heartbeat, core.ingress.random)
         self.heartbeats = HeartbeatService(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_origins.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_origins.py
@@ -205,6 +205,51 @@
     assert is_prompt == (elapsed < ANSWER_TIMEOUT)
 
 
+@pytest.mark.parametrize(
+    ('answer', 'origin'),
+    [
+        # Cut off from all others, which may know of another version by now.
+        (None, None),
+        # The others have just started, and know nothing.
+        (OriginRecord('key', None, is_answer=True), FIRST),
+        # They list a version that this gateway does not, as it stood still.
+        (OriginRecord('key', None, is_answer=True, has_several=True), None),
+        (OriginRecord('key', SECOND_VERSION, is_answer=True), SECOND_VERSION),
+    ],
+)
+async def test_a_gateway_that_is_out_of_step_trusts_no_version(answer, origin):
+    """Streams went on at servers of another version than they had begun at."""
+    table = build_table('gateway-0', list_names(9))
+    exchange = OriginExchange(
+        OriginTable(ManualClock()),
+        table,
+        lambda _message, addresses: [
+            answer
+            and asyncio.get_running_loop().call_soon(
+                exchange.receive, answer, address
+            )
+            for address in addresses
+        ],
+        lambda *_: 'v1',
+    )
+    question = StreamQuestion('key', 'model', timedelta(), REGIONS)
+    assert await exchange.find(question) == origin
+
+
+@pytest.mark.parametrize('has_several', [True, False])
+async def test_a_question_is_answered_with_how_much_is_known(has_several):
+    sent = []
+    exchange = OriginExchange(
+        OriginTable(ManualClock()),
+        build_table('gateway-0', list_names(9)),
+        lambda message, _addresses: sent.append(message),
+        lambda *_: None,
+        lambda *_: has_several,
+    )
+    exchange.receive(OriginQuery('key', 'model', 1000), ('gateway-1', 90))
+    assert [one.has_several for one in sent] == [has_several]
+
+
 async def test_a_question_is_answered_with_what_is_kept():
     sent = []
     exchange = build_exchange({}, sent)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
@@ -132,11 +132,15 @@
         Where it began; ``None`` in an answer if it is not known.
     is_answer : bool
         Whether it answers a query.
+    has_several : bool
+        Whether servers of several versions may have begun the stream, as far as
+        the answering gateway knows.
     """
 
     key: str
     origin: StreamOrigin | None
     is_answer: bool = False
+    has_several: bool = False
 
 
 class OriginQuery(msgspec.Struct, array_like=True, tag='origin-query'):
