--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -314,6 +315,8 @@
         code = NOT_RUN
     finally:
         fleet.stop()
+    if not os.environ.get('KEEP_LOGS'):
+        shutil.rmtree(fleet.folder, ignore_errors=True)
     fleet.record('exit', code=code)
     # The sockets of the stand-ins end with the process.
     os._exit(code)
