Order the store's changes by entry, and lists by the revision they are complete to

Cause: the revision of the newest entry of a list counted as the revision to which the list is complete. Later pages hold newer entries than removals that the first page still shows, so that these were dropped as older; a list whose newest entry is gone looked older than what was applied, and was ignored.

Tests: calls of the updater took a bare revision where they now name the revisions of a list; what they check is the same.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/servers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/deployment/servers.py
@@ -1,6 +1,6 @@
 """Backend servers that are listed in the platform's store."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from datetime import timedelta
 
 import structlog
@@ -211,12 +211,3 @@
         server.name == name and not server.is_leaving
         for server in catalogue.list_all()
     )
-
-
-def list_missing(
-    known: Iterable[BackendServer],
-    listed: Iterable[BackendServer],
-) -> Sequence[str]:
-    """Return the names of known servers that a complete list lacks."""
-    names = {server.name for server in listed}
-    return [server.name for server in known if server.name not in names]
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
@@ -179,9 +179,7 @@
 
     def apply_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Apply what another gateway reports of servers and requests."""
-        if heartbeat.marks.is_ahead_of(self.updater.revisions):
-            self.updater.is_behind.set()
-            self.updater.lag.begin(heartbeat.marks, self.updater.revisions)
+        self.updater.record_marks(heartbeat.marks)
         self.state.loads.record(heartbeat.name, heartbeat.loads)
         if heartbeat.region != self.settings.own.region:
             # What a gateway without links believes says nothing of servers.
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_ingress.py
@@ -16,7 +16,7 @@
 from baobabhinge_gateway.forwarding.run_report import RunReport, choose_verdict
 from baobabhinge_gateway.forwarding.snapshot import parse_revisions
 from baobabhinge_gateway.forwarding.snapshot_fetcher import SNAPSHOT_PATH
-from baobabhinge_gateway.forwarding.state_updater import encode_snapshot
+from baobabhinge_gateway.forwarding.snapshot_transfer import encode_snapshot
 
 
 class HopIngress:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot.py
@@ -13,7 +13,7 @@
 
 
 class StoreRevisions(msgspec.Struct, array_like=True, frozen=True):
-    """Newest revisions of the store that a gateway has applied.
+    """Revisions of the store, one for each part of the state.
 
     Parameters
     ----------
@@ -53,7 +53,7 @@
     Parameters
     ----------
     marks : StoreRevisions
-        Revisions that the sender has applied.
+        Newest changes of each part that the sender has applied.
     revision : Revision or None
         Configuration in force; left out, as is ``evacuated``, if the receiver
         has it.
@@ -64,6 +64,9 @@
     lapsing_ms : mapping of str to int
         Servers whose entries are gone, and for how much longer they are kept,
         in milliseconds. They are not among ``servers``.
+    complete_to : StoreRevisions
+        Revisions up to which the sender has applied all changes; 0 for a part
+        of which it does not know this, as gateways of earlier versions.
     """
 
     marks: StoreRevisions
@@ -71,3 +74,4 @@
     evacuated: tuple[str, ...] = ()
     servers: tuple[BackendServer, ...] = ()
     lapsing_ms: Mapping[str, Milliseconds] = {}
+    complete_to: StoreRevisions = StoreRevisions()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_fetcher.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_fetcher.py
@@ -11,7 +11,7 @@
 from baobabhinge_gateway.forwarding.exchange import fetch
 from baobabhinge_gateway.forwarding.problems import ForwardingError
 from baobabhinge_gateway.forwarding.snapshot import UNWANTED, StoreRevisions
-from baobabhinge_gateway.forwarding.state_updater import apply_snapshot
+from baobabhinge_gateway.forwarding.snapshot_transfer import apply_snapshot
 from baobabhinge_gateway.neighbours import Heartbeat
 from baobabhinge_gateway.supervision import SupervisedService
 
@@ -62,7 +62,7 @@
 
     async def _fetch(self, source: Heartbeat) -> None:
         updater = self._core.updater
-        for wanted in list_wanted(updater.revisions, source.marks):
+        for wanted in list_wanted(updater.known_to, source.marks):
             path = f'{SNAPSHOT_PATH}?{wanted.format_query()}'
             address = source.hop_address
             try:
@@ -85,8 +85,10 @@
 
     Parameters
     ----------
-    own, newer : StoreRevisions
-        Revisions of this gateway and of the one that is asked.
+    own : StoreRevisions
+        Revisions up to which this gateway knows all changes.
+    newer : StoreRevisions
+        Newest changes that the gateway knows that is asked.
     """
     wanted = []
     if newer.operators > own.operators:
@@ -107,14 +109,14 @@
 
 
 def list_newer_gateways(core: GatewayCore) -> Sequence[Heartbeat]:
-    """Return the heartbeats of gateways that have newer revisions.
+    """Return the heartbeats of gateways that know of newer changes.
 
     Other regions are left out if the local region has such a gateway.
     """
     newer = [
         heartbeat
         for heartbeat in core.gateways.list_live()
-        if heartbeat.marks.is_ahead_of(core.updater.revisions)
+        if heartbeat.marks.is_ahead_of(core.updater.known_to)
     ]
     region = core.settings.own.region
     return [
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_lag.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_lag.py
@@ -23,20 +23,29 @@
         Clock of the reports.
     """
 
-    __slots__ = ('_clock', '_since')
+    __slots__ = ('_clock', '_reported', '_since')
 
     def __init__(self, clock: Clock) -> None:
         """Start without a newer revision."""
         self._clock = clock
+        self._reported = 0
         self._since: timedelta | None = None
 
     def begin(self, reported: StoreRevisions, own: StoreRevisions) -> None:
         """Record that another gateway has applied these revisions."""
-        if reported.operators > own.operators and self._since is None:
+        if reported.operators <= own.operators:
+            return
+        self._reported = max(self._reported, reported.operators)
+        if self._since is None:
             self._since = self._clock.read_monotonic()
 
-    def end(self) -> None:
-        """Record that a newer revision was applied; log it if it is late."""
+    def end(self, complete_to: int) -> None:
+        """Record the revision up to which all changes were applied.
+
+        It is logged if the reported one was applied late.
+        """
+        if complete_to < self._reported:
+            return
         lag = self.compute()
         self._since = None
         if lag > LATE_AFTER:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_region_selection.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_region_selection.py
@@ -17,6 +17,7 @@
 from baobabhinge_gateway.forwarding.call import Call, CallHead
 from baobabhinge_gateway.forwarding.core import GatewayCore
 from baobabhinge_gateway.forwarding.failures import NotServedError
+from baobabhinge_gateway.forwarding.key_revisions import ListRevisions
 from baobabhinge_gateway.forwarding.region_selection import (
     choose_region,
     may_forward,
@@ -44,12 +45,12 @@
     )
     services = {'ledger': Service('ledger', '/health', 100, 3 * SECOND, 1.9)}
     core.updater.adopt(Revision(1, (ROUTE,), services, RequestLimits()))
-    core.updater.replace_servers(
-        [
-            BackendServer(name, 'ledger', f'{name}:1', SERVERS[name])
+    core.updater.servers.replace(
+        {
+            BackendServer(name, 'ledger', f'{name}:1', SERVERS[name]): 1
             for name in listed
-        ],
-        1,
+        },
+        ListRevisions(1, 1),
     )
     return core
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_startup.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_startup.py
@@ -48,12 +48,12 @@
     if has_configuration:
         updater.adopt(Revision(1, (), {}, RequestLimits()))
     if has_server:
-        updater.replace_servers([SERVER], 1)
+        updater.servers.put(SERVER, 1)
     call = asyncio.create_task(gate.wait())
     await asyncio.sleep(0)
     await asyncio.sleep(0)
     assert call.done() != is_held
     updater.adopt(Revision(1, (), {}, RequestLimits()))
-    updater.replace_servers([SERVER], 1)
+    updater.servers.put(SERVER, 1)
     async with asyncio.timeout(20):
         await call
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_watchers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_watchers.py
@@ -17,6 +17,7 @@
     Revision,
 )
 from baobabhinge_gateway.forwarding.core import GatewayCore
+from baobabhinge_gateway.forwarding.key_revisions import ListRevisions
 from baobabhinge_gateway.forwarding.retry_budget import RetryBudgetLimits
 from baobabhinge_gateway.forwarding.settings import ForwardingSettings
 from baobabhinge_gateway.forwarding.snapshot import (
@@ -26,11 +27,12 @@
     parse_revisions,
 )
 from baobabhinge_gateway.forwarding.snapshot_fetcher import list_wanted
-from baobabhinge_gateway.forwarding.state_lag import StateLag
-from baobabhinge_gateway.forwarding.state_updater import (
+from baobabhinge_gateway.forwarding.snapshot_transfer import (
     apply_snapshot,
     encode_snapshot,
 )
+from baobabhinge_gateway.forwarding.state_lag import StateLag
+from baobabhinge_gateway.forwarding.state_updater import lacks_changes
 from baobabhinge_gateway.forwarding.watchers import is_informed
 from baobabhinge_gateway.neighbours import GatewayContact, Heartbeat
 
@@ -51,6 +53,16 @@
     )
 
 
+def replace_servers(updater, servers, revision):
+    listed = dict.fromkeys(servers, revision)
+    updater.servers.replace(listed, ListRevisions(revision, revision))
+
+
+def replace_evacuations(updater, domains, revision):
+    listed = dict.fromkeys(domains, revision)
+    updater.evacuations.replace(listed, ListRevisions(revision, revision))
+
+
 NO_REVISIONS = StoreRevisions()
 
 
@@ -130,8 +142,8 @@
 def test_a_snapshot_holds_only_newer_parts(since, has_revision, servers):
     source = build_core('a')
     source.updater.adopt(Revision(3, (), {}, RequestLimits()))
-    source.updater.evacuate(frozenset(('west-a',)), 5)
-    source.updater.replace_servers([SERVER], 7)
+    replace_evacuations(source.updater, ('west-a',), 5)
+    replace_servers(source.updater, [SERVER], 7)
     query = dict(parse_qsl(since.format_query()))
     encoded = encode_snapshot(
         source.updater, source.state, parse_revisions(query)
@@ -140,7 +152,7 @@
     assert (snapshot.revision is not None) == has_revision
     assert len(snapshot.servers) == servers
     receiver = build_core()
-    receiver.updater.revisions = since
+    receiver.updater.complete(since)
     apply_snapshot(receiver.updater, encoded, since)
     assert (receiver.state.configuration.version == 3) == has_revision
     assert len(receiver.state.catalogue.list_all()) == servers
@@ -162,8 +174,8 @@
 
 def test_an_empty_server_list_advances_the_revision():
     core = build_core()
-    core.updater.replace_servers([SERVER], 7)
-    core.updater.replace_servers([], 9)
+    replace_servers(core.updater, [SERVER], 7)
+    replace_servers(core.updater, [], 9)
     assert core.updater.revisions == StoreRevisions(0, 9)
     assert not core.state.catalogue.list_all()
 
@@ -197,10 +209,10 @@
     """A list of servers that is left out is not an empty one."""
     source = build_core('a')
     source.updater.adopt(Revision(3, (), {}, RequestLimits()))
-    source.updater.evacuate(frozenset(), 5)
-    source.updater.replace_servers([], 9)
+    replace_evacuations(source.updater, (), 5)
+    replace_servers(source.updater, [], 9)
     receiver = build_core()
-    receiver.updater.replace_servers([SERVER], 7)
+    replace_servers(receiver.updater, [SERVER], 7)
     encoded = encode_snapshot(source.updater, source.state, since)
     apply_snapshot(receiver.updater, encoded, since)
     assert receiver.state.configuration.version == version
@@ -228,9 +240,9 @@
 def build_lapsing_core(name):
     """Return a core that has lost the entry of a server in an outage."""
     core = build_core(name)
-    core.updater.replace_servers([SERVER], 7)
+    replace_servers(core.updater, [SERVER], 7)
     core.updater.record_store_failure()
-    core.updater.replace_servers([], 9)
+    replace_servers(core.updater, [], 9)
     return core
 
 
@@ -244,7 +256,7 @@
     """Each snapshot began the time anew for which a lost server is kept."""
     source = build_lapsing_core('a')
     receiver = build_core('b')
-    receiver.updater.replace_servers([SERVER], 7)
+    replace_servers(receiver.updater, [SERVER], 7)
     receiver.updater.record_store_failure()
     exchange_snapshots(source, receiver)
     left = source.state.catalogue.removals.list_left()[SERVER.name]
@@ -255,8 +267,77 @@
 
 def test_a_server_that_is_gone_is_not_listed_again_by_a_snapshot():
     receiver = build_core('b')
-    receiver.updater.replace_servers([SERVER], 7)
-    receiver.updater.replace_servers([], 8)
+    replace_servers(receiver.updater, [SERVER], 7)
+    replace_servers(receiver.updater, [], 8)
     assert not receiver.state.catalogue.list_all()
     exchange_snapshots(build_lapsing_core('a'), receiver)
     assert not receiver.state.catalogue.list_all()
+
+
+class EarlierSnapshot(msgspec.Struct):
+    """Snapshot of a version that tells only the newest change it has seen."""
+
+    marks: StoreRevisions
+    revision: Revision | None = None
+    evacuated: tuple[str, ...] = ()
+    servers: tuple[BackendServer, ...] = ()
+    lapsing_ms: dict[str, int] = {}
+
+
+@pytest.mark.parametrize('is_store_reachable', [True, False])
+def test_a_mark_of_an_earlier_version_does_not_count_as_complete(
+    is_store_reachable,
+):
+    """Its list may lack changes before the mark: the store is read again."""
+    receiver = build_core()
+    replace_servers(receiver.updater, [SERVER], 7)
+    replace_evacuations(receiver.updater, [], 7)
+    receiver.updater.is_store_reachable = is_store_reachable
+    marks = StoreRevisions(9, 9)
+    told = EarlierSnapshot(
+        marks, Revision(3, (), {}, RequestLimits()), ('west-a',)
+    )
+    since = receiver.updater.known_to
+    encoded = msgspec.msgpack.encode(told)
+    receiver.apply_heartbeat(build_heartbeat('a', revisions=marks))
+    apply_snapshot(receiver.updater, encoded, since)
+    state = receiver.state
+    assert state.configuration.version == 3
+    assert bool(state.catalogue.list_all()) == is_store_reachable
+    assert bool(state.configuration.evacuated) != is_store_reachable
+    assert lacks_changes(receiver.updater)
+    assert not marks.is_ahead_of(receiver.updater.known_to)
+    # What it passes on is as uncertain.
+    encoded = encode_snapshot(receiver.updater, state, StoreRevisions())
+    passed_on = msgspec.msgpack.decode(encoded, type=Snapshot)
+    assert passed_on.complete_to.is_ahead_of(NO_REVISIONS) == is_store_reachable
+    replace_servers(receiver.updater, [SERVER], 10)
+    replace_evacuations(receiver.updater, [], 10)
+    assert not lacks_changes(receiver.updater)
+    assert state.catalogue.list_all()
+    assert not state.configuration.evacuated
+
+
+def test_an_earlier_version_reads_what_this_one_tells():
+    source = build_core('a')
+    source.updater.adopt(Revision(3, (), {}, RequestLimits()))
+    replace_evacuations(source.updater, ['west-a'], 5)
+    replace_servers(source.updater, [SERVER], 7)
+    source.updater.complete(StoreRevisions(5000, 5000))
+    encoded = encode_snapshot(source.updater, source.state, StoreRevisions())
+    told = msgspec.msgpack.decode(encoded, type=EarlierSnapshot)
+    # Revisions of changes: that of the store grows with each write.
+    assert told.marks == StoreRevisions(5, 7)
+    assert source.compose_heartbeat(1, 'west').marks == told.marks
+    assert told.servers == (SERVER,)
+    assert told.evacuated == ('west-a',)
+
+
+def test_a_snapshot_with_half_of_a_list_removes_no_newer_server():
+    """The sender has not read the page on which the receiver's server is."""
+    source = build_core('a')
+    replace_servers(source.updater, [], 8)
+    receiver = build_core('b')
+    receiver.updater.servers.replace({SERVER: 9}, ListRevisions(6, 6))
+    exchange_snapshots(source, receiver)
+    assert receiver.state.catalogue.list_all()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/messages.py
@@ -41,7 +41,7 @@
     loads : dict of str to ServerLoad
         Load of the calls that it has in flight, by backend server.
     marks : StoreRevisions
-        Newest revisions of the platform's store that it has applied.
+        Newest changes in the platform's store that it has applied.
     readings : sequence of CachedPrefix
         Prompts that engines read for it since its last heartbeat.
     hears_store : bool
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/store.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/store.py
@@ -1,7 +1,7 @@
 """Stand-in of the platform's metadata store."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from typing import Any
 
@@ -15,6 +15,14 @@
 POLL_SECONDS = 0.01
 MILLISECONDS = 1000
 
+Page = dict[str, Any]
+PageHandler = Callable[[str, Page], Page | None]
+
+
+def pass_page(prefix: str, page: Page) -> Page:
+    """Return the page of a list as it is."""
+    return page
+
 
 class HostStore:
     """Store with the interface of the platform.
@@ -27,6 +35,10 @@
         How it fails now.
     calls : list of str
         Paths that were called.
+    on_page : callable
+        Called with the prefix and the answer of each page of a list before it
+        is sent; returns what is sent, or ``None`` for an answer without
+        history.
     """
 
     def __init__(self) -> None:
@@ -34,6 +46,7 @@
         self.table = StoreTable()
         self.fault = StoreFault.none
         self.calls: list[str] = []
+        self.on_page: PageHandler = pass_page
         self._leases = 0
 
     def build_app(self) -> web.Application:
@@ -54,13 +67,15 @@
         prefix = request.query['path-prefix']
         after = request.query.get('after', '')
         rows = [row for row in self.table.list_rows(prefix) if row.key > after]
-        return web.json_response(
-            {
-                'items': [row.render() for row in rows[:PAGE]],
-                'more-pages': len(rows) > PAGE,
-                'as-of': self.table.revision,
-            },
-        )
+        page = {
+            'items': [row.render() for row in rows[:PAGE]],
+            'more-pages': len(rows) > PAGE,
+            'as-of': self.table.revision,
+        }
+        sent = self.on_page(prefix, page)
+        if sent is None:
+            return web.Response(status=HTTPStatus.GONE)
+        return web.json_response(sent)
 
     async def _answer_watch(self, request: web.Request) -> web.Response:
         prefix = request.query['path-prefix']
