--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/key_revisions.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/key_revisions.py
@@ -215,7 +215,8 @@
         for key in changes.written:
             self._removed.pop(key, None)
             self._present[key] = listed[key]
-            self.progress.note(listed[key])
+            if listed[key] > revisions.as_of:
+                self.progress.note(listed[key])
         self.complete(0)
         return changes
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_key_revisions.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_key_revisions.py
@@ -164,6 +164,18 @@
     assert ('b' in keys.present) == (as_of < 7)
 
 
+def test_a_list_of_another_gateway_tells_of_no_newer_change():
+    """Its other gateways would fetch it again, one from the other."""
+    history = History()
+    history.change('a')
+    source, receiver = (Follower(history), Follower(history))
+    source.watch(0)
+    source.keys.complete(5000)
+    receiver.hear(source)
+    assert receiver.keys.progress.told == source.keys.progress.told == 1
+    assert receiver.keys.progress.known_to == 5000
+
+
 def test_writes_of_other_prefixes_are_nothing_to_tell():
     keys = KeyRevisions()
     keys.replace({'a': 5}, ListRevisions(7, 5, shows_removals=False))
