Join no answer to a stream that it does not go on with

Cause: each sealed answer with a status below 500 was written into a stream that had begun; ids of events were not compared; and a stream whose events have no ids was begun anew at another server.

Change: only 200 with the type of a stream, or none, is a stream; the first event of another run has to be newer; bytes that are no event end a stream as broken; other first answers are passed on whole.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
@@ -122,6 +122,9 @@
         Whether another gateway forwarded the call to this one.
     last_event : str or None
         Id of the last event that was passed on to the caller, if any.
+    has_unnamed_events : bool
+        Whether an event without an id was passed on, so that no other run can
+        go on after it.
     runs : int
         Runs on backend servers that may have begun.
     first_event, latest_event : timedelta or None
@@ -150,6 +153,7 @@
     attempts_left: int
     is_from_gateway: bool = False
     last_event: str | None = None
+    has_unnamed_events: bool = False
     runs: int = 0
     first_event: timedelta | None = None
     latest_event: timedelta | None = None
@@ -175,4 +179,6 @@
         """Whether another run is harmless and within the limit of runs."""
         kind = self.route.kind
         is_harmless = kind.is_repeatable or kind.is_resumable
+        if self.has_unnamed_events:
+            return False
         return is_harmless and self.runs < self.attempts_left
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/delivery.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/delivery.py
@@ -1,5 +1,7 @@
 """Passing the answer of a target on to the caller."""
 
+from http import HTTPStatus
+
 import aiohttp
 import msgspec
 
@@ -7,6 +9,7 @@
 from baobabhinge_gateway.forwarding.exchange import discard_body
 from baobabhinge_gateway.forwarding.failures import (
     DeclinedError,
+    StreamBrokenError,
     UnknownOutcomeError,
 )
 from baobabhinge_gateway.forwarding.headers import keep_end_to_end
@@ -21,6 +24,10 @@
     StreamRelay,
 )
 
+# The HTTP library declares this type for answers that declare none.
+UNDECLARED = 'application/octet-stream'
+STREAM_TYPES = frozenset(('text/event-stream', UNDECLARED))
+
 
 class FailedAnswer(msgspec.Struct, frozen=True):
     """Complete answer in which a backend server reports an error."""
@@ -94,7 +101,9 @@
             raise UnknownOutcomeError(
                 'the answer does not belong to this request'
             )
-        if call.route.kind.is_streamed and verdict is AnswerVerdict.answered:
+        if verdict is AnswerVerdict.answered and _is_part_of_stream(
+            call, response, responder
+        ):
             relay = StreamRelay(
                 self._backends, responder, on_first_event, self._on_begin
             )
@@ -106,3 +115,24 @@
             return FailedAnswer(response.status, headers, body)
         await responder.send_complete(response.status, headers, body)
         return None
+
+
+def _is_part_of_stream(
+    call: Call, response: aiohttp.ClientResponse, responder: Responder
+) -> bool:
+    """Return whether an answer is a stream, or goes on with one.
+
+    Raises
+    ------
+    StreamBrokenError
+        If a stream was begun and the answer can't go on with it.
+    """
+    kind = response.headers.get('Content-Type', UNDECLARED)
+    is_events = kind.partition(';')[0].strip().lower() in STREAM_TYPES
+    is_stream = is_events and response.status == HTTPStatus.OK
+    if responder.has_started and not is_stream:
+        response.close()
+        raise StreamBrokenError(
+            f'the stream was answered with {response.status} and {kind}'
+        )
+    return call.route.kind.is_streamed and is_stream
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/failures.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/failures.py
@@ -46,7 +46,10 @@
 
 
 class StreamBrokenError(AttemptError):
-    """A stream broke off after an event of it was passed on."""
+    """A stream broke off after an event of it was passed on.
+
+    So does one that another server does not go on with.
+    """
 
     code = 'stream-broken'
     status = HTTPStatus.BAD_GATEWAY
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/protocols.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/protocols.py
@@ -1,6 +1,7 @@
 """Interfaces between forwarding and the adapters of a platform."""
 
 import enum
+from collections.abc import Sequence
 from datetime import timedelta
 from typing import Protocol
 
@@ -109,8 +110,14 @@
     def measure_events(self, pending: bytes) -> int:
         """Return the length in bytes of the complete events in ``pending``."""
 
-    def read_last_event(self, events: bytes) -> str | None:
-        """Return the id of the last of these complete events, if it has one."""
+    def read_event_ids(self, events: bytes) -> Sequence[str | None]:
+        """Return the ids of these complete events, as far as they have data.
+
+        Raises
+        ------
+        StreamBrokenError
+            If the bytes are no events.
+        """
 
 
 class Responder(Protocol):
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/relay.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/relay.py
@@ -1,6 +1,6 @@
 """Relay of a streamed answer, event by event."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import aiohttp
 
@@ -44,6 +44,7 @@
 
     __slots__ = (
         '_backends',
+        '_goes_on',
         '_on_begin',
         '_on_first_event',
         '_pending',
@@ -63,6 +64,8 @@
         self._responder = responder
         self._on_first_event = on_first_event
         self._pending = b''
+        # Whether the first event follows on the last one of an earlier run.
+        self._goes_on = True
 
     async def run(
         self,
@@ -78,6 +81,7 @@
         UnknownOutcomeError, TimeLimitError
             If it broke off before.
         """
+        self._goes_on = not self._responder.has_started
         try:
             await self._relay_events(call, response)
         except (aiohttp.ClientError, TimeoutError) as broken:
@@ -101,15 +105,27 @@
             if len(self._pending) - length > MAX_EVENT_BYTES:
                 raise AnswerTooLongError('an event is over the size limit')
             if length:
-                await self._start(call, response)
-                await self._write(call, self._pending[:length])
-                self._pending = self._pending[length:]
+                await self._pass_on(call, response, length)
 
-    async def _write(self, call: Call, events: bytes) -> None:
+    async def _pass_on(
+        self, call: Call, response: aiohttp.ClientResponse, length: int
+    ) -> None:
+        events = self._pending[:length]
+        names = self._backends.read_event_ids(events)
+        if names and not self._goes_on:
+            _check_order(call.last_event, names[0])
+            self._goes_on = True
+        await self._start(call, response)
+        await self._write(call, events, names)
+        self._pending = self._pending[length:]
+
+    async def _write(
+        self, call: Call, events: bytes, names: Sequence[str | None]
+    ) -> None:
         await self._responder.write(events)
-        last = self._backends.read_last_event(events)
-        if last is not None:
-            call.last_event = last
+        call.last_event = next(filter(None, reversed(names)), call.last_event)
+        if None in names:
+            call.has_unnamed_events = True
 
     async def _start(
         self, call: Call, response: aiohttp.ClientResponse
@@ -118,3 +134,16 @@
             self._on_begin(call)
             headers = keep_end_to_end(response.headers.items())
             await self._responder.start(response.status, headers)
+
+
+def _check_order(last: str | None, following: str | None) -> None:
+    """Raise an error unless an event may follow on the last one."""
+    if last is None or following is None:
+        raise StreamBrokenError('an event without an id can not go on')
+    is_older = last == following
+    if last.isdecimal() and following.isdecimal():
+        is_older = int(following) <= int(last)
+    if is_older:
+        raise StreamBrokenError(
+            f'event {following} was sent again after event {last}'
+        )
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/notices.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/notices.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from baobabhinge_standins.host.brittleness import ServerBrittleness
+from baobabhinge_standins.host.taking_up import StreamTakeUp
 
 LEAVING = ('Server-Leaving', '1')
 PAUSE = 'Retry-After'
@@ -37,6 +38,8 @@
         The same, told by health checks, which fail then.
     brittleness : ServerBrittleness
         Its room, and the refusals that it stands, whatever it tells.
+    take_up : StreamTakeUp
+        How it answers a stream that is taken up after an event.
     """
 
     brittle: Sequence[str] = ()
@@ -50,6 +53,7 @@
     brittleness: ServerBrittleness = msgspec.field(
         default_factory=ServerBrittleness
     )
+    take_up: StreamTakeUp = msgspec.field(default_factory=StreamTakeUp)
 
     def describe_answer(self) -> Fields:
         """Return the headers of an answer."""
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/server.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/server.py
@@ -11,6 +11,7 @@
 from baobabhinge_standins.host.arrivals import HEALTH, Arrival
 from baobabhinge_standins.host.crashes import ServerCrash
 from baobabhinge_standins.host.notices import ServerNotice
+from baobabhinge_standins.host.taking_up import compose_event as compose_event
 from baobabhinge_standins.host.unframed import reset_connection, send_unframed
 
 EVENTS = 4
@@ -180,6 +181,9 @@
                 is_reset=self.fault is ServerFault.resets_unframed,
             )
         self.crash.check_prompt(request.headers.get(PROMPT, ''))
+        last_event = request.headers.get(LAST_EVENT)
+        if self.notice.take_up.answers_otherwise(last_event):
+            return self.notice.take_up.compose_answer(sealed)
         if 'stream' in request.path:
             return await self._stream(request, arrival, sealed)
         body = f'{self.name} answers {arrival.attempt}'.encode()
@@ -194,14 +198,19 @@
         response = web.StreamResponse(headers=sealed)
         response.content_type = 'text/event-stream'
         await response.prepare(request)
-        first = int(request.headers.get(LAST_EVENT, 0)) + 1
+        first = self.notice.take_up.choose_first(
+            request.headers.get(LAST_EVENT)
+        )
         last = sys.maxsize if self.fault is ServerFault.floods else EVENTS
         for number in range(first, last + 1):
             await wait_for_event(self, response)
-            event = compose_event(number)
+            event = self.notice.take_up.compose_event(number)
             if (
                 self.fault is ServerFault.breaks_stream
                 and number > BREAKS_AFTER
+                and self.notice.take_up.may_break(
+                    request.headers.get(LAST_EVENT)
+                )
             ):
                 await response.write(event[:7])
                 await asyncio.sleep(EVENT_PAUSE_SECONDS)
@@ -221,11 +230,6 @@
         await asyncio.sleep(pause)
 
 
-def compose_event(number: int) -> bytes:
-    """Return one event of a stream."""
-    return f'id: {number}\ndata: piece {number}\n\n'.encode()
-
-
 def _compose_unframed(path: str, fault: ServerFault) -> bytes:
     if 'stream' not in path:
         return b'unframed'
