Answer requests that are on their way while a gateway stops

Cause: stop_accepting closed connections whose requests were not whole, and the HTTP library drops what arrives after that.

Change: such a connection is closed after its answer. A schedule of the stop bounds bodies by the time that their calls need, refuses as not run what can't end in time, and answers calls that outlast the grace period.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/connection_use.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/connection_use.py
@@ -28,8 +28,8 @@
 
     Attributes
     ----------
-    active : set of RequestHandler
-        Connections on which a request is being answered.
+    active : dict of RequestHandler to BaseRequest
+        Requests that are being answered, by connection.
     """
 
     __slots__ = ('_list_open', '_used', 'active')
@@ -38,19 +38,20 @@
         """Start without connections."""
         self._list_open = list_open
         self._used: set[web.RequestHandler] = set()
-        self.active: set[web.RequestHandler] = set()
+        self.active: dict[web.RequestHandler, web.BaseRequest] = {}
 
     @contextmanager
-    def hold(self, connection: web.RequestHandler) -> Iterator[None]:
-        """Count a request on ``connection`` while the context is open."""
+    def hold(self, request: web.BaseRequest) -> Iterator[None]:
+        """Count a request while the context is open."""
+        connection = request.protocol
         self._used.add(connection)
         if len(self._used) > MAX_REMEMBERED:
             self._used.intersection_update(self._list_open())
-        self.active.add(connection)
+        self.active[connection] = request
         try:
             yield
         finally:
-            self.active.discard(connection)
+            self.active.pop(connection, None)
 
     async def wait_for_first_requests(self) -> None:
         """Return once no connection lacks its first request, or after a while.
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
@@ -25,13 +25,6 @@
 
 CHECK_INTERVAL = timedelta(milliseconds=50)
 REPORT_PAUSE = timedelta(milliseconds=10)
-# Fraction of the grace period in which new calls are accepted: after 2.4 s of
-# 8 s most callers have resolved gateways again, as answers of the directory
-# expire after 2 s. A stream that began later might not end in the grace period.
-ACCEPTING_FRACTION = 0.3
-# Fraction of the grace period after which open calls are abandoned; the rest
-# is for the end of the process.
-OPEN_CALLS_FRACTION = 0.91
 
 log = structlog.get_logger(__name__)
 
@@ -92,22 +85,21 @@
     async def drain(self) -> None:
         """Announce draining, accept calls for a while, then finish open ones.
 
-        Returns once no call is open, or when `OPEN_CALLS_FRACTION` of the grace
-        period has passed.
+        Returns once no call is open and all connections are closed, or when
+        the grace period has almost passed.
         """
         ingress = self._core.ingress
         ingress.lifecycle.is_draining = True
         log.info('draining', open_calls=ingress.metrics.open_calls)
         self._heartbeats.send_heartbeats()
-        grace = self._core.settings.grace
-        latest = ingress.clock.read_monotonic() + grace * OPEN_CALLS_FRACTION
-        await asyncio.sleep(grace.total_seconds() * ACCEPTING_FRACTION)
+        times = ingress.stopping.begin(self._core.settings.grace)
+        await asyncio.sleep(times.accepting.total_seconds())
         await self._caller_listener.stop_accepting()
         log.info(
             'caller-listener-closed', open_calls=ingress.metrics.open_calls
         )
-        while self._caller_listener.is_busy or ingress.metrics.open_calls:
-            if ingress.clock.read_monotonic() >= latest:
+        while self._caller_listener.connections or ingress.metrics.open_calls:
+            if ingress.clock.read_monotonic() >= times.latest:
                 break
             await asyncio.sleep(CHECK_INTERVAL.total_seconds())
         log.info('stopping', open_calls=ingress.metrics.open_calls)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop.py
@@ -102,9 +102,13 @@
         If the request is longer than a call may be.
     MalformedCallError
         If the envelope can't be decoded.
+    StoppingError
+        If this gateway stops before the call could end.
     """
     revision = context.configuration.revision
     limits = revision.limits if revision else RequestLimits()
     max_bytes = MAX_ENVELOPE_BYTES + LIMIT_MARGIN * limits.body_bytes
     body = await read_body(request, max_bytes)
-    return decode_envelope(body, context.clock.read_monotonic())
+    call = decode_envelope(body, context.clock.read_monotonic())
+    context.stopping.check(call.route)
+    return call
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_ingress.py
@@ -67,7 +67,8 @@
         if call is None:
             return
         try:
-            await self._dispatcher.serve(call, responder)
+            async with self._context.stopping.bound_call(call):
+                await self._dispatcher.serve(call, responder)
         except CallError as refusal:
             self._context.record_end(call, refusal.code, refusal.detail)
             await _refuse(responder, report, refusal)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/http_listener.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/http_listener.py
@@ -43,6 +43,7 @@
         self._address = address
         self._answer = answer
         self._opened: socket.socket | None = None
+        self._is_closing = False
         self._use = ConnectionUse(lambda: self.connections)
         self._server = web.Server(
             self._answer_tracked,
@@ -89,17 +90,21 @@
         """Accept no more connections, close idle ones, finish open answers.
 
         A connection that was accepted just now has some time for its request.
+        One whose request is not whole is closed after the answer to it, as the
+        rest would not be read.
         `web.Server.pre_shutdown` leaves idle connections open although nothing
         reads them, so each is closed here.
         """
         if self._opened is not None:
             await stop_accepting(self._runner, self._opened)
         await self._use.wait_for_first_requests()
+        self._is_closing = True
         for connection in self.connections:
-            if connection in self._use.active:
-                connection.close()
-            else:
+            request = self._use.active.get(connection)
+            if request is None:
                 connection.force_close()
+            elif request.content.is_eof():
+                connection.close()
 
     async def on_stop(self) -> None:
         """Close the socket and all connections."""
@@ -114,5 +119,8 @@
             # The connection was closed while the request was on its way, so no
             # answer can reach the caller.
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
-        with self._use.hold(connection):
-            return await self._answer(request)
+        with self._use.hold(request):
+            answer = await self._answer(request)
+        if self._is_closing and request.content.is_eof():
+            connection.close()
+        return answer
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
@@ -54,8 +54,7 @@
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of a caller."""
         arrival = self._context.clock.read_monotonic()
-        is_last = self._context.lifecycle.is_draining
-        responder = HttpResponder(request, is_last=is_last)
+        responder = HttpResponder(request, lifecycle=self._context.lifecycle)
         await self._context.startup_gate.wait()
         try:
             call = await self._read_call(request, arrival)
@@ -68,7 +67,8 @@
 
     async def _serve(self, call: Call, responder: HttpResponder) -> None:
         try:
-            await self._dispatcher.serve(call, responder)
+            async with self._context.stopping.bound_call(call):
+                await self._dispatcher.serve(call, responder)
         except CallError as refusal:
             await self._refuse(responder, refusal, call)
         except (asyncio.CancelledError, ConnectionError):
@@ -93,7 +93,10 @@
             raise NoRouteError(
                 f'no route of version {revision.version} matches host and path',
             )
-        body = await read_body(request, revision.limits.body_bytes)
+        stopping = self._context.stopping
+        async with stopping.bound_upload(route):
+            body = await read_body(request, revision.limits.body_bytes)
+        stopping.check(route)
         return Call(
             head=head,
             body=body,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress_context.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress_context.py
@@ -12,6 +12,7 @@
 from baobabhinge_gateway.forwarding.deployment_state import DeploymentState
 from baobabhinge_gateway.forwarding.metrics import CallMetrics
 from baobabhinge_gateway.forwarding.startup import StartupGate
+from baobabhinge_gateway.forwarding.stopping import StopSchedule
 from baobabhinge_gateway.lifecycle import Lifecycle
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -36,6 +37,8 @@
         Counters of calls.
     startup_gate : StartupGate
         Holds calls that arrive while the process starts.
+    stopping : StopSchedule
+        Bounds requests and calls while the process stops.
     """
 
     clock: Clock
@@ -44,6 +47,7 @@
     lifecycle: Lifecycle
     metrics: CallMetrics
     startup_gate: StartupGate
+    stopping: StopSchedule
 
     def record_end(self, call: Call | None, outcome: str, reason: str) -> None:
         """Count and log the end of a call.
@@ -90,6 +94,7 @@
         Lifecycle(clock),
         CallMetrics(),
         StartupGate(clock, state),
+        StopSchedule(clock),
     )
 
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/responder.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/responder.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from baobabhinge_gateway.forwarding.call import Headers
+from baobabhinge_gateway.lifecycle import Lifecycle
 
 HeaderExtender = Callable[[int, Headers], Headers]
 
@@ -22,8 +23,9 @@
     ----------
     request : web.BaseRequest
         Request to answer.
-    is_last : bool, optional
-        Whether to close the connection after the answer.
+    lifecycle : Lifecycle, optional
+        Tells whether the connection is closed after the answer, as the process
+        is draining.
     extend_headers : callable, optional
         Returns the headers to send for the status and headers of an answer.
 
@@ -37,7 +39,7 @@
 
     __slots__ = (
         '_extend_headers',
-        '_is_last',
+        '_lifecycle',
         '_request',
         'has_started',
         'response',
@@ -47,12 +49,12 @@
         self,
         request: web.BaseRequest,
         *,
-        is_last: bool = False,
+        lifecycle: Lifecycle | None = None,
         extend_headers: HeaderExtender = keep_headers,
     ) -> None:
         """Prepare an answer; nothing is sent."""
         self._request = request
-        self._is_last = is_last
+        self._lifecycle = lifecycle
         self._extend_headers = extend_headers
         self.response = web.StreamResponse(
             status=HTTPStatus.INTERNAL_SERVER_ERROR,
@@ -94,7 +96,7 @@
     ) -> None:
         for name, text in self._extend_headers(response.status, headers):
             response.headers.add(name, text)
-        if self._is_last:
+        if self._lifecycle is not None and self._lifecycle.is_draining:
             response.force_close()
         self.response = response
         self.has_started = True
