Bound the bytes that all requests and answers hold together

Cause: each answer has a bound of 16 MiB, nothing bounds their sum.

A sender may hold as much as it leaves free to all others; what is over that ends at once, with an error of its own.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/bodies.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/bodies.py
@@ -7,6 +7,7 @@
 
 from baobabhinge_gateway.deployment import Route
 from baobabhinge_gateway.forwarding.call import CallHead
+from baobabhinge_gateway.forwarding.memory_budget import MemoryUse
 from baobabhinge_gateway.forwarding.problems import (
     BodyTooLargeError,
 )
@@ -15,14 +16,19 @@
 DEFAULT_TIME_LIMIT = timedelta(minutes=10)
 
 
-async def read_body(request: web.BaseRequest, max_bytes: int) -> bytes:
+async def read_body(
+    request: web.BaseRequest, max_bytes: int, memory: MemoryUse
+) -> bytes:
     """Return the complete body of a request.
 
     Raises
     ------
     BodyTooLargeError
         If it exceeds ``max_bytes``.
+    BodyMemoryError
+        If the gateway has no memory for it.
     """
+    sender = request.remote or ''
     chunks = []
     length = 0
     async for chunk in request.content.iter_any():
@@ -31,6 +37,7 @@
             raise BodyTooLargeError(
                 'the request body exceeds the body limit of the configuration'
             )
+        memory.add_body(sender, len(chunk))
         chunks.append(chunk)
     return b''.join(chunks)
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
@@ -5,6 +5,10 @@
 import msgspec
 
 from baobabhinge_gateway.deployment import BackendServer, Route
+from baobabhinge_gateway.forwarding.memory_budget import (
+    MemoryUse,
+    open_unlimited_use,
+)
 from baobabhinge_gateway.forwarding.stream_origins import StreamOrigin
 
 Headers = tuple[tuple[str, str], ...]
@@ -142,6 +146,8 @@
     part_fingerprints : tuple of str or None
         Digests of parts of the prompt; ``None`` until `fingerprint_parts` is
         used.
+    memory : MemoryUse
+        Bytes that are held for the call and its answers.
     """
 
     head: CallHead
@@ -162,6 +168,7 @@
     part_fingerprints: tuple[str, ...] | None = None
     origin: StreamOrigin | None = None
     run_software: str | None = None
+    memory: MemoryUse = msgspec.field(default_factory=open_unlimited_use)
 
     def may_run_on(self, server: BackendServer) -> bool:
         """Return whether ``server`` may begin the call or go on with it."""
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
@@ -79,7 +79,9 @@
         )
         self.updater = StateUpdater(self.state)
         self._sharing = CheckSharing(self.gateways, self.updater)
-        self.ingress = build_ingress_context(clock, self.state, random)
+        self.ingress = build_ingress_context(
+            clock, self.state, random, settings.memory
+        )
 
     def is_ready(self) -> bool:
         """Return whether callers may use this gateway.
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
@@ -92,7 +92,7 @@
         ingress.lifecycle.is_draining = True
         log.info('draining', open_calls=ingress.metrics.open_calls)
         self._heartbeats.send_heartbeats()
-        times = ingress.stopping.begin(self._core.settings.grace)
+        times = ingress.bounds.stopping.begin(self._core.settings.grace)
         await asyncio.sleep(times.accepting.total_seconds())
         await self._caller_listener.stop_accepting()
         log.info(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/delivery.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/delivery.py
@@ -1,5 +1,6 @@
 """Passing the answer of a target on to the caller."""
 
+from functools import partial
 from http import HTTPStatus
 
 import aiohttp
@@ -23,6 +24,7 @@
     FirstEventCallback,
     StreamRelay,
 )
+from baobabhinge_platform.answers import read_bounded
 
 # The HTTP library declares this type for answers that declare none.
 UNDECLARED = 'application/octet-stream'
@@ -110,7 +112,9 @@
             await relay.run(call, response)
             return None
         headers = keep_end_to_end(response.headers.items())
-        body = await response.read()
+        body = await read_bounded(
+            response, partial(call.memory.add_answer, response.url.authority)
+        )
         if verdict is AnswerVerdict.failed:
             return FailedAnswer(response.status, headers, body)
         await responder.send_complete(response.status, headers, body)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/exchange.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/exchange.py
@@ -125,18 +125,3 @@
                 length += len(chunk)
                 if length > MAX_DISCARDED_BYTES:
                     break
-
-
-async def fetch(
-    http: aiohttp.ClientSession,
-    address: str,
-    path: str,
-    limit: timedelta,
-) -> bytes:
-    """Return the body that another gateway answers to a GET of ``path``.
-
-    Raises as `open_exchange` does.
-    """
-    outbound = OutboundRequest('GET', address, path, (), b'', limit)
-    async with open_exchange(http, outbound) as response:
-        return await response.read()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop.py
@@ -17,6 +17,7 @@
 )
 from baobabhinge_gateway.forwarding.exchange import OutboundRequest
 from baobabhinge_gateway.forwarding.ingress_context import IngressContext
+from baobabhinge_gateway.forwarding.memory_budget import MemoryUse
 from baobabhinge_gateway.forwarding.protocols import AnswerVerdict
 
 HOP_PATH = '/calls'
@@ -92,7 +93,7 @@
 
 
 async def receive_call(
-    request: web.BaseRequest, context: IngressContext
+    request: web.BaseRequest, context: IngressContext, memory: MemoryUse
 ) -> Call:
     """Return the call that another gateway forwards in a request.
 
@@ -100,6 +101,8 @@
     ------
     BodyTooLargeError
         If the request is longer than a call may be.
+    BodyMemoryError
+        If this gateway has no memory for the request.
     MalformedCallError
         If the envelope can't be decoded.
     StoppingError
@@ -108,7 +111,8 @@
     revision = context.configuration.revision
     limits = revision.limits if revision else RequestLimits()
     max_bytes = MAX_ENVELOPE_BYTES + LIMIT_MARGIN * limits.body_bytes
-    body = await read_body(request, max_bytes)
+    body = await read_body(request, max_bytes, memory)
     call = decode_envelope(body, context.clock.read_monotonic())
-    context.stopping.check(call.route)
+    call.memory = memory
+    context.bounds.stopping.check(call.route)
     return call
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_ingress.py
@@ -11,11 +11,14 @@
     receive_call,
 )
 from baobabhinge_gateway.forwarding.ingress import encode_refusal
+from baobabhinge_gateway.forwarding.memory_budget import MemoryUse
 from baobabhinge_gateway.forwarding.problems import BodyTooLargeError
 from baobabhinge_gateway.forwarding.responder import HttpResponder
 from baobabhinge_gateway.forwarding.run_report import RunReport, choose_verdict
-from baobabhinge_gateway.forwarding.snapshot import parse_revisions
-from baobabhinge_gateway.forwarding.snapshot_fetcher import SNAPSHOT_PATH
+from baobabhinge_gateway.forwarding.snapshot import (
+    SNAPSHOT_PATH,
+    parse_revisions,
+)
 from baobabhinge_gateway.forwarding.snapshot_transfer import encode_snapshot
 
 
@@ -42,10 +45,16 @@
         """Answer one request of another gateway."""
         if request.path == SNAPSHOT_PATH:
             return web.Response(body=self._encode_snapshot(request))
+        with self._context.bounds.memory.open_use() as memory:
+            return await self._answer_call(request, memory)
+
+    async def _answer_call(
+        self, request: web.BaseRequest, memory: MemoryUse
+    ) -> web.StreamResponse:
         report = RunReport()
         responder = HttpResponder(request, extend_headers=report.extend_headers)
         try:
-            report.call = await receive_call(request, self._context)
+            report.call = await receive_call(request, self._context, memory)
         except BodyTooLargeError as endless:
             self._context.record_end(None, endless.code, endless.detail)
             # Closes the connection without reading the rest.
@@ -67,7 +76,7 @@
         if call is None:
             return
         try:
-            async with self._context.stopping.bound_call(call):
+            async with self._context.bounds.stopping.bound_call(call):
                 await self._dispatcher.serve(call, responder)
         except CallError as refusal:
             self._context.record_end(call, refusal.code, refusal.detail)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
@@ -14,6 +14,7 @@
 )
 from baobabhinge_gateway.forwarding.call import Call
 from baobabhinge_gateway.forwarding.ingress_context import IngressContext
+from baobabhinge_gateway.forwarding.memory_budget import MemoryUse
 from baobabhinge_gateway.forwarding.problems import (
     NoConfigurationError,
     NoRouteError,
@@ -53,11 +54,17 @@
 
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of a caller."""
+        with self._context.bounds.memory.open_use() as memory:
+            return await self._answer(request, memory)
+
+    async def _answer(
+        self, request: web.BaseRequest, memory: MemoryUse
+    ) -> web.StreamResponse:
         arrival = self._context.clock.read_monotonic()
         responder = HttpResponder(request, lifecycle=self._context.lifecycle)
         await self._context.startup_gate.wait()
         try:
-            call = await self._read_call(request, arrival)
+            call = await self._read_call(request, arrival, memory)
         except CallError as refusal:
             await self._refuse(responder, refusal, None)
         else:
@@ -67,7 +74,7 @@
 
     async def _serve(self, call: Call, responder: HttpResponder) -> None:
         try:
-            async with self._context.stopping.bound_call(call):
+            async with self._context.bounds.stopping.bound_call(call):
                 await self._dispatcher.serve(call, responder)
         except CallError as refusal:
             await self._refuse(responder, refusal, call)
@@ -83,6 +90,7 @@
         self,
         request: web.BaseRequest,
         arrival: timedelta,
+        memory: MemoryUse,
     ) -> Call:
         head = self._protocol.read_head(request)
         revision = self._context.configuration.revision
@@ -93,9 +101,9 @@
             raise NoRouteError(
                 f'no route of version {revision.version} matches host and path',
             )
-        stopping = self._context.stopping
+        stopping = self._context.bounds.stopping
         async with stopping.bound_upload(route):
-            body = await read_body(request, revision.limits.body_bytes)
+            body = await read_body(request, revision.limits.body_bytes, memory)
         stopping.check(route)
         return Call(
             head=head,
@@ -105,6 +113,7 @@
             arrival=arrival,
             deadline=arrival + choose_time_limit(head, route),
             attempts_left=max(1, route.max_attempts),
+            memory=memory,
         )
 
     async def _refuse(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress_context.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress_context.py
@@ -11,8 +11,11 @@
 from baobabhinge_gateway.forwarding.call import Call
 from baobabhinge_gateway.forwarding.deployment_state import DeploymentState
 from baobabhinge_gateway.forwarding.metrics import CallMetrics
+from baobabhinge_gateway.forwarding.request_bounds import (
+    RequestBounds,
+    build_request_bounds,
+)
 from baobabhinge_gateway.forwarding.startup import StartupGate
-from baobabhinge_gateway.forwarding.stopping import StopSchedule
 from baobabhinge_gateway.lifecycle import Lifecycle
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -37,8 +40,8 @@
         Counters of calls.
     startup_gate : StartupGate
         Holds calls that arrive while the process starts.
-    stopping : StopSchedule
-        Bounds requests and calls while the process stops.
+    bounds : RequestBounds
+        Bounds on memory, and on time while the process stops.
     """
 
     clock: Clock
@@ -47,7 +50,7 @@
     lifecycle: Lifecycle
     metrics: CallMetrics
     startup_gate: StartupGate
-    stopping: StopSchedule
+    bounds: RequestBounds
 
     def record_end(self, call: Call | None, outcome: str, reason: str) -> None:
         """Count and log the end of a call.
@@ -84,9 +87,21 @@
 
 
 def build_ingress_context(
-    clock: Clock, state: DeploymentState, random: Random
+    clock: Clock, state: DeploymentState, random: Random, memory: int
 ) -> IngressContext:
-    """Return the dependencies of the calls of a process that starts."""
+    """Return the dependencies of the calls of a process that starts.
+
+    Parameters
+    ----------
+    clock : Clock
+        Monotonic clock of the process.
+    state : DeploymentState
+        What calls wait for at the start.
+    random : Random
+        Generator of random choices.
+    memory : int
+        Bytes that the process may use altogether.
+    """
     return IngressContext(
         clock,
         state.configuration,
@@ -94,7 +109,7 @@
         Lifecycle(clock),
         CallMetrics(),
         StartupGate(clock, state),
-        StopSchedule(clock),
+        build_request_bounds(clock, memory),
     )
 
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/relay.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/relay.py
@@ -45,6 +45,7 @@
     __slots__ = (
         '_backends',
         '_goes_on',
+        '_held',
         '_on_begin',
         '_on_first_event',
         '_pending',
@@ -64,6 +65,7 @@
         self._responder = responder
         self._on_first_event = on_first_event
         self._pending = b''
+        self._held = 0
         # Whether the first event follows on the last one of an earlier run.
         self._goes_on = True
 
@@ -106,6 +108,17 @@
                 raise AnswerTooLongError('an event is over the size limit')
             if length:
                 await self._pass_on(call, response, length)
+            self._account(call, response.url.authority)
+
+    def _account(self, call: Call, sender: str) -> None:
+        """Count the bytes of an event that is not complete."""
+        length = len(self._pending)
+        if length < self._held:
+            call.memory.release(sender)
+            self._held = 0
+        if length > self._held:
+            call.memory.add_answer(sender, length - self._held)
+            self._held = length
 
     async def _pass_on(
         self, call: Call, response: aiohttp.ClientResponse, length: int
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/request_bounds.py
@@ -0,0 +1,35 @@
+"""Bounds on requests that arrive, and on the answers to them."""
+
+import msgspec
+
+from baobabhinge_coordination.clock import Clock
+from baobabhinge_gateway.forwarding.memory_budget import MemoryBudget
+from baobabhinge_gateway.forwarding.stopping import StopSchedule
+
+
+class RequestBounds(msgspec.Struct, frozen=True):
+    """Bounds that all requests share.
+
+    Parameters
+    ----------
+    stopping : StopSchedule
+        Bounds requests and calls while the process stops.
+    memory : MemoryBudget
+        Bounds the bytes of requests and answers.
+    """
+
+    stopping: StopSchedule
+    memory: MemoryBudget
+
+
+def build_request_bounds(clock: Clock, memory: int) -> RequestBounds:
+    """Return the bounds of a process that starts.
+
+    Parameters
+    ----------
+    clock : Clock
+        Monotonic clock of the process.
+    memory : int
+        Bytes that the process may use altogether.
+    """
+    return RequestBounds(StopSchedule(clock), MemoryBudget(memory))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/settings.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/settings.py
@@ -10,6 +10,8 @@
 from baobabhinge_gateway.forwarding.server_departures import DEFAULT_NOTICE
 from baobabhinge_gateway.neighbours import GatewayContact
 
+DEFAULT_MEMORY = 300_000_000
+
 
 class ForwardingSettings(msgspec.Struct, frozen=True):
     """Settings of a gateway process that forwards calls.
@@ -30,6 +32,8 @@
         Policy by which calls are placed.
     notice : timedelta
         Time for which a backend server serves on after it has told of its end.
+    memory : int
+        Bytes that the process may use.
     """
 
     own: GatewayContact
@@ -40,6 +44,7 @@
     grace: timedelta
     placing: PlacementPolicy = PlacementPolicy()
     notice: timedelta = DEFAULT_NOTICE
+    memory: int = DEFAULT_MEMORY
 
     def list_regions(self) -> list[str]:
         """Return all regions, sorted by name."""
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot.py
@@ -8,6 +8,7 @@
 from baobabhinge_coordination.bounds import Milliseconds, StoreRevision
 from baobabhinge_gateway.deployment import BackendServer, Revision
 
+SNAPSHOT_PATH = '/knowledge'
 # Above all revisions of the store: asks a gateway to leave out that part.
 UNWANTED = (1 << 63) - 1
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_fetcher.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_fetcher.py
@@ -8,14 +8,17 @@
 
 from baobabhinge_gateway.errors import NotReachedError
 from baobabhinge_gateway.forwarding.core import GatewayCore
-from baobabhinge_gateway.forwarding.exchange import fetch
+from baobabhinge_gateway.forwarding.fetching import fetch
 from baobabhinge_gateway.forwarding.problems import ForwardingError
-from baobabhinge_gateway.forwarding.snapshot import UNWANTED, StoreRevisions
+from baobabhinge_gateway.forwarding.snapshot import (
+    SNAPSHOT_PATH,
+    UNWANTED,
+    StoreRevisions,
+)
 from baobabhinge_gateway.forwarding.snapshot_transfer import apply_snapshot
 from baobabhinge_gateway.neighbours import Heartbeat
 from baobabhinge_gateway.supervision import SupervisedService
 
-SNAPSHOT_PATH = '/knowledge'
 # The store notifies its watchers within some ms; a watcher that is still behind
 # after this time gets no notifications.
 WATCHER_DELAY = timedelta(milliseconds=200)
@@ -66,7 +69,7 @@
             path = f'{SNAPSHOT_PATH}?{wanted.format_query()}'
             address = source.hop_address
             try:
-                body = await fetch(self._http, address, path, FETCH_TIMEOUT)
+                body = await self._read(address, path)
             except (NotReachedError, ForwardingError) as lost:
                 log.info(
                     'snapshot-not-fetched', source=address, reason=repr(lost)
@@ -74,6 +77,11 @@
                 return
             apply_snapshot(updater, body, wanted)
 
+    async def _read(self, address: str, path: str) -> bytes:
+        bounds = self._core.ingress.bounds
+        with bounds.memory.open_use() as memory:
+            return await fetch(self._http, address, path, FETCH_TIMEOUT, memory)
+
 
 def list_wanted(
     own: StoreRevisions, newer: StoreRevisions
--- a/packages/baobabhinge-platform/src/baobabhinge_platform/answers.py
+++ b/packages/baobabhinge-platform/src/baobabhinge_platform/answers.py
@@ -1,6 +1,7 @@
 """Bounds on the bytes that an answer to an HTTP request may have."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -29,21 +30,48 @@
             If it exceeds `MAX_ANSWER_BYTES`.
         """
         if self._body is None:
-            self._body = await self._read_bounded()
+            self._body = await read_bounded(self, ignore_length)
         return await super().read()
 
-    async def _read_bounded(self) -> bytes:
-        chunks = []
-        length = 0
-        async for chunk in self.content.iter_any():
+
+def ignore_length(length: int) -> None:
+    """Accept bytes that were received."""
+
+
+async def read_bounded(
+    response: aiohttp.ClientResponse, accept: Callable[[int], None]
+) -> bytes:
+    """Return the complete body of an answer.
+
+    The connection is closed if the body is not read to its end.
+
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+        Answer whose body has not been read.
+    accept : callable
+        Called with the length of each chunk in bytes; may raise an error.
+
+    Raises
+    ------
+    AnswerTooLongError
+        If the body exceeds `MAX_ANSWER_BYTES`.
+    """
+    chunks = []
+    length = 0
+    try:
+        async for chunk in response.content.iter_any():
             length += len(chunk)
             if length > MAX_ANSWER_BYTES:
-                self.close()
                 raise AnswerTooLongError(
                     f'the answer is longer than {MAX_ANSWER_BYTES} bytes'
                 )
+            accept(len(chunk))
             chunks.append(chunk)
-        return b''.join(chunks)
+    except BaseException:
+        response.close()
+        raise
+    return b''.join(chunks)
 
 
 class BoundedResponseHandler(ResponseHandler):
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/endless.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/endless.py
@@ -9,11 +9,14 @@
 
 ATTEMPT_FIELD = b'baobabhinge-attempt-id:'
 REPEATS = 4096
+MAX_WRITE_BYTES = 1 << 20
 LATE_SECONDS = 0.05
 
 OK = b'HTTP/1.1 200 OK'
 CHUNKED = b'Transfer-Encoding: chunked'
 BYTE = b'x'
+PIECE = BYTE * (1 << 16)
+LARGE_CHUNK = b''.join((b'10000\r\n', PIECE, b'\r\n'))
 EMPTY = b''
 
 
@@ -38,6 +41,12 @@
     interim_answers = (EMPTY, b'HTTP/1.1 100 Continue\r\n\r\n')
     body = (_join(OK, EMPTY, EMPTY), BYTE)
     chunks = (_join(OK, CHUNKED, EMPTY, EMPTY), b'1\r\nx\r\n')
+    large_body = (_join(OK, EMPTY, EMPTY), PIECE)
+    large_chunks = (_join(OK, CHUNKED, EMPTY, EMPTY), LARGE_CHUNK)
+    failed_chunks = (
+        _join(b'HTTP/1.1 500 Failed', CHUNKED, EMPTY, EMPTY),
+        LARGE_CHUNK,
+    )
     chunk_extension = (_join(OK, CHUNKED, EMPTY, b'1;'), BYTE)
     trailers = (_join(OK, CHUNKED, EMPTY, b'0', EMPTY), b'Many: trailers\r\n')
     declined = (
@@ -108,10 +117,11 @@
         writer.write(_add_fields(start, _list_echoes(request)))
         if self._answer.is_late:
             await asyncio.sleep(LATE_SECONDS)
+        written = repeated * min(REPEATS, MAX_WRITE_BYTES // len(repeated))
         while not writer.transport.is_closing():
-            writer.write(repeated * REPEATS)
+            writer.write(written)
             await writer.drain()
-            self.sent += len(repeated) * REPEATS
+            self.sent += len(written)
             await asyncio.sleep(0)
 
 
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/processes.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/processes.py
@@ -8,16 +8,40 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import tomlkit
 
+KIBIBYTE = 1024
 START = Path(__file__).resolve().parents[5] / 'platform' / 'start.py'
 
 
+class GatewayProcess(msgspec.Struct, frozen=True):
+    """One gateway that runs.
+
+    Parameters
+    ----------
+    pid : int
+        Process.
+    log : Path
+        File of its log.
+    """
+
+    pid: int
+    log: Path
+
+    def measure_peak_memory(self) -> int:
+        """Return the most bytes of memory that the process had at once."""
+        status = Path(f'/proc/{self.pid}/status').read_text(encoding='ascii')
+        lines = [line.split() for line in status.splitlines()]
+        found = [line[1] for line in lines if line[0] == 'VmHWM:']
+        return int(found[0]) * KIBIBYTE
+
+
 @asynccontextmanager
 async def run_gateway(
     settings: dict[str, Any],
     folder: Path,
-) -> AsyncIterator[Path]:
+) -> AsyncIterator[GatewayProcess]:
     """Run one gateway until the context ends.
 
     Parameters
@@ -29,8 +53,8 @@
 
     Yields
     ------
-    Path
-        File of the log.
+    GatewayProcess
+        The process.
     """
     name = settings['node-name']
     path = folder / f'{name}.toml'
@@ -45,7 +69,7 @@
             stderr=lines,
         )
         try:
-            yield log
+            yield GatewayProcess(process.pid, log)
         finally:
             process.terminate()
             await process.wait()
