--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/processes.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/processes.py
@@ -41,6 +41,8 @@
 async def run_gateway(
     settings: dict[str, Any],
     folder: Path,
+    *,
+    program: Path = START,
 ) -> AsyncIterator[GatewayProcess]:
     """Run one gateway until the context ends.
 
@@ -50,6 +52,8 @@
         Settings as the platform writes them.
     folder : Path
         Takes the settings file and the log.
+    program : Path, optional
+        Program that starts the gateway.
 
     Yields
     ------
@@ -60,10 +64,10 @@
     path = folder / f'{name}.toml'
     path.write_text(tomlkit.dumps(settings), encoding='utf-8')
     log = folder / f'{name}.log'
-    with log.open('wb') as lines:
+    with log.open('ab') as lines:
         process = await asyncio.create_subprocess_exec(
             sys.executable,
-            str(START),
+            str(program),
             env={**os.environ, 'BAOBABHINGE_CONFIG': str(path)},
             stdout=lines,
             stderr=lines,
