--- a/review/8/case.py
+++ b/review/8/case.py
@@ -39,13 +39,19 @@
                 return True
             await asyncio.sleep(0.05)
         record(f'{gateway.name} start {number}: exit code {gateway.process.poll()}, '
-               f'log ends: {gateway.log.read_text().strip().splitlines()[-1]}')
+               f'log ends: {read_last_line(gateway)}')
         gateway.stop()
         await asyncio.to_thread(gateway.process.wait, 5)
         await asyncio.sleep(1)
     return False
 
 
+def read_last_line(gateway):
+    """Return the last line of a log, without the name of the temporary folder."""
+    last = gateway.log.read_text().strip().splitlines()[-1]
+    return last.replace(f'{gateway.path.parent}/', '')
+
+
 async def main():
     record = Record(HERE / 'record.txt')
     host = '127.0.0.1'
