Tell of ended calls whether their callers had left, and how late the loop was

What was logged could not tell the hypotheses on GONE apart: a close that nobody notices leaves no trace, and the delay of the event loop was known only for heartbeats.

call-ended and call-placed ask the kernel whether the caller's connection is closed. The selector records the duration of the latest runs of the event loop, from which follows for how long a request can have waited. A gateway to which a call was forwarded logs an abandoned one too. No decision uses any of this.

--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/connections/caller_connection.py
@@ -0,0 +1,83 @@
+"""State of the connection on which a request arrived."""
+
+import asyncio
+import select
+from collections.abc import Mapping
+from datetime import timedelta
+
+from aiohttp import web
+
+NO_TIME = timedelta()
+MILLISECOND = timedelta(milliseconds=1)
+
+
+def is_closed_by_peer(transport: asyncio.BaseTransport | None) -> bool:
+    """Return whether the peer has closed or reset its connection.
+
+    The kernel tells it also while nothing is read, and before bytes that came
+    earlier are.
+
+    Parameters
+    ----------
+    transport : asyncio.BaseTransport or None
+        Transport of the connection; ``None`` once it is lost.
+    """
+    if transport is None or transport.is_closing():
+        return True
+    opened = transport.get_extra_info('socket')
+    if opened is None:
+        return False
+    # A reset is reported without being asked for.
+    polled = select.poll()
+    polled.register(opened.fileno(), select.POLLRDHUP)
+    return bool(polled.poll(0))
+
+
+class CallerConnection:
+    """Connection of the caller, or gateway, that waits for an answer.
+
+    Parameters
+    ----------
+    request : web.BaseRequest, optional
+        Request on the connection; without it, the caller never leaves.
+    read_delay : timedelta, optional
+        Time for which the request can have waited for the event loop.
+
+    Attributes
+    ----------
+    read_delay : timedelta
+        Time for which the request can have waited for the event loop.
+    """
+
+    __slots__ = ('_request', 'read_delay')
+
+    def __init__(
+        self,
+        request: web.BaseRequest | None = None,
+        read_delay: timedelta = NO_TIME,
+    ) -> None:
+        """Store the request."""
+        self._request = request
+        self.read_delay = read_delay
+
+    @property
+    def is_read(self) -> bool:
+        """Whether the event loop reads the connection, and sees its end."""
+        if self._request is None:
+            return True
+        transport = self._request.transport
+        return transport is not None and transport.is_reading()
+
+    def has_left(self) -> bool:
+        """Return whether the caller has closed or reset the connection."""
+        if self._request is None:
+            return False
+        return is_closed_by_peer(self._request.transport)
+
+    def describe(self) -> Mapping[str, object]:
+        """Return the fields of a log line on the end of the call."""
+        return {
+            'caller_left': self.has_left(),
+            'is_read': self.is_read,
+            'read_delay_ms': self.read_delay // MILLISECOND,
+        }
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/connections/connection.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/connections/connection.py
@@ -58,6 +58,11 @@
         if received and not is_body:
             self._count_outside_bodies(len(received))
 
+    @property
+    def is_first_request(self) -> bool:
+        """Whether no request of the connection has been answered."""
+        return self._ended_count == 0
+
     def begin(self, request: web.BaseRequest) -> None:
         """Record that a request is in progress."""
         self.request = request
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from baobabhinge_gateway.connections.caller_connection import CallerConnection
 from baobabhinge_gateway.deployment import BackendServer, Route, Workspace
 from baobabhinge_gateway.forwarding.memory_budget import (
     MemoryUse,
@@ -165,6 +166,8 @@
         longer.
     share : CallShare
         What the call takes of the capacity.
+    caller : CallerConnection
+        Connection on which the answer is waited for.
     """
 
     head: CallHead
@@ -189,6 +192,7 @@
     workspace: Workspace | None = None
     confirm: Callable[['Call'], None] = accept_always
     share: CallShare = msgspec.field(default_factory=CallShare)
+    caller: CallerConnection = msgspec.field(default_factory=CallerConnection)
 
     @property
     def priority(self) -> int:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/dispatch.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/dispatch.py
@@ -114,6 +114,7 @@
             wait_ms=target.wait_ms,
             in_flight=target.calls,
             sends=progress.sends,
+            caller_left=call.caller.has_left(),
         )
         return target
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop.py
@@ -115,6 +115,7 @@
     body = await read_body(request, max_bytes, memory)
     call = decode_envelope(body, context.clock.read_monotonic())
     call.memory = memory
+    call.caller = context.metrics.callers.find(request)
     call.confirm = ForwardedAccess(context.bounds.access).confirm
     context.bounds.stopping.check(call.route)
     return call
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_ingress.py
@@ -1,5 +1,7 @@
 """Requests of other gateways: forwarded calls and snapshots."""
 
+import asyncio
+
 from aiohttp import web
 
 from baobabhinge_gateway.errors import CallError
@@ -80,8 +82,11 @@
         try:
             async with self._context.bounds.stopping.bound_call(call):
                 await self._dispatcher.serve(call, responder)
-        except ConnectionError:
+        except (asyncio.CancelledError, ConnectionError):
             responder.abort()
+            self._context.record_end(
+                call, 'abandoned', 'the other gateway closed its connection'
+            )
             raise
         except CallError as refusal:
             self._context.record_end(call, refusal.code, refusal.detail)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
@@ -61,12 +61,14 @@
         responder = HttpResponder(
             request, memory, lifecycle=self._context.lifecycle
         )
+        caller = self._context.metrics.callers.find(request)
         await self._context.startup_gate.wait()
         try:
             call = await self._read_call(request, arrival, memory)
         except CallError as refusal:
             await self._refuse(responder, refusal, None)
         else:
+            call.caller = caller
             with self._context.metrics.track_open():
                 await self._serve(call, responder)
         return responder.response
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress_context.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress_context.py
@@ -4,11 +4,11 @@
 from random import Random
 
 import msgspec
-import structlog
 
 from baobabhinge_coordination.clock import Clock
 from baobabhinge_gateway.deployment import DeploymentConfiguration
 from baobabhinge_gateway.forwarding.call import Call
+from baobabhinge_gateway.forwarding.call_log import log_end
 from baobabhinge_gateway.forwarding.deployment_state import DeploymentState
 from baobabhinge_gateway.forwarding.metrics import CallMetrics
 from baobabhinge_gateway.forwarding.request_bounds import (
@@ -18,10 +18,6 @@
 from baobabhinge_gateway.forwarding.startup import StartupGate
 from baobabhinge_gateway.lifecycle import Lifecycle
 
-MILLISECOND = timedelta(milliseconds=1)
-
-log = structlog.get_logger(__name__)
-
 
 class IngressContext(msgspec.Struct):
     """Dependencies that all incoming calls share.
@@ -70,22 +66,15 @@
         workspace = call.workspace if call else None
         if workspace is not None:
             self.metrics.count_workspace(workspace.name, outcome)
-        demand = call.head.demand if call else None
-        log.info(
-            'call-ended',
-            attempt=call.head.attempt if call else None,
-            route=call.route.name if call else None,
-            workspace=workspace.name if workspace else None,
+        callers = self.metrics.callers
+        if call is not None:
+            callers.record_end(call.caller)
+        log_end(
+            call,
+            now,
+            callers.loop_delay.read(is_new=False),
             outcome=outcome,
             reason=reason,
-            elapsed_ms=round(elapsed.total_seconds() * 1000),
-            first_ms=_measure_first_event_ms(call),
-            silence_ms=_measure_silence_ms(call, now),
-            prompt_tokens=demand.prompt if demand else None,
-            output_tokens=demand.output if demand else None,
-            expected_output=demand.expected_output if demand else None,
-            last_event=call.last_event if call else None,
-            runs=call.runs if call else 0,
             version=self.configuration.version,
         )
 
@@ -115,15 +104,3 @@
         StartupGate(clock, state),
         build_request_bounds(clock, memory, state.configuration),
     )
-
-
-def _measure_first_event_ms(call: Call | None) -> int | None:
-    if call is None or call.first_event is None:
-        return None
-    return (call.first_event - call.arrival) // MILLISECOND
-
-
-def _measure_silence_ms(call: Call | None, now: timedelta) -> int | None:
-    if call is None or call.latest_event is None:
-        return None
-    return (now - call.latest_event) // MILLISECOND
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/metrics.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/metrics.py
@@ -13,6 +13,7 @@
 )
 
 from baobabhinge_gateway.access.workspace_counter import WorkspaceCounter
+from baobabhinge_gateway.connections.caller_connections import CallerConnections
 
 # In seconds, around the objectives of both deployments (400 ms to 1,200 ms).
 LATENCY_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.5, 5.0, 10.0)
@@ -23,6 +24,8 @@
 
     Attributes
     ----------
+    callers : CallerConnections
+        Connections of the callers, and counts of those that have left.
     open_calls : int
         Calls without a final answer.
     registry : CollectorRegistry
@@ -34,6 +37,7 @@
         '_latency',
         '_open',
         '_workspaces',
+        'callers',
         'open_calls',
         'registry',
     )
@@ -56,6 +60,7 @@
             registry=self.registry,
         )
         self._workspaces = WorkspaceCounter(self.registry)
+        self.callers = CallerConnections(self.registry)
         self._open = Gauge(
             'baobabhinge_calls_open',
             'Calls without a final answer',
