--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_ingress.py
@@ -1,7 +1,5 @@
 """Requests of other gateways: forwarded calls and snapshots."""
 
-import asyncio
-
 from aiohttp import web
 
 from baobabhinge_gateway.errors import CallError
@@ -15,7 +13,10 @@
 from baobabhinge_gateway.forwarding.ingress import encode_refusal
 from baobabhinge_gateway.forwarding.memory_budget import MemoryUse
 from baobabhinge_gateway.forwarding.problems import BodyTooLargeError
-from baobabhinge_gateway.forwarding.responder import HttpResponder
+from baobabhinge_gateway.forwarding.responder import (
+    CONNECTION_ENDED,
+    HttpResponder,
+)
 from baobabhinge_gateway.forwarding.run_report import RunReport, choose_verdict
 from baobabhinge_gateway.forwarding.snapshot import (
     SNAPSHOT_PATH,
@@ -82,7 +83,7 @@
         try:
             async with self._context.bounds.stopping.bound_call(call):
                 await self._dispatcher.serve(call, responder)
-        except (asyncio.CancelledError, ConnectionError):
+        except CONNECTION_ENDED:
             responder.abort()
             self._context.record_end(
                 call, 'abandoned', 'the other gateway closed its connection'
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
@@ -1,6 +1,5 @@
 """Requests of callers: reading, dispatching, answering and refusing them."""
 
-import asyncio
 from datetime import timedelta
 
 import msgspec
@@ -20,7 +19,10 @@
     CallDispatcher,
     CallerProtocol,
 )
-from baobabhinge_gateway.forwarding.responder import HttpResponder
+from baobabhinge_gateway.forwarding.responder import (
+    CONNECTION_ENDED,
+    HttpResponder,
+)
 
 
 class CallerIngress:
@@ -82,7 +84,7 @@
                 await self._dispatcher.serve(call, responder)
         except CallError as refusal:
             await self._refuse(responder, refusal, call)
-        except (asyncio.CancelledError, ConnectionError):
+        except CONNECTION_ENDED:
             responder.abort()
             self._context.record_end(
                 call, 'abandoned', 'the caller closed its connection'
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/responder.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/responder.py
@@ -1,5 +1,6 @@
 """Answers to HTTP requests, written to their connections."""
 
+import asyncio
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -10,6 +11,9 @@
 from baobabhinge_gateway.forwarding.memory_budget import MemoryUse
 from baobabhinge_gateway.lifecycle import Lifecycle
 
+# Raised in the handler of a request whose connection has ended.
+CONNECTION_ENDED = (asyncio.CancelledError, ConnectionError)
+
 HeaderExtender = Callable[[int, Headers], Headers]
 
 
