--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/arrivals.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/arrivals.py
@@ -18,8 +18,9 @@
 
     Parameters
     ----------
-    has_left : bool
-        Whether the other side closed before the answer was whole.
+    left : float or None
+        Time of the event loop, in seconds, when the server noticed that the
+        other side had closed before the answer was whole.
     instant : float
         Time of the event loop, in seconds, when it was read.
     """
@@ -29,9 +30,14 @@
     headers: dict[str, str]
     body: bytes
     has_run: bool = False
-    has_left: bool = False
+    left: float | None = None
     instant: float = msgspec.field(default_factory=_read_time)
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the other side closed before the answer was whole."""
+        return self.left is not None
+
 
 class Recording(Protocol):
     """Server that tells what reached it."""
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/host/server.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/host/server.py
@@ -147,7 +147,7 @@
         try:
             return await self._run(request, arrival)
         except (asyncio.CancelledError, ConnectionError):
-            arrival.has_left = True
+            arrival.left = asyncio.get_running_loop().time()
             raise
         finally:
             self.notice.brittleness.end()
