Send nothing for a caller that has closed its connection

What callers saw: they gave up and closed, and servers ran their requests.

Cause: a process that is late finds a request and the end of its connection at once. The event loop reads the request first, and its handler runs before the end is read; with an idle connection to a server the request is sent in that same run. The check before a send asked for the age of the decision and for what servers said, and not whether anyone waited.

Why it works: poll(POLLRDHUP) tells of a close or reset that has reached the machine, read or not. It is asked when a target is chosen, so that retries are covered, and again on the connection just before the send, at the entry and at the gateway to which the call was passed on. The call ends as abandoned, with no run counted and nothing held against the server.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/connections/caller_connection.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/connections/caller_connection.py
@@ -7,6 +7,8 @@
 
 from aiohttp import web
 
+from baobabhinge_gateway.connections.problems import CallerLeftError
+
 NO_TIME = timedelta()
 MILLISECOND = timedelta(milliseconds=1)
 
@@ -74,6 +76,20 @@
             return False
         return is_closed_by_peer(self._request.transport)
 
+    def check(self) -> None:
+        """Check that the answer is still waited for.
+
+        The event loop may have found the request and the end of the connection
+        together, and reads the latter only after the request was handled.
+
+        Raises
+        ------
+        CallerLeftError
+            If the caller has left.
+        """
+        if self.has_left():
+            raise CallerLeftError('the caller closed its connection')
+
     def describe(self) -> Mapping[str, object]:
         """Return the fields of a log line on the end of the call."""
         return {
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/base.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/base.py
@@ -50,6 +50,8 @@
     entries: tuple[EntryHint, ...] = ()
     # Refusals that have to cost little are only counted.
     is_logged = True
+    # Nobody is left to answer otherwise.
+    is_awaited = True
 
     def __init__(
         self,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call_limits.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call_limits.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from baobabhinge_coordination.clock import Clock
+from baobabhinge_gateway.connections.problems import CallerLeftError
 from baobabhinge_gateway.errors import NotReachedError
 from baobabhinge_gateway.forwarding.call import Call
 from baobabhinge_gateway.forwarding.crashing_calls import CrashingCallError
@@ -33,6 +34,15 @@
     return time_left
 
 
+# Errors of exchanges that provably caused no run.
+NOT_RUN = (
+    NotReachedError,
+    DeclinedError,
+    CrashingCallError,
+    CallerLeftError,
+)
+
+
 @contextmanager
 def count_runs(call: Call, runs: int) -> Iterator[int]:
     """Add ``runs`` to the runs of ``call``, unless it provably did not run.
@@ -53,6 +63,6 @@
     call.runs = before + runs
     try:
         yield before
-    except (NotReachedError, DeclinedError, CrashingCallError):
+    except NOT_RUN:
         call.runs = before
         raise
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/dispatch.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/dispatch.py
@@ -101,6 +101,7 @@
         return False
 
     def _choose(self, call: Call, progress: Progress) -> Target:
+        call.caller.check()
         compute_time_left(call, self._clock)
         call.confirm(call)
         target = self._selector.choose(call, progress.tried)
@@ -114,7 +115,6 @@
             wait_ms=target.wait_ms,
             in_flight=target.calls,
             sends=progress.sends,
-            caller_left=call.caller.has_left(),
         )
         return target
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_ingress.py
@@ -101,7 +101,7 @@
 ) -> None:
     # The frames of its traceback hold the request, and may be in a cycle.
     refusal.with_traceback(None)
-    if responder.has_started:
+    if responder.has_started or not refusal.is_awaited:
         responder.abort()
         return
     report.verdict = choose_verdict(refusal)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_sender.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_sender.py
@@ -11,7 +11,10 @@
 from baobabhinge_gateway.forwarding.crashing_calls import CrashingCallError
 from baobabhinge_gateway.forwarding.delivery import Delivery, FailedAnswer
 from baobabhinge_gateway.forwarding.deployment_state import DeploymentState
-from baobabhinge_gateway.forwarding.exchange import open_exchange
+from baobabhinge_gateway.forwarding.exchange import (
+    OutboundRequest,
+    open_exchange,
+)
 from baobabhinge_gateway.forwarding.hop import HopProtocol
 from baobabhinge_gateway.forwarding.protocols import (
     AnswerVerdict,
@@ -61,11 +64,7 @@
         `CrashingCallError` if the other gateway knows that servers ended while
         they ran the same request.
         """
-        left = compute_time_left(call, self._state.clock)
-        outbound = msgspec.structs.replace(
-            self._hop.build_request(call, address, left),
-            check=decide_now(self._state.clock, self._state.statements).check,
-        )
+        outbound = self._build_request(call, address)
         with count_runs(call, call.attempts_left - call.runs) as before:
             async with open_exchange(self._http, outbound) as response:
                 verdict = self._hop.classify_answer(call, response)
@@ -85,3 +84,12 @@
                     responder,
                     ignore_first_event,
                 )
+
+    def _build_request(self, call: Call, address: str) -> OutboundRequest:
+        left = compute_time_left(call, self._state.clock)
+        decision = decide_now(
+            self._state.clock, self._state.statements, call.caller
+        )
+        return msgspec.structs.replace(
+            self._hop.build_request(call, address, left), check=decision.check
+        )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/http_listener.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/http_listener.py
@@ -124,7 +124,7 @@
         request: web.BaseRequest,
     ) -> web.StreamResponse:
         connection = request.protocol
-        if request.transport is None:
+        if request.transport is None or request.transport.is_closing():
             # The connection was closed while the request was on its way, so no
             # answer can reach the caller.
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
@@ -131,7 +131,7 @@
             self._context.record_end(call, refusal.code, refusal.detail)
         else:
             self._context.metrics.count(refusal.code, timedelta())
-        if responder.has_started:
+        if responder.has_started or not refusal.is_awaited:
             responder.abort()
             return
         await responder.send_complete(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/open_runs.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/open_runs.py
@@ -64,7 +64,9 @@
         state.loads.hold(server.name, estimate.added) as load,
         state.statements.pauses.hold(server) as sent,
     ):
-        decision = decide_now(state.clock, state.statements, server)
+        decision = decide_now(
+            state.clock, state.statements, call.caller, server
+        )
         times = state.pace.begin_run(estimate, _expect_output(call))
         yield OpenRun(load, sent, decision, times)
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/send_decision.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/send_decision.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from baobabhinge_coordination.clock import Clock
+from baobabhinge_gateway.connections.caller_connection import CallerConnection
 from baobabhinge_gateway.deployment import BackendServer
 from baobabhinge_gateway.forwarding.failures import DeclinedError
 from baobabhinge_gateway.forwarding.server_statements import StatementTable
@@ -33,6 +34,8 @@
         Instant of the decision.
     statements : StatementTable
         What servers have said since then.
+    caller : CallerConnection
+        Connection on which the answer is waited for.
     server : BackendServer or None
         The server, ``None`` for a call to another gateway.
     """
@@ -40,6 +43,7 @@
     clock: Clock
     taken: timedelta
     statements: StatementTable
+    caller: CallerConnection
     server: BackendServer | None = None
 
     def check(self) -> None:
@@ -49,7 +53,10 @@
         ------
         ExpiredDecisionError
             If it is to be decided anew.
+        CallerLeftError
+            If nobody waits for the answer.
         """
+        self.caller.check()
         age = self.clock.read_monotonic() - self.taken
         if age > VALIDITY or not self._is_allowed():
             raise ExpiredDecisionError(
@@ -68,7 +75,10 @@
 def decide_now(
     clock: Clock,
     statements: StatementTable,
+    caller: CallerConnection,
     server: BackendServer | None = None,
 ) -> SendDecision:
     """Return a decision that is taken now."""
-    return SendDecision(clock, clock.read_monotonic(), statements, server)
+    return SendDecision(
+        clock, clock.read_monotonic(), statements, caller, server
+    )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_send_decision.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_send_decision.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from baobabhinge_coordination.clock import ManualClock
+from baobabhinge_gateway.connections.caller_connection import CallerConnection
 from baobabhinge_gateway.deployment import BackendServer
 from baobabhinge_gateway.forwarding.connector import build_strict_session
 from baobabhinge_gateway.forwarding.exchange import (
@@ -28,6 +29,7 @@
 SECOND = timedelta(seconds=1)
 SERVER = BackendServer('one', 'model', 'one:1', 'west-a')
 HOST = '127.0.0.1'
+CALLER = CallerConnection()
 
 
 def is_valid(decision) -> bool:
@@ -46,7 +48,7 @@
 def test_a_decision_expires(elapsed, expected, server):
     clock = ManualClock()
     statements = StatementTable(clock, Random(1))
-    decision = decide_now(clock, statements, server)
+    decision = decide_now(clock, statements, CALLER, server)
     clock.advance(elapsed)
     assert is_valid(decision) == expected
 
@@ -54,7 +56,7 @@
 def test_a_pause_that_has_begun_ends_it():
     clock = ManualClock()
     statements = StatementTable(clock, Random(1))
-    decision = decide_now(clock, statements, SERVER)
+    decision = decide_now(clock, statements, CALLER, SERVER)
     statements.pauses.record(SERVER, SECOND)
     assert not is_valid(decision)
 
@@ -65,7 +67,7 @@
     statements = StatementTable(clock, Random(1), notice=SECOND)
     statements.departures.record(SERVER)
     clock.advance(SECOND - VALIDITY)
-    decision = decide_now(clock, statements, SERVER)
+    decision = decide_now(clock, statements, CALLER, SERVER)
     if is_late:
         clock.advance(VALIDITY)
     assert is_valid(decision) != is_late
@@ -92,8 +94,8 @@
     arrivals = []
     clock = ManualClock()
     statements = StatementTable(clock, Random(1))
-    decision = decide_now(clock, statements)
-    late = decide_now(clock, statements)
+    decision = decide_now(clock, statements, CALLER)
+    late = decide_now(clock, statements, CALLER)
     async with serve(arrivals) as address, build_strict_session() as http:
         for one in (decision, late, decision):
             if one is late:
