Notice that a client has left while its connection is not read

What callers saw: they sent requests ahead and left; the run in progress went on to its end, and one of the requests behind it was run as well.

Cause: the event loop sees the end of a connection only while it reads it, and reading is paused while more than 32 KB, or 20 requests, wait for their turn.

Evidence: call-ended with caller_left and without is_read, 2.5 s after the close, in the four rows with 40 requests ahead; they failed before and hold now.

Why it works: while a connection is not read, the kernel is asked every 0.1 s whether the peer has closed or reset it, and the connection is then closed as if the end had been read. Nothing more is read, so that the bounds on memory stand, and no timer runs while connections are read. Connections between gateways are watched in the same way.

A close that is still behind bytes which the client could not send has not reached the machine, and is noticed when they are read.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/connections/building.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/connections/building.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from baobabhinge_gateway.connections.closing import WatchedConnection
 from baobabhinge_gateway.connections.server import (
     AnswerRequest as AnswerRequest,
 )
@@ -25,6 +26,14 @@
 MAX_DELAY_SECONDS = 0.25
 
 
+class WatchingServer(web.Server):
+    """Server that trusts its clients, and notices that they leave."""
+
+    def __call__(self) -> WatchedConnection:
+        """Return the protocol of a new connection."""
+        return WatchedConnection(self, loop=self._loop, **self._kwargs)
+
+
 def build_server(
     answer: AnswerRequest, bounds: ListenerBounds | None
 ) -> web.Server:
@@ -46,7 +55,7 @@
         'auto_decompress': False,
     }
     if bounds is None:
-        return web.Server(answer, **options)
+        return WatchingServer(answer, **options)
     return BoundedServer(answer, bounds, **options)
 
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/connections/caller_connection.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/connections/caller_connection.py
@@ -1,40 +1,17 @@
 """State of the connection on which a request arrived."""
 
-import asyncio
-import select
 from collections.abc import Mapping
 from datetime import timedelta
 
 from aiohttp import web
 
+from baobabhinge_gateway.connections.closing import is_closed_by_peer
 from baobabhinge_gateway.connections.problems import CallerLeftError
 
 NO_TIME = timedelta()
 MILLISECOND = timedelta(milliseconds=1)
 
 
-def is_closed_by_peer(transport: asyncio.BaseTransport | None) -> bool:
-    """Return whether the peer has closed or reset its connection.
-
-    The kernel tells it also while nothing is read, and before bytes that came
-    earlier are.
-
-    Parameters
-    ----------
-    transport : asyncio.BaseTransport or None
-        Transport of the connection; ``None`` once it is lost.
-    """
-    if transport is None or transport.is_closing():
-        return True
-    opened = transport.get_extra_info('socket')
-    if opened is None:
-        return False
-    # A reset is reported without being asked for.
-    polled = select.poll()
-    polled.register(opened.fileno(), select.POLLRDHUP)
-    return bool(polled.poll(0))
-
-
 class CallerConnection:
     """Connection of the caller, or gateway, that waits for an answer.
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/connections/connection.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/connections/connection.py
@@ -4,6 +4,7 @@
 
 from aiohttp import StreamReader, web
 
+from baobabhinge_gateway.connections.closing import WatchedConnection
 from baobabhinge_gateway.connections.limits import (
     AHEAD_BYTES,
     WRITE_BUFFER_BYTES,
@@ -11,7 +12,7 @@
 from baobabhinge_gateway.deployment import RequestLimits
 
 
-class BoundedConnection(web.RequestHandler):
+class BoundedConnection(WatchedConnection):
     """Connection that stops reading far ahead of the request in progress.
 
     Attributes
@@ -104,9 +105,9 @@
     def _count_outside_bodies(self, length: int) -> None:
         if self.request is not None:
             self._ahead_bytes += length
-            if self._ahead_bytes > AHEAD_BYTES and self.transport is not None:
+            if self._ahead_bytes > AHEAD_BYTES:
                 self._is_reading_ahead = True
-                self.transport.pause_reading()
+                self._pause_transport_reading()
         elif self._request_count == self._ended_count:
             self._head_bytes += length
             self.head_since = self.head_since or self._loop.time()
