Reset a request that is abandoned while it is being sent

What callers saw: they left during a long upload, and it ran at a server seconds later.

Cause: a cancelled exchange closed its connection, and a closed connection delivers first what was written. Between gateways, and to a server, the rest of a body of some MB went out after its caller had left, was whole on arrival, and ran until the close behind it was read.

Why it works: until the answer begins, a cancelled or late exchange drops what is unsent and resets the connection, so that the close overtakes the bytes.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/connector.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/connector.py
@@ -13,7 +13,7 @@
     ANSWER_BUFFER_BYTES,
     ANSWER_READ_BYTES,
 )
-from baobabhinge_gateway.forwarding.send_checks import check_before_sending
+from baobabhinge_gateway.forwarding.pending_requests import begin_request
 from baobabhinge_gateway.forwarding.sockets import enable_dead_peer_detection
 from baobabhinge_platform.answers import (
     BoundedConnector,
@@ -54,8 +54,8 @@
 class StrictConnector(BoundedConnector):
     """Connection pool that drops idle connections on which bytes arrived.
 
-    Once a request has a connection, `send_check` decides whether it is still
-    to be sent: connecting may have taken long.
+    Once a request has a connection, its check decides whether it is still to be
+    sent: connecting may have taken long.
     """
 
     def __init__(self, **kwargs: Any) -> None:
@@ -90,7 +90,7 @@
         If it is not, the connection can be used for others.
         """
         connection = await super().connect(*details, **options)
-        check_before_sending(connection)
+        begin_request(connection)
         return connection
 
     async def _get(self, key: ConnectionKey, traces: Any) -> Connection | None:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/exchange.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/exchange.py
@@ -15,7 +15,10 @@
     TimeLimitError,
     UnknownOutcomeError,
 )
-from baobabhinge_gateway.forwarding.send_checks import SendCheck, send_check
+from baobabhinge_gateway.forwarding.pending_requests import (
+    SendCheck,
+    hold_request,
+)
 
 # Below the 1 s for which callers wait for a connection, above a round trip to
 # a server of the local region (a few ms) or of another region (160 ms).
@@ -62,8 +65,9 @@
 ) -> AsyncIterator[aiohttp.ClientResponse]:
     """Send ``outbound`` once and yield the head of its answer.
 
-    The connection is closed unless the answer is read to its end. An error
-    that the check raises is passed on; nothing was sent then.
+    The connection is closed unless the answer is read to its end, and reset if
+    the exchange is cancelled, or late, before the answer begins. An error that the check
+    raises is passed on; nothing was sent then.
 
     Raises
     ------
@@ -78,19 +82,22 @@
         total=max(outbound.limit.total_seconds(), 0.001),
         sock_connect=CONNECT_TIMEOUT.total_seconds(),
     )
-    checking = send_check.set(outbound.check)
     try:
-        async with http.request(
-            outbound.method,
-            URL(f'http://{outbound.address}{outbound.target}', encoded=True),
-            headers=outbound.headers,
-            data=outbound.body or None,
-            timeout=limit,
-            allow_redirects=False,
-        ) as response:
-            with _closing_unless_read(response):
-                _check_status(response)
-                yield response
+        with hold_request(outbound.check) as pending:
+            async with http.request(
+                outbound.method,
+                URL(
+                    f'http://{outbound.address}{outbound.target}', encoded=True
+                ),
+                headers=outbound.headers,
+                data=outbound.body or None,
+                timeout=limit,
+                allow_redirects=False,
+            ) as response:
+                pending.end()
+                with _closing_unless_read(response):
+                    _check_status(response)
+                    yield response
     except (
         aiohttp.ClientConnectorError,
         aiohttp.ConnectionTimeoutError,
@@ -104,8 +111,6 @@
         raise UnknownOutcomeError(
             f'the exchange failed: {broken!r}'
         ) from broken
-    finally:
-        send_check.reset(checking)
 
 
 @contextmanager
