--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/exchange.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/exchange.py
@@ -66,8 +66,8 @@
     """Send ``outbound`` once and yield the head of its answer.
 
     The connection is closed unless the answer is read to its end, and reset if
-    the exchange is cancelled, or late, before the answer begins. An error that the check
-    raises is passed on; nothing was sent then.
+    the exchange is cancelled, or late, before the answer begins. An error that
+    the check raises is passed on; nothing was sent then.
 
     Raises
     ------
