Count time limits from when requests arrived

What callers saw: a server was given up to the whole delay of a late gateway beyond the time for which they waited, and worked on after they had left.

Cause: the limit was counted from when the request was read; at a gateway to which a call was passed on, from when its body was whole.

Why it works: the kernel tells when the latest data of a connection came (tcpi_last_data_recv). It is asked only if the latest runs of the event loop have lasted a millisecond or more, and counts up to their duration, so that requests which wait for their turn on a connection keep their limit as before. A poll that overran counts as a delay as a whole; after a stop it may return nothing, so that one more run is counted.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/connections/caller_connection.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/connections/caller_connection.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from baobabhinge_gateway.connections.arrival_times import measure_waited
 from baobabhinge_gateway.connections.closing import is_closed_by_peer
 from baobabhinge_gateway.connections.problems import CallerLeftError
 
@@ -26,9 +27,11 @@
     ----------
     read_delay : timedelta
         Time for which the request can have waited for the event loop.
+    waited : timedelta
+        Time for which it has, as far as the kernel tells.
     """
 
-    __slots__ = ('_request', 'read_delay')
+    __slots__ = ('_request', 'read_delay', 'waited')
 
     def __init__(
         self,
@@ -38,6 +41,9 @@
         """Store the request."""
         self._request = request
         self.read_delay = read_delay
+        self.waited = NO_TIME
+        if request is not None:
+            self.waited = measure_waited(request.transport, read_delay)
 
     @property
     def is_read(self) -> bool:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/connections/loop_delay.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/connections/loop_delay.py
@@ -10,10 +10,13 @@
 
 NO_TIME = timedelta()
 # Runs of the event loop from bytes at a socket until their handler begins: the
-# bytes are read, the connection wakes up, the handler's task starts.
-READING_RUNS = 3
+# bytes are read, the connection wakes up, the handler's task starts. Before
+# that, the poll of a process that was stopped by a signal may find nothing.
+READING_RUNS = 4
 # Before that, a new connection is accepted, set up and registered.
 ACCEPTING_RUNS = 3
+# Timers are late by less while the process runs.
+MIN_OVERRUN = timedelta(milliseconds=20)
 
 
 class LoopDelay:
@@ -36,7 +39,7 @@
         Parameters
         ----------
         duration : timedelta
-            Duration of the run, with the time by which a poll overran.
+            Duration of the run, with that of a poll that overran.
         """
         self._runs.append(duration)
 
@@ -55,7 +58,9 @@
 
 
 def measure_overrun(waited: timedelta, timeout: float | None) -> timedelta:
-    """Return by how much a poll took longer than it was to wait.
+    """Return the duration of a poll that overran, as its process stood.
+
+    What it finds may have come at any time in it.
 
     Parameters
     ----------
@@ -66,4 +71,5 @@
     """
     if timeout is None:
         return NO_TIME
-    return max(NO_TIME, waited - timedelta(seconds=max(0, timeout)))
+    overrun = waited - timedelta(seconds=max(0, timeout))
+    return waited if overrun > MIN_OVERRUN else NO_TIME
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop.py
@@ -109,13 +109,20 @@
     StoppingError
         If this gateway stops before the call could end.
     """
-    revision = context.configuration.revision
-    limits = revision.limits if revision else RequestLimits()
-    max_bytes = MAX_ENVELOPE_BYTES + LIMIT_MARGIN * limits.body_bytes
-    body = await read_body(request, max_bytes, memory)
-    call = decode_envelope(body, context.clock.read_monotonic())
+    # The time that is left counts from when the request was sent.
+    caller = context.metrics.callers.find(request)
+    arrival = context.clock.read_monotonic() - caller.waited
+    body = await read_body(request, _compute_bound(context), memory)
+    call = decode_envelope(body, arrival)
     call.memory = memory
-    call.caller = context.metrics.callers.find(request)
+    call.caller = caller
     call.confirm = ForwardedAccess(context.bounds.access).confirm
     context.bounds.stopping.check(call.route)
     return call
+
+
+def _compute_bound(context: IngressContext) -> int:
+    """Return the most bytes that a forwarded call may have."""
+    revision = context.configuration.revision
+    limits = revision.limits if revision else RequestLimits()
+    return MAX_ENVELOPE_BYTES + LIMIT_MARGIN * limits.body_bytes
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/ingress.py
@@ -71,6 +71,7 @@
             await self._refuse(responder, refusal, None)
         else:
             call.caller = caller
+            call.deadline -= caller.waited
             with self._context.metrics.track_open():
                 await self._serve(call, responder)
         return responder.response
