--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/connections.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/callers/connections.py
@@ -10,6 +10,10 @@
 from aiohttp.http_exceptions import LineTooLong
 
 from baobabhinge_gateway.callers.problems import ProblemRenderer
+from baobabhinge_gateway.connections.closing import (
+    WatchedConnection,
+    is_closed_by_peer,
+)
 from baobabhinge_gateway.errors import (
     CallError,
     HeadersTooLargeError,
@@ -44,15 +48,24 @@
         **kwargs: Any,
     ) -> None:
         """Start without connections."""
-        super().__init__(handle_request, **kwargs)
+        super().__init__(self._handle_awaited, **kwargs)
         self.problems = problems
+        self._handle_request = handle_request
 
     def __call__(self) -> web.RequestHandler:
         """Return the handler of one connection."""
         return GuardedConnection(self, loop=self._loop, **self._kwargs)
 
+    async def _handle_awaited(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Handle a request unless its caller has left; no answer reaches it."""
+        if is_closed_by_peer(request.transport):
+            return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
+        return await self._handle_request(request)
+
 
-class GuardedConnection(web.RequestHandler):
+class GuardedConnection(WatchedConnection):
     """Connection whose refusals are problem details."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
