--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/connections/problems.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/connections/problems.py
@@ -10,6 +10,7 @@
     """The caller closed its connection; the attempt was not sent."""
 
     code = 'abandoned'
+    status = HTTPStatus.SERVICE_UNAVAILABLE
     is_awaited = False
 
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call_log.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/call_log.py
@@ -8,6 +8,20 @@
 from baobabhinge_gateway.forwarding.call import Call
 
 MILLISECOND = timedelta(milliseconds=1)
+# Fields of the line on a request that did not become a call.
+NO_CALL: Mapping[str, object] = {
+    'attempt': None,
+    'route': None,
+    'workspace': None,
+    'elapsed_ms': 0,
+    'first_ms': None,
+    'silence_ms': None,
+    'prompt_tokens': None,
+    'output_tokens': None,
+    'expected_output': None,
+    'last_event': None,
+    'runs': 0,
+}
 
 log = structlog.get_logger(__name__)
 
@@ -41,7 +55,7 @@
 
 def _describe(call: Call | None, now: timedelta) -> Mapping[str, object]:
     if call is None:
-        return {'attempt': None, 'route': None, 'elapsed_ms': 0, 'runs': 0}
+        return NO_CALL
     demand = call.head.demand
     return {
         'attempt': call.head.attempt,
