--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/connections/arrival_times.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/connections/arrival_times.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+from contextlib import suppress
 from datetime import timedelta
 
 NO_TIME = timedelta()
@@ -31,8 +32,17 @@
     opened = transport.get_extra_info('socket')
     if opened is None or opened.fileno() < 0:
         return NO_TIME
-    told = opened.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, INFO_BYTES)
+    return min(bound, _read_age(opened))
+
+
+def _read_age(opened: socket.socket) -> timedelta:
+    """Return the age of the latest data, 0 where the kernel tells none."""
+    told = b''
+    with suppress(OSError):
+        told = opened.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, INFO_BYTES
+        )
     if len(told) < INFO_BYTES:
         return NO_TIME
-    waited_ms: int = LAST_DATA.unpack_from(told, LAST_DATA_OFFSET)[0]
-    return min(bound, waited_ms * MILLISECOND)
+    age_ms: int = LAST_DATA.unpack_from(told, LAST_DATA_OFFSET)[0]
+    return age_ms * MILLISECOND
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/base.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/errors/base.py
@@ -50,7 +50,7 @@
     entries: tuple[EntryHint, ...] = ()
     # Refusals that have to cost little are only counted.
     is_logged = True
-    # Nobody is left to answer otherwise.
+    # Whether a caller is left to answer.
     is_awaited = True
 
     def __init__(
