Tell how late the list of servers is, and what state gateways send each other

Nothing that was logged could tell late transfers from transfers that were not asked for: the lag of the list of servers was not measured, nor the bytes and the part of a transfer, nor how old a list of the store was.

Logs and metrics only; what is fetched, and when, is as before. Its parts are put together in state_sharing.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
@@ -20,7 +20,7 @@
     BackendProtocol,
     CallerProtocol,
 )
-from baobabhinge_gateway.forwarding.snapshot_fetcher import SnapshotFetcher
+from baobabhinge_gateway.forwarding.state_sharing import StateSharing
 from baobabhinge_gateway.supervision import SupervisedService
 
 CHECK_INTERVAL = timedelta(milliseconds=50)
@@ -70,11 +70,12 @@
         self._caller_listener = build_caller_listener(
             core, self._callers, dispatcher, self._take_ups
         )
+        state_sharing = StateSharing(core, http)
         for part in (
             build_health_checker(core, http, self._backends),
             self._heartbeats,
-            SnapshotFetcher(http, core),
-            build_hop_listener(core, dispatcher),
+            state_sharing.fetcher,
+            build_hop_listener(core, dispatcher, state_sharing.sender),
             self._caller_listener,
         ):
             await self.add_runtime_dependency(part)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_ingress.py
@@ -3,26 +3,23 @@
 from aiohttp import web
 
 from baobabhinge_gateway.errors import CallError
-from baobabhinge_gateway.forwarding.core import GatewayCore
-from baobabhinge_gateway.forwarding.dispatch import Dispatcher
 from baobabhinge_gateway.forwarding.hop import (
     MILLISECOND,
     RETRY_AFTER_HEADER,
     receive_call,
 )
 from baobabhinge_gateway.forwarding.ingress import encode_refusal
+from baobabhinge_gateway.forwarding.ingress_context import IngressContext
 from baobabhinge_gateway.forwarding.memory_budget import MemoryUse
 from baobabhinge_gateway.forwarding.problems import BodyTooLargeError
+from baobabhinge_gateway.forwarding.protocols import CallDispatcher
 from baobabhinge_gateway.forwarding.responder import (
     CONNECTION_ENDED,
     HttpResponder,
 )
 from baobabhinge_gateway.forwarding.run_report import RunReport, choose_verdict
-from baobabhinge_gateway.forwarding.snapshot import (
-    SNAPSHOT_PATH,
-    parse_revisions,
-)
-from baobabhinge_gateway.forwarding.snapshot_transfer import encode_snapshot
+from baobabhinge_gateway.forwarding.snapshot import SNAPSHOT_PATH
+from baobabhinge_gateway.forwarding.snapshot_sender import SnapshotSender
 
 
 class HopIngress:
@@ -30,24 +27,31 @@
 
     Parameters
     ----------
-    core : GatewayCore
-        State of this gateway.
-    dispatcher : Dispatcher
+    context : IngressContext
+        Dependencies that all calls share.
+    dispatcher : CallDispatcher
         Answers forwarded calls in this region.
+    snapshots : SnapshotSender
+        Answers requests for state.
     """
 
-    __slots__ = ('_context', '_core', '_dispatcher')
+    __slots__ = ('_context', '_dispatcher', '_snapshots')
 
-    def __init__(self, core: GatewayCore, dispatcher: Dispatcher) -> None:
+    def __init__(
+        self,
+        context: IngressContext,
+        dispatcher: CallDispatcher,
+        snapshots: SnapshotSender,
+    ) -> None:
         """Store the collaborators."""
-        self._core = core
-        self._context = core.ingress
+        self._context = context
         self._dispatcher = dispatcher
+        self._snapshots = snapshots
 
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of another gateway."""
         if request.path == SNAPSHOT_PATH:
-            return web.Response(body=self._encode_snapshot(request))
+            return self._snapshots.answer(request)
         with self._context.bounds.memory.open_use() as memory:
             return await self._answer_call(request, memory)
 
@@ -72,10 +76,6 @@
             await self._serve(responder, report)
         return responder.response
 
-    def _encode_snapshot(self, request: web.BaseRequest) -> bytes:
-        since = parse_revisions(request.query)
-        return encode_snapshot(self._core.updater, self._core.state, since)
-
     async def _serve(self, responder: HttpResponder, report: RunReport) -> None:
         call = report.call
         if call is None:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/listeners.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/listeners.py
@@ -4,7 +4,6 @@
 from baobabhinge_gateway.connections.server import ListenerBounds
 from baobabhinge_gateway.deployment import RequestLimits
 from baobabhinge_gateway.forwarding.core import GatewayCore
-from baobabhinge_gateway.forwarding.dispatch import Dispatcher
 from baobabhinge_gateway.forwarding.hop_ingress import HopIngress
 from baobabhinge_gateway.forwarding.http_listener import HttpListener
 from baobabhinge_gateway.forwarding.ingress import CallerIngress
@@ -12,6 +11,7 @@
     CallDispatcher,
     CallerProtocol,
 )
+from baobabhinge_gateway.forwarding.snapshot_sender import SnapshotSender
 from baobabhinge_gateway.forwarding.take_up_dispatch import TakeUpDispatcher
 from baobabhinge_gateway.forwarding.take_ups import TakeUps
 from baobabhinge_gateway.shares.gate import add_shares
@@ -21,10 +21,11 @@
 
 def build_hop_listener(
     core: GatewayCore,
-    dispatcher: Dispatcher,
+    dispatcher: CallDispatcher,
+    snapshots: SnapshotSender,
 ) -> HttpListener:
     """Return the listener for requests of other gateways."""
-    hops = HopIngress(core, dispatcher)
+    hops = HopIngress(core.ingress, dispatcher, snapshots)
     return HttpListener(core.settings.hop_address, hops.answer)
 
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/peer_exchange.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/peer_exchange.py
@@ -45,7 +45,7 @@
         """Connect the parts; nothing is started."""
         table = core.gateways
         metrics = PeerMetrics(
-            core.ingress.metrics.registry, core.updater.lag.compute
+            core.ingress.metrics.registry, core.updater.lag.operators.compute
         )
         crashes = CrashExchange(core.state.crashes, core.ingress.random)
         origins = OriginExchange(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot.py
@@ -31,6 +31,12 @@
         """Return the revisions as a URL query."""
         return urlencode(msgspec.structs.asdict(self))
 
+    def name_part(self) -> str:
+        """Return the only part that is wanted; ``all`` if both are."""
+        if self.servers == UNWANTED:
+            return 'operators'
+        return 'servers' if self.operators == UNWANTED else 'all'
+
     def is_ahead_of(self, other: 'StoreRevisions') -> bool:
         """Return whether any revision is newer than in ``other``."""
         return self.operators > other.operators or self.servers > other.servers
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_fetcher.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_fetcher.py
@@ -3,15 +3,9 @@
 from collections.abc import Sequence
 from datetime import timedelta
 
-import aiohttp
-import structlog
-
-from baobabhinge_gateway.errors import NotReachedError
 from baobabhinge_gateway.forwarding.core import GatewayCore
-from baobabhinge_gateway.forwarding.fetching import fetch
-from baobabhinge_gateway.forwarding.problems import ForwardingError
+from baobabhinge_gateway.forwarding.fetching import SnapshotReader
 from baobabhinge_gateway.forwarding.snapshot import (
-    SNAPSHOT_PATH,
     UNWANTED,
     StoreRevisions,
 )
@@ -25,9 +19,6 @@
 # Gateways that don't watch the store fetch after a random part of this, so that
 # they don't all send their requests in the same ms.
 MAX_OTHER_DELAY = timedelta(milliseconds=20)
-FETCH_TIMEOUT = timedelta(seconds=1)
-
-log = structlog.get_logger(__name__)
 
 
 class SnapshotFetcher(SupervisedService):
@@ -35,16 +26,16 @@
 
     Parameters
     ----------
-    http : aiohttp.ClientSession
-        Session for the requests; it is not closed here.
+    reader : SnapshotReader
+        Reads the snapshots.
     core : GatewayCore
         State of this gateway.
     """
 
-    def __init__(self, http: aiohttp.ClientSession, core: GatewayCore) -> None:
+    def __init__(self, reader: SnapshotReader, core: GatewayCore) -> None:
         """Prepare the service; it fetches once it is started."""
         super().__init__()
-        self._http = http
+        self._reader = reader
         self._core = core
 
     async def on_start(self) -> None:
@@ -66,22 +57,15 @@
     async def _fetch(self, source: Heartbeat) -> None:
         updater = self._core.updater
         for wanted in list_wanted(updater.known_to, source.marks):
-            path = f'{SNAPSHOT_PATH}?{wanted.format_query()}'
-            address = source.hop_address
-            try:
-                body = await self._read(address, path)
-            except (NotReachedError, ForwardingError) as lost:
-                log.info(
-                    'snapshot-not-fetched', source=address, reason=repr(lost)
-                )
+            is_of_servers = wanted.operators == UNWANTED
+            lag = (
+                updater.lag.servers if is_of_servers else updater.lag.operators
+            )
+            body = await self._reader.read(source.hop_address, wanted, lag)
+            if body is None:
                 return
             apply_snapshot(updater, body, wanted)
 
-    async def _read(self, address: str, path: str) -> bytes:
-        bounds = self._core.ingress.bounds
-        with bounds.memory.open_use() as memory:
-            return await fetch(self._http, address, path, FETCH_TIMEOUT, memory)
-
 
 def list_wanted(
     own: StoreRevisions, newer: StoreRevisions
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_sender.py
@@ -0,0 +1,44 @@
+"""Answers to gateways that ask for state."""
+
+import structlog
+from aiohttp import web
+
+from baobabhinge_gateway.forwarding.core import GatewayCore
+from baobabhinge_gateway.forwarding.snapshot import parse_revisions
+from baobabhinge_gateway.forwarding.snapshot_transfer import encode_snapshot
+from baobabhinge_gateway.forwarding.state_metrics import StateMetrics
+
+log = structlog.get_logger(__name__)
+
+
+class SnapshotSender:
+    """Send this gateway's state to gateways that ask for it.
+
+    Parameters
+    ----------
+    core : GatewayCore
+        State of this gateway.
+    metrics : StateMetrics
+        Counts what is sent.
+    """
+
+    __slots__ = ('_core', '_metrics')
+
+    def __init__(self, core: GatewayCore, metrics: StateMetrics) -> None:
+        """Store the collaborators."""
+        self._core = core
+        self._metrics = metrics
+
+    def answer(self, request: web.BaseRequest) -> web.Response:
+        """Return the state that is newer than the revisions in the query."""
+        since = parse_revisions(request.query)
+        body = encode_snapshot(self._core.updater, self._core.state, since)
+        part = since.name_part()
+        self._metrics.record_sent(part, len(body))
+        log.info(
+            'snapshot-sent',
+            part=part,
+            receiver=request.remote,
+            bytes=len(body),
+        )
+        return web.Response(body=body)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_transfer.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_transfer.py
@@ -114,6 +114,7 @@
         }
         servers = dict.fromkeys(snapshot.servers, told.as_of)
         updater.servers.replace(servers, told, lapsing)
+        updater.complete(StoreRevisions())
     else:
         updater.servers.revisions.progress.claim(told.newest)
 
--- /dev/null
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_sharing.py
@@ -0,0 +1,37 @@
+"""Construction of the exchange of state with other gateways."""
+
+import aiohttp
+
+from baobabhinge_gateway.forwarding.core import GatewayCore
+from baobabhinge_gateway.forwarding.fetching import SnapshotReader
+from baobabhinge_gateway.forwarding.snapshot_fetcher import SnapshotFetcher
+from baobabhinge_gateway.forwarding.snapshot_sender import SnapshotSender
+from baobabhinge_gateway.forwarding.state_metrics import StateMetrics
+
+
+class StateSharing:
+    """Exchange of state with other gateways.
+
+    Parameters
+    ----------
+    core : GatewayCore
+        State of this gateway.
+    http : aiohttp.ClientSession
+        Session for the requests; it is not closed here.
+
+    Attributes
+    ----------
+    fetcher : SnapshotFetcher
+        Fetches what other gateways have and this one lacks.
+    sender : SnapshotSender
+        Answers the requests of other gateways.
+    """
+
+    __slots__ = ('fetcher', 'sender')
+
+    def __init__(self, core: GatewayCore, http: aiohttp.ClientSession) -> None:
+        """Connect the parts; nothing is started."""
+        metrics = StateMetrics(core.ingress.metrics.registry, core.updater.lag)
+        reader = SnapshotReader(http, core.ingress.bounds.memory, metrics)
+        self.fetcher = SnapshotFetcher(reader, core)
+        self.sender = SnapshotSender(core, metrics)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_updater.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_updater.py
@@ -40,7 +40,7 @@
     is_behind : asyncio.Event
         Set when another gateway reports a newer change in the store.
     lag : StateLag
-        Time since another gateway reported a newer configuration or evacuation.
+        Time since another gateway reported newer state.
     evacuations : EvacuationUpdater
         Applies evacuations.
     servers : ServerUpdater
@@ -101,7 +101,7 @@
         """Record that all changes up to these revisions were applied."""
         self.evacuations.revisions.complete(revisions.operators)
         self.servers.revisions.complete(revisions.servers)
-        self.lag.end(self.known_to.operators)
+        self.lag.end(self.known_to)
 
     def adopt(self, revision: Revision, source: str = STORE) -> None:
         """Put a configuration in force unless a newer one is.
@@ -119,7 +119,7 @@
                 'configuration-applied',
                 version=revision.version,
                 source=source,
-                behind_ms=self.lag.compute() // MILLISECOND,
+                behind_ms=self.lag.operators.compute() // MILLISECOND,
             )
 
     def record_store_failure(self) -> None:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_watchers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_watchers.py
@@ -9,6 +9,8 @@
 
 import msgspec
 import pytest
+from prometheus_client import CollectorRegistry
+from structlog.testing import capture_logs
 
 from baobabhinge_coordination.clock import ManualClock
 from baobabhinge_gateway.deployment import (
@@ -17,6 +19,9 @@
     Revision,
 )
 from baobabhinge_gateway.forwarding.core import GatewayCore
+from baobabhinge_gateway.forwarding.deployment_state import (
+    create_deployment_state,
+)
 from baobabhinge_gateway.forwarding.key_revisions import ListRevisions
 from baobabhinge_gateway.forwarding.retry_budget import RetryBudgetLimits
 from baobabhinge_gateway.forwarding.settings import ForwardingSettings
@@ -31,8 +36,12 @@
     apply_snapshot,
     encode_snapshot,
 )
-from baobabhinge_gateway.forwarding.state_lag import StateLag
-from baobabhinge_gateway.forwarding.state_updater import lacks_changes
+from baobabhinge_gateway.forwarding.state_lag import PartLag
+from baobabhinge_gateway.forwarding.state_metrics import StateMetrics
+from baobabhinge_gateway.forwarding.state_updater import (
+    StateUpdater,
+    lacks_changes,
+)
 from baobabhinge_gateway.forwarding.watchers import is_informed
 from baobabhinge_gateway.neighbours import GatewayContact, Heartbeat
 
@@ -228,15 +237,48 @@
 ):
     core = build_core()
     clock = ManualClock()
-    lag = StateLag(clock)
+    lag = PartLag(clock, 'operators')
     for name in names:
         core.gateways.record_heartbeat(build_heartbeat(name))
     if reports_newer:
-        lag.begin(StoreRevisions(1, 0), StoreRevisions())
+        lag.begin(1, 0)
         clock.advance(timedelta(milliseconds=1001))
     assert is_informed(core.gateways, lag) == is_told
 
 
+@pytest.mark.parametrize(
+    ('part', 'revisions'),
+    [
+        ('operators', StoreRevisions(5, 0)),
+        ('servers', StoreRevisions(0, 5)),
+    ],
+)
+def test_a_gateway_tells_for_how_long_it_has_lacked_a_part(part, revisions):
+    """Only operators' state was told of; a late list of servers was not."""
+    clock = ManualClock()
+    state = create_deployment_state(clock, 'west', REGIONS)
+    updater = StateUpdater(state)
+    registry = CollectorRegistry()
+    StateMetrics(registry, updater.lag)
+    updater.record_marks(revisions)
+    clock.advance(timedelta(seconds=2))
+    lags = {
+        name: getattr(updater.lag, name).compute().total_seconds()
+        for name in ('operators', 'servers')
+    }
+    assert lags == {'operators': 0, 'servers': 0, part: 2}
+    behind = registry.get_sample_value('baobabhinge_servers_behind_seconds')
+    assert behind == lags['servers']
+    with capture_logs() as logs:
+        replace_evacuations(updater, (), 5)
+        replace_servers(updater, [], 5)
+        updater.complete(StoreRevisions())
+    assert [(one['event'], one['behind_ms']) for one in logs] == [
+        (f'{part}-state-late', 2000)
+    ]
+    assert getattr(updater.lag, part).compute() == timedelta()
+
+
 def build_lapsing_core(name):
     """Return a core that has lost the entry of a server in an outage."""
     core = build_core(name)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/watchers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/watchers.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from datetime import timedelta
 
-from baobabhinge_gateway.forwarding.state_lag import StateLag
+from baobabhinge_gateway.forwarding.state_lag import PartLag
 from baobabhinge_gateway.neighbours import GatewayTable
 
 # One of them may be lost while another one drains. The other gateways of the
@@ -31,7 +31,7 @@
     return sorted([*candidates, own.name])[:WATCHERS_PER_REGION]
 
 
-def is_informed(gateways: GatewayTable, lag: StateLag) -> bool:
+def is_informed(gateways: GatewayTable, lag: PartLag) -> bool:
     """Return whether other gateways tell this one of changes in the store.
 
     They do not if no watcher of the region was heard of lately, or if this
@@ -41,7 +41,7 @@
     ----------
     gateways : GatewayTable
         Gateways that this one hears of.
-    lag : StateLag
+    lag : PartLag
         Time since it was told of newer state.
     """
     if lag.compute() > MAX_LAG:
