--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/core.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from random import Random, SystemRandom
 
-from baobabhinge_coordination.clock import BootClock
+from baobabhinge_coordination.clock import BootClock, Clock
 from baobabhinge_gateway.forwarding.check_sharing import (
     CheckSharing,
     merge_cold,
@@ -40,6 +40,8 @@
     ----------
     settings : ForwardingSettings
         Settings of the process.
+    clock : Clock, optional
+        Clock of all decisions; that of the operating system if it is left out.
 
     Attributes
     ----------
@@ -68,9 +70,11 @@
         'updater',
     )
 
-    def __init__(self, settings: ForwardingSettings) -> None:
+    def __init__(
+        self, settings: ForwardingSettings, clock: Clock | None = None
+    ) -> None:
         """Start without a configuration and without backend servers."""
-        clock = BootClock()
+        clock = clock or BootClock()
         random = Random(SystemRandom().getrandbits(RANDOM_BITS))
         self.settings = settings
         self.budget = SharedRetryBudget(settings.budget, clock)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
@@ -20,7 +20,7 @@
     BackendProtocol,
     CallerProtocol,
 )
-from baobabhinge_gateway.forwarding.state_sharing import StateSharing
+from baobabhinge_gateway.forwarding.state_sharing import build_state_sharing
 from baobabhinge_gateway.supervision import SupervisedService
 
 CHECK_INTERVAL = timedelta(milliseconds=50)
@@ -70,7 +70,7 @@
         self._caller_listener = build_caller_listener(
             core, self._callers, dispatcher, self._take_ups
         )
-        state_sharing = StateSharing(core, http)
+        state_sharing = build_state_sharing(core, http)
         for part in (
             build_health_checker(core, http, self._backends),
             self._heartbeats,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/fetching.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/fetching.py
@@ -1,33 +1,45 @@
-"""Reading of what another gateway has to tell."""
+"""Transfer of state from another gateway over HTTP."""
 
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from functools import partial
+from http import HTTPStatus
 
 import aiohttp
-import structlog
+import msgspec
 
-from baobabhinge_gateway.errors import NotReachedError
 from baobabhinge_gateway.forwarding.exchange import (
     OutboundRequest,
     open_exchange,
 )
 from baobabhinge_gateway.forwarding.memory_budget import MemoryBudget
-from baobabhinge_gateway.forwarding.problems import ForwardingError
-from baobabhinge_gateway.forwarding.snapshot import (
-    SNAPSHOT_PATH,
-    StoreRevisions,
-)
-from baobabhinge_gateway.forwarding.state_lag import MILLISECOND, PartLag
-from baobabhinge_gateway.forwarding.state_metrics import StateMetrics
 from baobabhinge_platform.answers import read_bounded
 
 FETCH_TIMEOUT = timedelta(seconds=1)
 
-log = structlog.get_logger(__name__)
+
+class StateAnswer(msgspec.Struct, frozen=True):
+    """Answer to a gateway that asks for state.
+
+    Parameters
+    ----------
+    body : bytes
+        Encoded snapshot.
+    status : HTTPStatus
+        Status of the answer.
+    """
+
+    body: bytes
+    status: HTTPStatus = HTTPStatus.OK
+
+
+# Asks the gateway at ``host:port`` for a path with a query. Raises
+# `NotReachedError` or `ForwardingError`.
+StateTransfer = Callable[[str, str], Awaitable[StateAnswer]]
 
 
-class SnapshotReader:
-    """Read snapshots of other gateways.
+class HttpTransfer:
+    """Ask other gateways over HTTP.
 
     Parameters
     ----------
@@ -35,70 +47,28 @@
         Session for the requests; it is not closed here.
     memory : MemoryBudget
         Bound on the bytes of all answers.
-    metrics : StateMetrics
-        Counts the requests.
     """
 
-    __slots__ = ('_http', '_memory', '_metrics')
+    __slots__ = ('_http', '_memory')
 
     def __init__(
-        self,
-        http: aiohttp.ClientSession,
-        memory: MemoryBudget,
-        metrics: StateMetrics,
+        self, http: aiohttp.ClientSession, memory: MemoryBudget
     ) -> None:
         """Store the collaborators."""
         self._http = http
         self._memory = memory
-        self._metrics = metrics
-
-    async def read(
-        self, address: str, wanted: StoreRevisions, lag: PartLag
-    ) -> bytes | None:
-        """Return the encoded snapshot of another gateway.
-
-        A failure is logged.
-
-        Parameters
-        ----------
-        address : str
-            ``host:port`` of the gateway.
-        wanted : StoreRevisions
-            Revisions that this gateway has of the wanted part.
-        lag : PartLag
-            Lag of that part.
-
-        Returns
-        -------
-        bytes or None
-            ``None`` if it was not answered in time.
+
+    async def fetch(self, address: str, target: str) -> StateAnswer:
+        """Return the answer of the gateway at ``address``.
+
+        Raises as `open_exchange` does.
         """
-        try:
-            with self._metrics.track_fetch(lag):
-                body = await self._fetch(address, wanted)
-        except (NotReachedError, ForwardingError) as lost:
-            log.info(
-                'snapshot-not-fetched',
-                source=address,
-                part=lag.part,
-                reason=repr(lost),
-            )
-            return None
-        log.info(
-            'snapshot-fetched',
-            source=address,
-            part=lag.part,
-            bytes=len(body),
-            behind_ms=lag.compute() // MILLISECOND,
-            failed_fetches=lag.failed_fetches,
+        outbound = OutboundRequest(
+            'GET', address, target, (), b'', FETCH_TIMEOUT
         )
-        return body
-
-    async def _fetch(self, address: str, wanted: StoreRevisions) -> bytes:
-        path = f'{SNAPSHOT_PATH}?{wanted.format_query()}'
-        outbound = OutboundRequest('GET', address, path, (), b'', FETCH_TIMEOUT)
         with self._memory.open_use() as memory:
             async with open_exchange(self._http, outbound) as response:
-                return await read_bounded(
+                body = await read_bounded(
                     response, partial(memory.add_answer, address)
                 )
+                return StateAnswer(body, HTTPStatus(response.status))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_ingress.py
@@ -51,7 +51,8 @@
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of another gateway."""
         if request.path == SNAPSHOT_PATH:
-            return self._snapshots.answer(request)
+            told = self._snapshots.answer(request.query, request.remote or '')
+            return web.Response(status=told.status, body=told.body)
         with self._context.bounds.memory.open_use() as memory:
             return await self._answer_call(request, memory)
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_fetcher.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_fetcher.py
@@ -4,11 +4,11 @@
 from datetime import timedelta
 
 from baobabhinge_gateway.forwarding.core import GatewayCore
-from baobabhinge_gateway.forwarding.fetching import SnapshotReader
 from baobabhinge_gateway.forwarding.snapshot import (
     UNWANTED,
     StoreRevisions,
 )
+from baobabhinge_gateway.forwarding.snapshot_reader import SnapshotReader
 from baobabhinge_gateway.forwarding.snapshot_transfer import apply_snapshot
 from baobabhinge_gateway.neighbours import Heartbeat
 from baobabhinge_gateway.supervision import SupervisedService
@@ -61,10 +61,10 @@
             lag = (
                 updater.lag.servers if is_of_servers else updater.lag.operators
             )
-            body = await self._reader.read(source.hop_address, wanted, lag)
-            if body is None:
+            answer = await self._reader.read(source.hop_address, wanted, lag)
+            if answer is None:
                 return
-            apply_snapshot(updater, body, wanted)
+            apply_snapshot(updater, answer.body, wanted)
 
 
 def list_wanted(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_sender.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_sender.py
@@ -1,9 +1,11 @@
 """Answers to gateways that ask for state."""
 
+from collections.abc import Mapping
+
 import structlog
-from aiohttp import web
 
 from baobabhinge_gateway.forwarding.core import GatewayCore
+from baobabhinge_gateway.forwarding.fetching import StateAnswer
 from baobabhinge_gateway.forwarding.snapshot import parse_revisions
 from baobabhinge_gateway.forwarding.snapshot_transfer import encode_snapshot
 from baobabhinge_gateway.forwarding.state_metrics import StateMetrics
@@ -29,16 +31,19 @@
         self._core = core
         self._metrics = metrics
 
-    def answer(self, request: web.BaseRequest) -> web.Response:
-        """Return the state that is newer than the revisions in the query."""
-        since = parse_revisions(request.query)
+    def answer(self, query: Mapping[str, str], receiver: str) -> StateAnswer:
+        """Return the state that is newer than the revisions in a query.
+
+        Parameters
+        ----------
+        query : mapping of str to str
+            Query of the request.
+        receiver : str
+            Address of the gateway that asks, for the log.
+        """
+        since = parse_revisions(query)
         body = encode_snapshot(self._core.updater, self._core.state, since)
         part = since.name_part()
         self._metrics.record_sent(part, len(body))
-        log.info(
-            'snapshot-sent',
-            part=part,
-            receiver=request.remote,
-            bytes=len(body),
-        )
-        return web.Response(body=body)
+        log.info('snapshot-sent', part=part, receiver=receiver, bytes=len(body))
+        return StateAnswer(body)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_sharing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_sharing.py
@@ -3,8 +3,9 @@
 import aiohttp
 
 from baobabhinge_gateway.forwarding.core import GatewayCore
-from baobabhinge_gateway.forwarding.fetching import SnapshotReader
+from baobabhinge_gateway.forwarding.fetching import HttpTransfer, StateTransfer
 from baobabhinge_gateway.forwarding.snapshot_fetcher import SnapshotFetcher
+from baobabhinge_gateway.forwarding.snapshot_reader import SnapshotReader
 from baobabhinge_gateway.forwarding.snapshot_sender import SnapshotSender
 from baobabhinge_gateway.forwarding.state_metrics import StateMetrics
 
@@ -16,8 +17,8 @@
     ----------
     core : GatewayCore
         State of this gateway.
-    http : aiohttp.ClientSession
-        Session for the requests; it is not closed here.
+    transfer : callable
+        Sends requests to other gateways.
 
     Attributes
     ----------
@@ -29,9 +30,25 @@
 
     __slots__ = ('fetcher', 'sender')
 
-    def __init__(self, core: GatewayCore, http: aiohttp.ClientSession) -> None:
+    def __init__(self, core: GatewayCore, transfer: StateTransfer) -> None:
         """Connect the parts; nothing is started."""
         metrics = StateMetrics(core.ingress.metrics.registry, core.updater.lag)
-        reader = SnapshotReader(http, core.ingress.bounds.memory, metrics)
+        reader = SnapshotReader(transfer, metrics)
         self.fetcher = SnapshotFetcher(reader, core)
         self.sender = SnapshotSender(core, metrics)
+
+
+def build_state_sharing(
+    core: GatewayCore, http: aiohttp.ClientSession
+) -> StateSharing:
+    """Return the exchange of state over HTTP.
+
+    Parameters
+    ----------
+    core : GatewayCore
+        State of this gateway.
+    http : aiohttp.ClientSession
+        Session for the requests; it is not closed here.
+    """
+    transfer = HttpTransfer(http, core.ingress.bounds.memory)
+    return StateSharing(core, transfer.fetch)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/batches.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/batches.py
@@ -6,8 +6,8 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from datetime import timedelta
 from typing import Protocol
 
@@ -32,6 +32,18 @@
         """Record that a datagram could not be sent or read."""
 
 
+class DatagramSocket(Protocol):
+    """Socket that sends datagrams."""
+
+    def send(self, datagram: bytes, address: Address) -> None:
+        """Send a datagram, or record that it was not sent."""
+
+
+SocketOpener = Callable[
+    [Receiver, Address], AbstractAsyncContextManager[DatagramSocket]
+]
+
+
 class BatchSocket:
     """Datagram socket that wakes the process once for a batch.
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/service.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/service.py
@@ -5,7 +5,8 @@
 
 from baobabhinge_gateway.neighbours.batches import (
     Address,
-    BatchSocket,
+    DatagramSocket,
+    SocketOpener,
     open_socket,
 )
 from baobabhinge_gateway.neighbours.datagrams import encode_message
@@ -37,6 +38,11 @@
         Gets the datagrams of other gateways.
     metrics : PeerMetrics
         Records sizes and delays.
+
+    Attributes
+    ----------
+    open_socket : callable
+        Opens the socket; a simulated network takes its place.
     """
 
     def __init__(
@@ -57,12 +63,13 @@
         self._sequence = 0
         self._is_remote_due = False
         self._remote_pacer = RemotePacer()
-        self._socket: BatchSocket | None = None
+        self._socket: DatagramSocket | None = None
+        self.open_socket: SocketOpener = open_socket
 
     async def on_start(self) -> None:
         """Open the socket and start sending in the background."""
         self._socket = await self.add_async_context(
-            open_socket(self._receiver, self._table.own.address)
+            self.open_socket(self._receiver, self._table.own.address)
         )
         self.add_loop(self._send_forever)
 
