Tell changes of servers in place of whole lists, each part by itself

Callers reached servers seconds after these had told of their end, and what gateways closed arrived late.

Cause: each change of the list of servers was fetched as the whole list by each gateway, and each change of the operators' state with all routes, from the three gateways of a region that watch the store. With 1,400 routes 300 kB went to each of 64 gateways over links of 10 Mbit/s; the more asked, the fewer were answered within their second, and all asked again. The list of servers was not asked for while the configuration failed. Class of fault: a transfer without a bound whose demand grows with its own failures.

In test_state_spread.py, 65 gateways, on: half of them never have version 2 within 12 s, 802 fetches fail; 503 ms of queue in a release.

A removal that is told as a change is kept no longer than where it was seen. Earlier versions ask for lists, and get them.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/daemon.py
@@ -70,7 +70,7 @@
         self._caller_listener = build_caller_listener(
             core, self._callers, dispatcher, self._take_ups
         )
-        state_sharing = build_state_sharing(core, http)
+        state_sharing = build_state_sharing(core, http, self.send_heartbeats)
         for part in (
             build_health_checker(core, http, self._backends),
             self._heartbeats,
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/entry_updaters.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/entry_updaters.py
@@ -125,7 +125,7 @@
         for name in changes.removed:
             self._remove(name)
         for name, left in lapsing.items():
-            self._state.catalogue.removals.limit(name, left)
+            self.limit_removal(name, left)
         written = frozenset(changes.written)
         for server in servers:
             if server.name in written:
@@ -141,6 +141,10 @@
         if self.revisions.remove(name, store_revision):
             self._remove(name)
 
+    def limit_removal(self, name: str, left: timedelta) -> None:
+        """Keep a server whose entry is gone for no longer than ``left``."""
+        self._state.catalogue.removals.limit(name, left)
+
     def _put(self, server: BackendServer) -> None:
         if self._state.catalogue.put(server):
             self._state.warmup.record_cold(server.name, server.cold_for)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/fetching.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/fetching.py
@@ -1,5 +1,6 @@
 """Transfer of state from another gateway over HTTP."""
 
+import zlib
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from functools import partial
@@ -12,10 +13,16 @@
     OutboundRequest,
     open_exchange,
 )
+from baobabhinge_gateway.forwarding.failures import UnknownOutcomeError
 from baobabhinge_gateway.forwarding.memory_budget import MemoryBudget
-from baobabhinge_platform.answers import read_bounded
+from baobabhinge_platform.answers import MAX_ANSWER_BYTES, read_bounded
 
 FETCH_TIMEOUT = timedelta(seconds=1)
+# RFC 9110, section 8.4.1.2: zlib format.
+DEFLATE = 'deflate'
+ENCODING_HEADER = 'Content-Encoding'
+RETRY_AFTER_HEADER = 'State-Retry-After-Ms'
+MILLISECOND = timedelta(milliseconds=1)
 
 
 class StateAnswer(msgspec.Struct, frozen=True):
@@ -25,12 +32,52 @@
     ----------
     body : bytes
         Encoded snapshot.
-    status : HTTPStatus
-        Status of the answer.
+    is_deflated : bool
+        Whether ``body`` is compressed.
+    retry_after : timedelta or None
+        Set if the gateway sends too much already: when it is to be asked again,
+        unless another one has the state.
     """
 
     body: bytes
-    status: HTTPStatus = HTTPStatus.OK
+    is_deflated: bool = False
+    retry_after: timedelta | None = None
+
+    @property
+    def status(self) -> HTTPStatus:
+        """Status of the answer."""
+        if self.retry_after is None:
+            return HTTPStatus.OK
+        return HTTPStatus.SERVICE_UNAVAILABLE
+
+    def list_headers(self) -> dict[str, str]:
+        """Return the headers of the answer."""
+        headers = {}
+        if self.is_deflated:
+            headers[ENCODING_HEADER] = DEFLATE
+        if self.retry_after is not None:
+            milliseconds = self.retry_after // MILLISECOND
+            headers[RETRY_AFTER_HEADER] = str(milliseconds)
+        return headers
+
+    def inflate(self) -> bytes:
+        """Return the encoded snapshot, not compressed.
+
+        Raises
+        ------
+        UnknownOutcomeError
+            If it can't be read, or is longer than `MAX_ANSWER_BYTES`.
+        """
+        if not self.is_deflated:
+            return self.body
+        inflating = zlib.decompressobj()
+        try:
+            inflated = inflating.decompress(self.body, MAX_ANSWER_BYTES)
+        except zlib.error as broken:
+            raise UnknownOutcomeError(f'unreadable: {broken}') from broken
+        if not inflating.eof:
+            raise UnknownOutcomeError('the snapshot is cut off, or too long')
+        return inflated
 
 
 # Asks the gateway at ``host:port`` for a path with a query. Raises
@@ -71,4 +118,14 @@
                 body = await read_bounded(
                     response, partial(memory.add_answer, address)
                 )
-                return StateAnswer(body, HTTPStatus(response.status))
+                return _read_answer(response, body)
+
+
+def _read_answer(response: aiohttp.ClientResponse, body: bytes) -> StateAnswer:
+    if response.status == HTTPStatus.OK:
+        encoding = response.headers.get(ENCODING_HEADER)
+        return StateAnswer(body, is_deflated=encoding == DEFLATE)
+    milliseconds = response.headers.get(RETRY_AFTER_HEADER, '')
+    if not milliseconds.isdecimal():
+        raise UnknownOutcomeError(f'answered with {response.status}')
+    return StateAnswer(b'', retry_after=int(milliseconds) * MILLISECOND)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_ingress.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/hop_ingress.py
@@ -52,7 +52,11 @@
         """Answer one request of another gateway."""
         if request.path == SNAPSHOT_PATH:
             told = self._snapshots.answer(request.query, request.remote or '')
-            return web.Response(status=told.status, body=told.body)
+            return web.Response(
+                status=told.status,
+                headers=told.list_headers(),
+                body=told.body,
+            )
         with self._context.bounds.memory.open_use() as memory:
             return await self._answer_call(request, memory)
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/key_revisions.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/key_revisions.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from baobabhinge_gateway.forwarding.removal_history import RemovalHistory
+
 NO_LIST = -1
 
 
@@ -143,28 +145,34 @@
     ----------
     progress : RevisionProgress
         How far the changes of all keys are known.
+    history : RemovalHistory
+        Keys that were removed lately.
+    written : dict of str to int
+        Revision of each key that is known and not removed.
     """
 
-    __slots__ = ('_present', '_removed', 'progress')
+    __slots__ = ('_removed', 'history', 'progress', 'written')
 
     def __init__(self) -> None:
         """Start without keys, at revision 0."""
-        self._present: dict[str, int] = {}
+        self.written: dict[str, int] = {}
         # Removals that an older list might undo.
         self._removed: dict[str, int] = {}
         self.progress = RevisionProgress()
+        self.history = RemovalHistory()
 
     @property
     def present(self) -> frozenset[str]:
         """Keys that are known and not removed."""
-        return frozenset(self._present)
+        return frozenset(self.written)
 
     def write(self, key: str, revision: int) -> bool:
         """Record that a key was written; return whether this is news."""
         if not self._is_news(key, revision):
             return False
         self._removed.pop(key, None)
-        self._present[key] = revision
+        self.history.forget(key)
+        self.written[key] = revision
         self.progress.note(revision)
         return True
 
@@ -172,8 +180,9 @@
         """Record that a key was removed; return whether this is news."""
         if not self._is_news(key, revision):
             return False
-        self._present.pop(key, None)
+        self.written.pop(key, None)
         self._removed[key] = revision
+        self.history.record(key, revision)
         self.progress.note(revision)
         return True
 
@@ -204,17 +213,21 @@
             ],
             [
                 key
-                for key, revision in self._present.items()
+                for key, revision in self.written.items()
                 if key not in listed and revision <= revisions.as_of
             ],
         )
         for gone in changes.removed:
-            self._present.pop(gone)
+            self.written.pop(gone)
             self._removed[gone] = revisions.as_of
+            self.history.record(gone, revisions.as_of)
+        if revisions.is_certain:
+            self.history.begin(revisions.as_of)
         self.progress.record_list(revisions, has_removed=bool(changes.removed))
         for key in changes.written:
             self._removed.pop(key, None)
-            self._present[key] = listed[key]
+            self.history.forget(key)
+            self.written[key] = listed[key]
             if listed[key] > revisions.as_of:
                 self.progress.note(listed[key])
         self.complete(0)
@@ -226,5 +239,38 @@
         A key that is not known was removed, if it ever was there.
         """
         removed = self._removed.get(key, self.progress.complete_to)
-        known = self._present.get(key, removed)
+        known = self.written.get(key, removed)
         return known <= as_of or revision > known
+
+
+class KeyChanges(msgspec.Struct, frozen=True):
+    """Changes after a revision.
+
+    Parameters
+    ----------
+    written, removed : mapping of str to int
+        Revisions of the keys that were written or removed.
+    """
+
+    written: Mapping[str, int]
+    removed: Mapping[str, int]
+
+
+def list_changes(keys: KeyRevisions, since: int) -> KeyChanges | None:
+    """Return all changes after a revision, ``None`` if some may be unknown.
+
+    Parameters
+    ----------
+    keys : KeyRevisions
+        What is known.
+    since : int
+        Revision up to which the changes are left out.
+    """
+    if keys.progress.is_uncertain or since < keys.history.begins_at:
+        return None
+    written = {
+        key: revision
+        for key, revision in keys.written.items()
+        if revision > since
+    }
+    return KeyChanges(written, keys.history.list_since(since))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot.py
@@ -1,7 +1,6 @@
 """State of the deployment, as one gateway sends it to another."""
 
 from collections.abc import Mapping
-from urllib.parse import urlencode
 
 import msgspec
 
@@ -27,10 +26,6 @@
     operators: StoreRevision = 0
     servers: StoreRevision = 0
 
-    def format_query(self) -> str:
-        """Return the revisions as a URL query."""
-        return urlencode(msgspec.structs.asdict(self))
-
     def name_part(self) -> str:
         """Return the only part that is wanted; ``all`` if both are."""
         if self.servers == UNWANTED:
@@ -42,16 +37,31 @@
         return self.operators > other.operators or self.servers > other.servers
 
 
-def parse_revisions(query: Mapping[str, str]) -> StoreRevisions:
-    """Return the revisions in a URL query; 0 for each that is missing."""
-    return StoreRevisions(
-        _parse_revision(query.get('operators', '')),
-        _parse_revision(query.get('servers', '')),
-    )
+def parse_revision(text: str) -> int:
+    """Return a revision of a URL query; 0 if it is none."""
+    return int(text) if text.isdecimal() else 0
+
 
+class ServerChanges(msgspec.Struct):
+    """Changes of the list of backend servers.
 
-def _parse_revision(text: str) -> int:
-    return int(text) if text.isdecimal() else 0
+    Parameters
+    ----------
+    since : int
+        Store revision after which they were made. They say nothing to a
+        gateway that does not know all changes before.
+    written : tuple of BackendServer
+        Servers whose entries were written.
+    revisions : tuple of int
+        Store revision of each of these entries.
+    removed : mapping of str to int
+        Servers whose entries were removed, and the store revisions of that.
+    """
+
+    since: StoreRevision
+    written: tuple[BackendServer, ...] = ()
+    revisions: tuple[StoreRevision, ...] = ()
+    removed: Mapping[str, StoreRevision] = {}
 
 
 class Snapshot(msgspec.Struct):
@@ -67,13 +77,16 @@
     evacuated : tuple of str
         Failure domains that are to get no calls.
     servers : tuple of BackendServer
-        All backend servers, left out if the receiver has them.
+        All backend servers, left out if the receiver has them, or gets
+        ``changes``.
     lapsing_ms : mapping of str to int
         Servers whose entries are gone, and for how much longer they are kept,
         in milliseconds. They are not among ``servers``.
     complete_to : StoreRevisions
         Revisions up to which the sender has applied all changes; 0 for a part
         of which it does not know this, as gateways of earlier versions.
+    changes : ServerChanges or None
+        Changes of the list of servers, in place of ``servers``.
     """
 
     marks: StoreRevisions
@@ -82,3 +95,4 @@
     servers: tuple[BackendServer, ...] = ()
     lapsing_ms: Mapping[str, Milliseconds] = {}
     complete_to: StoreRevisions = StoreRevisions()
+    changes: ServerChanges | None = None
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_reader.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_reader.py
@@ -3,18 +3,21 @@
 import structlog
 
 from baobabhinge_gateway.errors import NotReachedError
-from baobabhinge_gateway.forwarding.fetching import StateAnswer, StateTransfer
+from baobabhinge_gateway.forwarding.fetching import StateTransfer
 from baobabhinge_gateway.forwarding.problems import ForwardingError
-from baobabhinge_gateway.forwarding.snapshot import (
-    SNAPSHOT_PATH,
-    StoreRevisions,
-)
+from baobabhinge_gateway.forwarding.snapshot_query import SnapshotQuery
 from baobabhinge_gateway.forwarding.state_lag import MILLISECOND, PartLag
 from baobabhinge_gateway.forwarding.state_metrics import StateMetrics
 
+NOT_ANSWERED = (NotReachedError, ForwardingError)
+
 log = structlog.get_logger(__name__)
 
 
+class SourceBusyError(ForwardingError):
+    """The other gateway sends state to others already."""
+
+
 class SnapshotReader:
     """Read snapshots of other gateways.
 
@@ -34,44 +37,47 @@
         self._metrics = metrics
 
     async def read(
-        self, address: str, wanted: StoreRevisions, lag: PartLag
-    ) -> StateAnswer | None:
-        """Return the answer of another gateway to a request for state.
-
-        A failure is logged.
+        self, address: str, query: SnapshotQuery, lag: PartLag
+    ) -> bytes:
+        """Return the encoded snapshot of another gateway.
 
         Parameters
         ----------
         address : str
             ``host:port`` of the gateway.
-        wanted : StoreRevisions
-            Revisions that this gateway has of the wanted part.
+        query : SnapshotQuery
+            What this gateway has.
         lag : PartLag
-            Lag of that part.
+            Lag of the part that is asked for.
 
-        Returns
-        -------
-        StateAnswer or None
-            ``None`` if it was not answered in time.
+        Raises
+        ------
+        SourceBusyError
+            If the other gateway is to be asked later.
+        NotReachedError, ForwardingError
+            If it gave no answer in time.
         """
-        target = f'{SNAPSHOT_PATH}?{wanted.format_query()}'
         try:
             with self._metrics.track_fetch(lag):
-                answer = await self._transfer(address, target)
-        except (NotReachedError, ForwardingError) as lost:
+                answer = await self._transfer(address, query.format_target())
+                inflated = answer.inflate()
+        except NOT_ANSWERED as lost:
             log.info(
                 'snapshot-not-fetched',
                 source=address,
                 part=lag.part,
                 reason=repr(lost),
             )
-            return None
+            raise
         log.info(
             'snapshot-fetched',
             source=address,
             part=lag.part,
             bytes=len(answer.body),
+            is_busy=answer.retry_after is not None,
             behind_ms=lag.compute() // MILLISECOND,
             failed_fetches=lag.failed_fetches,
         )
-        return answer
+        if answer.retry_after is not None:
+            raise SourceBusyError('busy', answer.retry_after)
+        return inflated
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_transfer.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_transfer.py
@@ -1,13 +1,16 @@
-"""Snapshots that gateways send each other: encoding and applying."""
+"""Applying of snapshots that other gateways send."""
 
 from datetime import timedelta
 
 import msgspec
 import structlog
 
-from baobabhinge_gateway.forwarding.deployment_state import DeploymentState
 from baobabhinge_gateway.forwarding.key_revisions import ListRevisions
-from baobabhinge_gateway.forwarding.snapshot import Snapshot, StoreRevisions
+from baobabhinge_gateway.forwarding.snapshot import (
+    ServerChanges,
+    Snapshot,
+    StoreRevisions,
+)
 from baobabhinge_gateway.forwarding.state_updater import StateUpdater
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -15,38 +18,6 @@
 log = structlog.get_logger(__name__)
 
 
-def encode_snapshot(
-    updater: StateUpdater,
-    state: DeploymentState,
-    since: StoreRevisions,
-) -> bytes:
-    """Return the encoded state that is newer than ``since``.
-
-    Parameters
-    ----------
-    updater : StateUpdater
-        Holds the revisions that were applied.
-    state : DeploymentState
-        State to encode.
-    since : StoreRevisions
-        Revisions that the requesting gateway has.
-    """
-    snapshot = Snapshot(updater.revisions, complete_to=_list_certain(updater))
-    if updater.revisions.operators > since.operators:
-        snapshot.revision = state.configuration.revision
-        snapshot.evacuated = tuple(sorted(state.configuration.evacuated))
-    if updater.revisions.servers > since.servers:
-        listed = state.catalogue.list_all()
-        lapsing = state.catalogue.removals.list_left()
-        snapshot.servers = tuple(
-            server for server in listed if server.name not in lapsing
-        )
-        snapshot.lapsing_ms = {
-            name: left // MILLISECOND for name, left in lapsing.items()
-        }
-    return msgspec.msgpack.encode(snapshot)
-
-
 def apply_snapshot(
     updater: StateUpdater, encoded: bytes, since: StoreRevisions
 ) -> None:
@@ -82,15 +53,6 @@
     )
 
 
-def _list_certain(updater: StateUpdater) -> StoreRevisions:
-    operators = updater.evacuations.revisions.progress
-    servers = updater.servers.revisions.progress
-    return StoreRevisions(
-        0 if operators.is_uncertain else operators.complete_to,
-        0 if servers.is_uncertain else servers.complete_to,
-    )
-
-
 def _apply_operators(updater: StateUpdater, snapshot: Snapshot) -> None:
     if snapshot.revision is not None:
         updater.adopt(snapshot.revision, 'another gateway')
@@ -106,6 +68,9 @@
 
 
 def _apply_servers(updater: StateUpdater, snapshot: Snapshot) -> None:
+    if snapshot.changes:
+        _apply_changes(updater, snapshot, snapshot.changes)
+        return
     told = _describe_list(snapshot.marks.servers, snapshot.complete_to.servers)
     if told.is_certain or not updater.is_store_reachable:
         lapsing = {
@@ -119,6 +84,24 @@
         updater.servers.revisions.progress.claim(told.newest)
 
 
+def _apply_changes(
+    updater: StateUpdater, snapshot: Snapshot, changes: ServerChanges
+) -> None:
+    """Apply changes, unless some before them are not known."""
+    if changes.since > updater.servers.revisions.progress.complete_to:
+        log.error('changes-out-of-order', since=changes.since)
+        return
+    for server, revision in zip(
+        changes.written, changes.revisions, strict=False
+    ):
+        updater.servers.put(server, revision)
+    for name, revision in changes.removed.items():
+        updater.servers.remove(name, revision)
+        left = snapshot.lapsing_ms.get(name, 0)
+        updater.servers.limit_removal(name, left * MILLISECOND)
+    updater.complete(StoreRevisions(servers=snapshot.complete_to.servers))
+
+
 def _describe_list(mark: int, complete_to: int) -> ListRevisions:
     """Return the revisions of one part of a snapshot.
 
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_lag.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_lag.py
@@ -1,5 +1,6 @@
 """How long this gateway has lacked state that other gateways have."""
 
+import asyncio
 from datetime import timedelta
 
 import structlog
@@ -30,9 +31,18 @@
         Name of the part.
     failed_fetches : int
         Requests to other gateways that have failed meanwhile.
+    has_news : asyncio.Event
+        Set when another gateway reports a newer revision.
     """
 
-    __slots__ = ('_clock', '_reported', '_since', 'failed_fetches', 'part')
+    __slots__ = (
+        '_clock',
+        '_reported',
+        '_since',
+        'failed_fetches',
+        'has_news',
+        'part',
+    )
 
     def __init__(self, clock: Clock, part: str) -> None:
         """Start without a newer revision."""
@@ -41,11 +51,13 @@
         self._reported = 0
         self._since: timedelta | None = None
         self.failed_fetches = 0
+        self.has_news = asyncio.Event()
 
     def begin(self, reported: int, own: int) -> None:
         """Record that another gateway has applied this revision."""
         if reported <= own:
             return
+        self.has_news.set()
         self._reported = max(self._reported, reported)
         if self._since is None:
             self._since = self._clock.read_monotonic()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_sharing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_sharing.py
@@ -4,7 +4,10 @@
 
 from baobabhinge_gateway.forwarding.core import GatewayCore
 from baobabhinge_gateway.forwarding.fetching import HttpTransfer, StateTransfer
-from baobabhinge_gateway.forwarding.snapshot_fetcher import SnapshotFetcher
+from baobabhinge_gateway.forwarding.snapshot_fetcher import (
+    NotifyRegion,
+    SnapshotFetcher,
+)
 from baobabhinge_gateway.forwarding.snapshot_reader import SnapshotReader
 from baobabhinge_gateway.forwarding.snapshot_sender import SnapshotSender
 from baobabhinge_gateway.forwarding.state_metrics import StateMetrics
@@ -19,6 +22,8 @@
         State of this gateway.
     transfer : callable
         Sends requests to other gateways.
+    notify_region : callable
+        Tells the gateways of the region what this one knows.
 
     Attributes
     ----------
@@ -30,16 +35,23 @@
 
     __slots__ = ('fetcher', 'sender')
 
-    def __init__(self, core: GatewayCore, transfer: StateTransfer) -> None:
+    def __init__(
+        self,
+        core: GatewayCore,
+        transfer: StateTransfer,
+        notify_region: NotifyRegion,
+    ) -> None:
         """Connect the parts; nothing is started."""
         metrics = StateMetrics(core.ingress.metrics.registry, core.updater.lag)
         reader = SnapshotReader(transfer, metrics)
-        self.fetcher = SnapshotFetcher(reader, core)
+        self.fetcher = SnapshotFetcher(reader, core, notify_region)
         self.sender = SnapshotSender(core, metrics)
 
 
 def build_state_sharing(
-    core: GatewayCore, http: aiohttp.ClientSession
+    core: GatewayCore,
+    http: aiohttp.ClientSession,
+    notify_region: NotifyRegion,
 ) -> StateSharing:
     """Return the exchange of state over HTTP.
 
@@ -49,6 +61,8 @@
         State of this gateway.
     http : aiohttp.ClientSession
         Session for the requests; it is not closed here.
+    notify_region : callable
+        Tells the gateways of the region what this one knows.
     """
     transfer = HttpTransfer(http, core.ingress.bounds.memory)
-    return StateSharing(core, transfer.fetch)
+    return StateSharing(core, transfer.fetch, notify_region)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_updater.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/state_updater.py
@@ -1,6 +1,5 @@
 """State that the store and other gateways bring up to date."""
 
-import asyncio
 from datetime import timedelta
 
 import structlog
@@ -37,8 +36,6 @@
         Configuration in force.
     is_store_reachable : bool
         Whether the latest request to the store was answered; set by its client.
-    is_behind : asyncio.Event
-        Set when another gateway reports a newer change in the store.
     lag : StateLag
         Time since another gateway reported newer state.
     evacuations : EvacuationUpdater
@@ -51,7 +48,6 @@
         '_state',
         'configuration',
         'evacuations',
-        'is_behind',
         'is_store_reachable',
         'lag',
         'servers',
@@ -62,7 +58,6 @@
         self._state = state
         self.configuration: DeploymentConfiguration = state.configuration
         self.is_store_reachable = True
-        self.is_behind = asyncio.Event()
         self.lag = StateLag(state.clock)
         self.evacuations = EvacuationUpdater(state)
         self.servers = ServerUpdater(state)
@@ -93,9 +88,7 @@
 
     def record_marks(self, marks: StoreRevisions) -> None:
         """Record the newest changes that another gateway has applied."""
-        if marks.is_ahead_of(self.known_to):
-            self.is_behind.set()
-            self.lag.begin(marks, self.known_to)
+        self.lag.begin(marks, self.known_to)
 
     def complete(self, revisions: StoreRevisions) -> None:
         """Record that all changes up to these revisions were applied."""
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_key_revisions.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_key_revisions.py
@@ -12,7 +12,9 @@
     KeyRevisions,
     ListRevisions,
     has_to_read,
+    list_changes,
 )
+from baobabhinge_gateway.forwarding.removal_history import MAX_REMOVALS
 
 KEYS = ('a', 'b', 'c', 'd')
 PAGE = 2
@@ -85,10 +87,23 @@
                 ListRevisions(as_of, progress.told),
             )
 
+    def learn(self, other: 'Follower') -> None:
+        """Apply the changes that another gateway tells, or else its list."""
+        since = self.keys.progress.complete_to
+        changes = list_changes(other.keys, since)
+        if changes is None:
+            self.hear(other)
+            return
+        for key, revision in changes.written.items():
+            self.keys.write(key, revision)
+        for key, revision in changes.removed.items():
+            self.keys.remove(key, revision)
+        self.keys.complete(other.keys.progress.complete_to)
+
 
 steps = some.lists(
     some.tuples(
-        some.sampled_from(('change', 'read', 'watch', 'hear')),
+        some.sampled_from(('change', 'read', 'watch', 'hear', 'learn')),
         some.integers(0, 1),
         some.integers(0, 3),
         some.integers(0, 3),
@@ -106,6 +121,8 @@
         followers[who].read(oldest, newer)
     elif step == 'watch':
         followers[who].watch(0)
+    elif step == 'learn':
+        followers[who].learn(followers[1 - who])
     else:
         followers[who].hear(followers[1 - who])
 
@@ -138,7 +155,7 @@
     history = History()
     watching, reading = (Follower(history), Follower(history))
     for step, _, first, second in played:
-        who = step in {'read', 'hear'}
+        who = step in {'read', 'hear', 'learn'}
         play(history, (watching, reading), step, who, first, second)
         reading.hear(watching)
         known_to = reading.keys.progress.known_to
@@ -194,3 +211,42 @@
     keys.replace({'a': 5, 'c': 8}, ListRevisions(9, 8, shows_removals=False))
     assert not has_to_read(keys.progress)
     assert keys.present == {'a', 'c'}
+
+
+@pytest.mark.parametrize(
+    ('since', 'written', 'removed'),
+    [
+        (5, None, None),
+        (6, {'b': 7, 'd': 9}, {'a': 8}),
+        (7, {'d': 9}, {'a': 8}),
+        (9, {}, {}),
+    ],
+)
+def test_changes_are_told_from_the_first_list_on(since, written, removed):
+    keys = KeyRevisions()
+    assert list_changes(keys, since) is None
+    keys.replace({'a': 5, 'c': 4}, ListRevisions(6, 5))
+    keys.write('b', 7)
+    keys.remove('a', 8)
+    keys.write('d', 9)
+    keys.complete(9)
+    changes = list_changes(keys, since)
+    assert (changes and dict(changes.written)) == written
+    assert (changes and dict(changes.removed)) == removed
+
+
+def test_changes_are_not_told_from_before_a_removal_that_was_forgotten():
+    keys = KeyRevisions()
+    keys.replace({}, ListRevisions(1, 1))
+    for revision in range(2, MAX_REMOVALS + 4):
+        keys.remove(f'key-{revision}', revision)
+    assert list_changes(keys, 2) is None
+    changes = list_changes(keys, 3)
+    assert changes and len(changes.removed) == MAX_REMOVALS
+
+
+def test_no_changes_are_told_while_a_list_is_uncertain():
+    keys = KeyRevisions()
+    keys.replace({'a': 5}, ListRevisions(6, 5))
+    keys.replace({}, ListRevisions(9, 9, is_certain=False))
+    assert list_changes(keys, 6) is None
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_watchers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_watchers.py
@@ -5,7 +5,7 @@
 """
 
 from datetime import timedelta
-from urllib.parse import parse_qsl
+from urllib.parse import parse_qsl, urlsplit
 
 import msgspec
 import pytest
@@ -29,15 +29,17 @@
     UNWANTED,
     Snapshot,
     StoreRevisions,
-    parse_revisions,
 )
-from baobabhinge_gateway.forwarding.snapshot_fetcher import list_wanted
-from baobabhinge_gateway.forwarding.snapshot_transfer import (
-    apply_snapshot,
-    encode_snapshot,
+from baobabhinge_gateway.forwarding.snapshot_encoding import encode_snapshot
+from baobabhinge_gateway.forwarding.snapshot_query import (
+    SnapshotQuery,
+    parse_query,
 )
+from baobabhinge_gateway.forwarding.snapshot_sources import SnapshotSources
+from baobabhinge_gateway.forwarding.snapshot_transfer import apply_snapshot
 from baobabhinge_gateway.forwarding.state_lag import PartLag
 from baobabhinge_gateway.forwarding.state_metrics import StateMetrics
+from baobabhinge_gateway.forwarding.state_parts import StatePart
 from baobabhinge_gateway.forwarding.state_updater import (
     StateUpdater,
     lacks_changes,
@@ -153,10 +155,9 @@
     source.updater.adopt(Revision(3, (), {}, RequestLimits()))
     replace_evacuations(source.updater, ('west-a',), 5)
     replace_servers(source.updater, [SERVER], 7)
-    query = dict(parse_qsl(since.format_query()))
-    encoded = encode_snapshot(
-        source.updater, source.state, parse_revisions(query)
-    )
+    target = SnapshotQuery(since).format_target()
+    query = dict(parse_qsl(urlsplit(target).query))
+    encoded = encode_snapshot(source.updater, source.state, parse_query(query))
     snapshot = msgspec.msgpack.decode(encoded, type=Snapshot)
     assert (snapshot.revision is not None) == has_revision
     assert len(snapshot.servers) == servers
@@ -175,10 +176,14 @@
         (StoreRevisions(0, 1), True),
     ],
 )
-def test_a_heartbeat_with_a_newer_revision_sets_is_behind(revisions, is_behind):
+def test_a_heartbeat_with_a_newer_revision_is_news(revisions, is_behind):
     core = build_core()
     core.apply_heartbeat(build_heartbeat('a', revisions=revisions))
-    assert core.updater.is_behind.is_set() == is_behind
+    lag = core.updater.lag
+    has_news = [part.find_lag(lag).has_news.is_set() for part in StatePart]
+    assert any(has_news) == is_behind
+    for part, is_news in zip(StatePart, has_news, strict=True):
+        assert is_news == (part.read(revisions) > 0)
 
 
 def test_an_empty_server_list_advances_the_revision():
@@ -199,10 +204,21 @@
         ((5, 9), (6, 7), [(5, UNWANTED)]),
     ],
 )
-def test_operators_state_is_fetched_ahead_of_the_servers(own, newer, wanted):
-    """A configuration waited for the list of all servers."""
-    revisions = list_wanted(StoreRevisions(*own), StoreRevisions(*newer))
-    assert revisions == [StoreRevisions(*one) for one in wanted]
+def test_each_part_is_asked_for_alone(own, newer, wanted):
+    """A configuration waited for the list of all servers, and then the list
+    waited for the configuration."""
+    core = build_core()
+    core.updater.complete(StoreRevisions(*own))
+    core.gateways.record_heartbeat(
+        build_heartbeat('a', revisions=StoreRevisions(*newer))
+    )
+    sources = SnapshotSources(core)
+    asked = [
+        part.ask_since(part.read(core.updater.known_to))
+        for part in StatePart
+        if sources.choose(part)
+    ]
+    assert asked == [StoreRevisions(*one) for one in wanted]
 
 
 @pytest.mark.parametrize(
@@ -222,7 +238,9 @@
     replace_servers(source.updater, [], 9)
     receiver = build_core()
     replace_servers(receiver.updater, [SERVER], 7)
-    encoded = encode_snapshot(source.updater, source.state, since)
+    encoded = encode_snapshot(
+        source.updater, source.state, SnapshotQuery(since)
+    )
     apply_snapshot(receiver.updater, encoded, since)
     assert receiver.state.configuration.version == version
     assert len(receiver.state.catalogue.list_all()) == servers
@@ -290,7 +308,9 @@
 
 def exchange_snapshots(source, receiver):
     since = StoreRevisions(UNWANTED, 0)
-    encoded = encode_snapshot(source.updater, source.state, since)
+    encoded = encode_snapshot(
+        source.updater, source.state, SnapshotQuery(since)
+    )
     apply_snapshot(receiver.updater, encoded, since)
 
 
@@ -350,7 +370,9 @@
     assert lacks_changes(receiver.updater)
     assert not marks.is_ahead_of(receiver.updater.known_to)
     # What it passes on is as uncertain.
-    encoded = encode_snapshot(receiver.updater, state, StoreRevisions())
+    encoded = encode_snapshot(
+        receiver.updater, state, SnapshotQuery(StoreRevisions())
+    )
     passed_on = msgspec.msgpack.decode(encoded, type=Snapshot)
     assert passed_on.complete_to.is_ahead_of(NO_REVISIONS) == is_store_reachable
     replace_servers(receiver.updater, [SERVER], 10)
@@ -366,7 +388,9 @@
     replace_evacuations(source.updater, ['west-a'], 5)
     replace_servers(source.updater, [SERVER], 7)
     source.updater.complete(StoreRevisions(5000, 5000))
-    encoded = encode_snapshot(source.updater, source.state, StoreRevisions())
+    encoded = encode_snapshot(
+        source.updater, source.state, SnapshotQuery(StoreRevisions())
+    )
     told = msgspec.msgpack.decode(encoded, type=EarlierSnapshot)
     # Revisions of changes: that of the store grows with each write.
     assert told.marks == StoreRevisions(5, 7)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/watchers.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/watchers.py
@@ -35,14 +35,14 @@
     """Return whether other gateways tell this one of changes in the store.
 
     They do not if no watcher of the region was heard of lately, or if this
-    gateway lacks operators' state of which it was told a while ago.
+    gateway lacks state of which it was told a while ago.
 
     Parameters
     ----------
     gateways : GatewayTable
         Gateways that this one hears of.
     lag : PartLag
-        Time since it was told of newer state.
+        Time since it was told of newer state, of the part in question.
     """
     if lag.compute() > MAX_LAG:
         return False
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/__init__.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/__init__.py
@@ -1,5 +1,8 @@
 """Datagrams between gateways: heartbeats with state and loads, reports."""
 
+from baobabhinge_gateway.neighbours.byte_budget import (
+    ByteBudget as ByteBudget,
+)
 from baobabhinge_gateway.neighbours.heartbeat_plan import (
     HeartbeatPlan as HeartbeatPlan,
 )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/byte_budget.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/byte_budget.py
@@ -33,7 +33,7 @@
         """Bytes of a full budget."""
         return self._rate * FILLING_TIME.total_seconds()
 
-    def try_spend(self, length: int, reserve: float = 0) -> bool:
+    def try_spend(self, length: float, reserve: float = 0) -> bool:
         """Take ``length`` bytes if that leaves ``reserve``; return whether."""
         self._fill()
         if self._filled - length < reserve:
@@ -41,6 +41,11 @@
         self._filled -= length
         return True
 
+    def wait_for(self, length: int) -> timedelta:
+        """Return the time after which ``length`` bytes can be taken."""
+        missing = min(length, self.capacity) - self._filled
+        return timedelta(seconds=max(0, missing) / self._rate)
+
     def _fill(self) -> None:
         now = self._clock.read_monotonic()
         elapsed = (now - self._updated).total_seconds()
