Let gateways that were not heard of pass no heartbeats on

Cause: a heartbeat to a large region goes to three relays, and directly to the gateways that were not heard of. It was one message, which asked all of them to pass it on. After a cut, each gateway of the failure domain got all heartbeats of the other regions so, and passed them on to its whole region, until it was heard of again; its own heartbeats waited behind that.

Two of four rows of the new test failed before (4 and 13 relays where 3 are wanted).

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/heartbeat_plan.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/heartbeat_plan.py
@@ -74,7 +74,7 @@
             if region == self._table.own.region:
                 yield from self._iterate_local(local, contacts)
             elif has_remote:
-                yield self._choose_remote(local.sequence, region, contacts)
+                yield from self._choose_remote(local.sequence, region, contacts)
 
     def _iterate_local(
         self, heartbeat: Heartbeat, contacts: Sequence[GatewayContact]
@@ -96,14 +96,14 @@
 
     def _choose_remote(
         self, sequence: int, region: str, contacts: Sequence[GatewayContact]
-    ) -> Sending:
+    ) -> Iterator[Sending]:
         receivers = choose_receivers(
             contacts, self._list_relays(region), self._random
         )
-        heartbeat = msgspec.structs.replace(
-            self._compose(sequence, region), is_to_relay=receivers.are_relays
-        )
-        return heartbeat, _list_addresses(receivers.contacts)
+        heartbeat = self._compose(sequence, region)
+        yield heartbeat, _list_addresses(receivers.direct)
+        relayed = msgspec.structs.replace(heartbeat, is_to_relay=True)
+        yield relayed, _list_addresses(receivers.relays)
 
     def _list_relays(self, region: str) -> frozenset[str]:
         """Return the names of live gateways that pass heartbeats on."""
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/relaying.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/relaying.py
@@ -26,14 +26,16 @@
 
     Parameters
     ----------
-    contacts : sequence of GatewayContact
-        The gateways.
-    are_relays : bool
-        Whether they are to pass the heartbeat on.
+    relays : sequence of GatewayContact
+        Gateways that are to pass the heartbeat on.
+    direct : sequence of GatewayContact
+        Gateways that get it for themselves. If they passed it on too, each
+        gateway of a failure domain that was cut off would tell all others of
+        its region what they know.
     """
 
-    contacts: Sequence[GatewayContact]
-    are_relays: bool
+    relays: Sequence[GatewayContact]
+    direct: Sequence[GatewayContact]
 
 
 def choose_receivers(
@@ -56,11 +58,11 @@
         Chooses the relays.
     """
     if len(contacts) <= MAX_DIRECT:
-        return RemoteReceivers(contacts, are_relays=False)
+        return RemoteReceivers((), contacts)
     able = [contact for contact in contacts if contact.name in relays]
     direct = [contact for contact in contacts if contact.name not in relays]
     chosen = random.sample(able, min(RELAYS, len(able)))
-    return RemoteReceivers([*direct, *chosen], are_relays=bool(chosen))
+    return RemoteReceivers(chosen, direct)
 
 
 class RelayQueue:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/tests/fleet.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/tests/fleet.py
@@ -87,6 +87,12 @@
         for message, addresses in due:
             self._fleet.deliver(self, encode_message(message), addresses)
 
+    def compose_local(self):
+        return self._plan.compose_local(self._sequence)
+
+    def iterate_due(self, local):
+        return self._plan.iterate_due(local, has_remote=True)
+
     def receive(self, datagram):
         if self._relays or not datagram.startswith(MARKER):
             self.receiver.receive(datagram, ('', 0))
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/tests/test_relaying.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/tests/test_relaying.py
@@ -132,3 +132,29 @@
     remote = REMOTE_REGIONS * LARGE
     for told in fleet.traffic.told.values():
         assert rounds * remote * 0.9 <= told <= rounds * remote * 1.5
+
+
+@pytest.mark.parametrize('unheard', [0, 1, 10, LARGE])
+def test_gateways_that_were_cut_off_are_no_relays_for_all(unheard):
+    """Each of them passed on all heartbeats of other regions, which filled the
+    links of their vms for seconds after the cut."""
+    fleet = SimulatedFleet(LARGE, seed=9)
+    fleet.play(3 * SECOND)
+    remote = [
+        gateway.contact
+        for gateway in fleet.gateways.values()
+        if gateway.contact.region == 'region-1'
+    ]
+    silent = {contact.name for contact in remote[:unheard]}
+    fleet.silent = silent
+    fleet.play(2 * RELAYED_TIMEOUT)
+    own = next(iter(fleet.gateways.values()))
+    told = {}
+    local = own.compose_local()
+    for heartbeat, addresses in own.iterate_due(local):
+        for contact in remote:
+            if contact.address in addresses:
+                told[contact.name] = heartbeat.is_to_relay
+    relays = {name for name, is_to_relay in told.items() if is_to_relay}
+    assert len(relays) == min(RELAYS, LARGE - unheard)
+    assert told.keys() == silent | relays
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/exchange/changes.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/exchange/changes.py
@@ -35,11 +35,17 @@
         The gateways.
     seed : int
         Seed of names.
+
+    Attributes
+    ----------
+    network : Network
+        Links of the gateways.
     """
 
     def __init__(self, fleet: Fleet, seed: int) -> None:
         """Let all gateways know the first configuration and servers."""
         self._fleet = fleet
+        self.network = fleet.network
         self._cores = [gateway.core for gateway in fleet.gateways]
         self._entries = EntryBuilder(seed)
         self._servers = [self._entries.build_server() for _ in range(SERVERS)]
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/exchange/network.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/exchange/network.py
@@ -1,7 +1,7 @@
 """Network of slow links between the vms of a deployment."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from datetime import timedelta
 from functools import partial
@@ -90,6 +90,12 @@
         self.answer_state: AnswerState | None = None
 
 
+def read_latency(sender: Vm, receiver: Vm) -> float:
+    """Return the seconds of one way between two vms, without their queues."""
+    is_local = sender.region == receiver.region
+    return (LOCAL_LATENCY if is_local else REMOTE_LATENCY).total_seconds()
+
+
 class Network:
     """Vms by address, and the ways between them.
 
@@ -97,13 +103,16 @@
     ----------
     vms : dict of str to Vm
         Vms by their address.
+    separated : frozenset of str
+        Addresses of vms that are cut off from all others.
     """
 
-    __slots__ = ('vms',)
+    __slots__ = ('separated', 'vms')
 
     def __init__(self) -> None:
         """Start without vms."""
         self.vms: dict[str, Vm] = {}
+        self.separated: frozenset[str] = frozenset()
 
     @asynccontextmanager
     async def open_socket(
@@ -127,11 +136,14 @@
         TimeLimitError
             If the answer was not complete in time.
         """
+        other_host = address.rpartition(':')[0]
         own = self.vms[host]
-        other = self.vms[address.rpartition(':')[0]]
+        other = self.vms[other_host]
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
                 await self._pass(own, other, PACKET_HEADER_BYTES)
+                while self.is_cut(host, other_host):
+                    await asyncio.sleep(CONNECT_TIMEOUT.total_seconds())
                 await self._pass(other, own, PACKET_HEADER_BYTES)
         except TimeoutError as late:
             raise NotReachedError(address) from late
@@ -141,10 +153,13 @@
         except TimeoutError as late:
             raise TimeLimitError('no complete answer') from late
 
-    def compute_latency(self, sender: Vm, receiver: Vm) -> timedelta:
-        """Return the time of one way between two vms, without their queues."""
-        is_local = sender.region == receiver.region
-        return LOCAL_LATENCY if is_local else REMOTE_LATENCY
+    def list_hosts(self, region: str) -> Sequence[str]:
+        """Return the addresses of the vms of a region."""
+        return [host for host, vm in self.vms.items() if vm.region == region]
+
+    def is_cut(self, host: str, other: str) -> bool:
+        """Return whether nothing passes between two addresses."""
+        return (host in self.separated) != (other in self.separated)
 
     async def _exchange(
         self, own: Vm, other: Vm, target: str, host: str
@@ -164,8 +179,7 @@
 
     async def _pass(self, sender: Vm, receiver: Vm, length: int) -> None:
         delay = sender.link.send(length)
-        latency = self.compute_latency(sender, receiver).total_seconds()
-        await asyncio.sleep(delay + latency)
+        await asyncio.sleep(delay + read_latency(sender, receiver))
 
 
 class SimulatedSocket:
@@ -189,13 +203,14 @@
     def send(self, datagram: bytes, address: Address) -> None:
         """Send a datagram; it is lost if nobody listens."""
         own = self._network.vms[self._address[0]]
-        other = self._network.vms.get(address[0])
-        if other is None:
-            return
+        host = address[0]
+        other = self._network.vms.get(host)
         delay = own.link.send(len(datagram) + DATAGRAM_HEADER_BYTES)
-        latency = self._network.compute_latency(own, other).total_seconds()
+        if other is None or self._network.is_cut(self._address[0], host):
+            return
         asyncio.get_running_loop().call_later(
-            delay + latency, partial(self._deliver, other, datagram)
+            delay + read_latency(own, other),
+            partial(self._deliver, other, datagram),
         )
 
     def _deliver(self, other: Vm, datagram: bytes) -> None:
--- a/packages/baobabhinge-standins/src/baobabhinge_standins/exchange/scenarios.py
+++ b/packages/baobabhinge-standins/src/baobabhinge_standins/exchange/scenarios.py
@@ -5,10 +5,13 @@
 from datetime import timedelta
 
 from baobabhinge_standins.exchange.changes import FEW_ROUTES, ChangeScene
+from baobabhinge_standins.exchange.gateway import REGIONS
 
 MANY_ROUTES = 1400
 VERSIONS = 3
 VERSION_INTERVAL = timedelta(seconds=2)
+CUT = timedelta(milliseconds=5500)
+HEALED = timedelta(seconds=3)
 RELEASE_STEPS = 10
 RELEASE_INTERVAL = timedelta(milliseconds=200)
 
@@ -47,6 +50,17 @@
     await _publish_beside_ends(scene, FEW_ROUTES)
 
 
+@scenario
+async def domain_cut(scene: ChangeScene) -> None:
+    """Cut a failure domain of a region off, and heal it."""
+    hosts = scene.network.list_hosts(REGIONS[0])
+    scene.network.separated = frozenset(hosts[::2])
+    await asyncio.sleep(CUT.total_seconds())
+    scene.network.separated = frozenset()
+    await asyncio.sleep(HEALED.total_seconds())
+    await scene.announce_end()
+
+
 async def _publish_beside_ends(scene: ChangeScene, routes: int) -> None:
     for _ in range(VERSIONS):
         await scene.publish(routes)
