--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/fetching.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/fetching.py
@@ -23,6 +23,8 @@
 ENCODING_HEADER = 'Content-Encoding'
 RETRY_AFTER_HEADER = 'State-Retry-After-Ms'
 MILLISECOND = timedelta(milliseconds=1)
+# Other gateways have the state by then, and have told so.
+LONGEST_RETRY_AFTER = timedelta(seconds=1)
 
 
 class StateAnswer(msgspec.Struct, frozen=True):
@@ -128,4 +130,8 @@
     milliseconds = response.headers.get(RETRY_AFTER_HEADER, '')
     if not milliseconds.isdecimal():
         raise UnknownOutcomeError(f'answered with {response.status}')
-    return StateAnswer(b'', retry_after=int(milliseconds) * MILLISECOND)
+    longest = LONGEST_RETRY_AFTER // MILLISECOND
+    # Python refuses to convert numbers of thousands of digits.
+    is_short = len(milliseconds) <= len(str(longest))
+    told = int(milliseconds) if is_short else longest
+    return StateAnswer(b'', retry_after=min(longest, told) * MILLISECOND)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_sender.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_sender.py
@@ -12,7 +12,10 @@
 import structlog
 
 from baobabhinge_gateway.forwarding.core import GatewayCore
-from baobabhinge_gateway.forwarding.fetching import StateAnswer
+from baobabhinge_gateway.forwarding.fetching import (
+    LONGEST_RETRY_AFTER,
+    StateAnswer,
+)
 from baobabhinge_gateway.forwarding.snapshot import StoreRevisions
 from baobabhinge_gateway.forwarding.snapshot_encoding import encode_snapshot
 from baobabhinge_gateway.forwarding.snapshot_query import (
@@ -53,7 +56,7 @@
         Counts what is sent.
     """
 
-    __slots__ = ('_budget', '_core', '_encoded', '_metrics')
+    __slots__ = ('_budget', '_core', '_encoded', '_metrics', '_next_turn')
 
     def __init__(self, core: GatewayCore, metrics: StateMetrics) -> None:
         """Start with a full budget of bytes."""
@@ -61,6 +64,7 @@
         self._metrics = metrics
         self._budget = ByteBudget(STATE_BYTE_RATE, core.ingress.clock)
         self._encoded: dict[SnapshotQuery, _Encoded] = {}
+        self._next_turn = timedelta()
 
     def answer(self, query: Mapping[str, str], receiver: str) -> StateAnswer:
         """Return the state that a gateway lacks.
@@ -76,12 +80,19 @@
         answer = self._encode_once(wanted)
         length = len(answer.body)
         if not self._budget.try_spend(min(length, self._budget.capacity)):
-            return StateAnswer(b'', retry_after=self._budget.wait_for(length))
+            return StateAnswer(b'', retry_after=self._reserve_turn(length))
         part = wanted.since.name_part()
         self._metrics.record_sent(part, length)
         log.info('snapshot-sent', part=part, receiver=receiver, bytes=length)
         return answer
 
+    def _reserve_turn(self, length: int) -> timedelta:
+        """Return when to ask again; each gateway is told a later time."""
+        now = self._core.ingress.clock.read_monotonic()
+        step = self._budget.compute_time(length)
+        self._next_turn = max(now, self._next_turn) + step
+        return min(LONGEST_RETRY_AFTER, self._next_turn - now)
+
     def _encode_once(self, wanted: SnapshotQuery) -> StateAnswer:
         """Return an answer of the last ms again if it holds the same state."""
         now = self._core.ingress.clock.read_monotonic()
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_state_sharing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_state_sharing.py
@@ -13,15 +13,23 @@
 
 import msgspec
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import RawTestServer
 
 from baobabhinge_gateway.deployment import RequestLimits, Revision
 from baobabhinge_gateway.errors import NotReachedError
+from baobabhinge_gateway.forwarding.connector import build_strict_session
 from baobabhinge_gateway.forwarding.core import GatewayCore
 from baobabhinge_gateway.forwarding.failures import (
     TimeLimitError,
     UnknownOutcomeError,
 )
-from baobabhinge_gateway.forwarding.fetching import StateAnswer
+from baobabhinge_gateway.forwarding.fetching import (
+    LONGEST_RETRY_AFTER,
+    RETRY_AFTER_HEADER,
+    HttpTransfer,
+    StateAnswer,
+)
 from baobabhinge_gateway.forwarding.snapshot import (
     UNWANTED,
     Snapshot,
@@ -296,10 +304,42 @@
     assert sum(len(answer.body) for answer in sent) <= 2 * STATE_BYTE_RATE
     refused = [answer for answer in answers if answer.retry_after is not None]
     assert refused
-    assert all(
-        timedelta() < answer.retry_after < timedelta(seconds=2)
-        for answer in refused
-    )
+    times = [answer.retry_after for answer in refused]
+    assert timedelta() < times[0] < times[1]
+    assert times == sorted(times)
+    assert times[-1] == LONGEST_RETRY_AFTER
     receiver = build_core('b')
     apply_snapshot(receiver.updater, sent[0].inflate(), ask(receiver).since)
     assert len(list_servers(receiver)) == SERVERS
+
+
+@pytest.mark.parametrize(
+    ('status', 'told', 'milliseconds'),
+    [
+        (503, '40', 40),
+        (503, '90000', 1000),
+        (503, '9' * 5000, 1000),
+        (503, '', None),
+        (503, '-1', None),
+        (404, None, None),
+    ],
+)
+async def test_a_busy_gateway_is_asked_later(status, told, milliseconds):
+    async def answer(request):
+        headers = {} if told is None else {RETRY_AFTER_HEADER: told}
+        return web.Response(status=status, headers=headers)
+
+    core = build_core()
+    async with (
+        RawTestServer(answer) as server,
+        build_strict_session() as http,
+    ):
+        transfer = HttpTransfer(http, core.ingress.bounds.memory)
+        address = f'{server.host}:{server.port}'
+        target = ask(core).format_target()
+        if milliseconds is None:
+            with pytest.raises(UnknownOutcomeError):
+                await transfer.fetch(address, target)
+            return
+        answered = await transfer.fetch(address, target)
+        assert answered.retry_after == timedelta(milliseconds=milliseconds)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/byte_budget.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/neighbours/byte_budget.py
@@ -41,10 +41,9 @@
         self._filled -= length
         return True
 
-    def wait_for(self, length: int) -> timedelta:
-        """Return the time after which ``length`` bytes can be taken."""
-        missing = min(length, self.capacity) - self._filled
-        return timedelta(seconds=max(0, missing) / self._rate)
+    def compute_time(self, length: float) -> timedelta:
+        """Return the time in which ``length`` bytes are filled in."""
+        return timedelta(seconds=length / self._rate)
 
     def _fill(self) -> None:
         now = self._clock.read_monotonic()
