Begin the history of removals anew with each list that is ahead

A server that was listed and removed between two lists of one gateway is in neither of them, nor in its history: a gateway that had seen the server was told changes without its removal, and counted as knowing all. Found by reading; test_changes_are_not_told_across_a_list failed before. Such gateways get whole lists now, as before.

--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/key_revisions.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/key_revisions.py
@@ -205,6 +205,9 @@
         revisions : ListRevisions
             Revisions of the list.
         """
+        is_ahead = revisions.as_of > self.progress.complete_to
+        if revisions.is_certain and (is_ahead or not self.history.has_begun):
+            self.history.begin(revisions.as_of)
         changes = ListChanges(
             [
                 key
@@ -221,8 +224,6 @@
             self.written.pop(gone)
             self._removed[gone] = revisions.as_of
             self.history.record(gone, revisions.as_of)
-        if revisions.is_certain:
-            self.history.begin(revisions.as_of)
         self.progress.record_list(revisions, has_removed=bool(changes.removed))
         for key in changes.written:
             self._removed.pop(key, None)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/removal_history.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/removal_history.py
@@ -26,8 +26,14 @@
         self.begins_at = UNKNOWN
 
     def begin(self, as_of: int) -> None:
-        """Record that a complete list was applied; only the first counts."""
-        self.begins_at = min(self.begins_at, as_of)
+        """Begin anew with a list, as it does not show what came and went."""
+        self.begins_at = as_of
+        self._removed.clear()
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether a complete list was applied."""
+        return self.begins_at != UNKNOWN
 
     def record(self, key: str, revision: int) -> None:
         """Record that a key was removed at a revision, or before it."""
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_key_revisions.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_key_revisions.py
@@ -235,6 +235,23 @@
     assert (changes and dict(changes.removed)) == removed
 
 
+def test_changes_are_not_told_across_a_list():
+    """What came and went between two lists is in neither of them."""
+    history = History()
+    source, receiver = (Follower(history), Follower(history))
+    for follower in (source, receiver):
+        follower.read(0, 0)
+    history.change('a')
+    receiver.watch(0)
+    history.change('a')
+    source.read(history.revision, history.revision)
+    assert receiver.keys.present == {'a'}
+    assert list_changes(source.keys, 1) is None
+    receiver.learn(source)
+    # It does not count as knowing what it was not told.
+    assert receiver.keys.progress.complete_to == 1
+
+
 def test_changes_are_not_told_from_before_a_removal_that_was_forgotten():
     keys = KeyRevisions()
     keys.replace({}, ListRevisions(1, 1))
