--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/fetching.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/fetching.py
@@ -15,11 +15,10 @@
 )
 from baobabhinge_gateway.forwarding.failures import UnknownOutcomeError
 from baobabhinge_gateway.forwarding.memory_budget import MemoryBudget
+from baobabhinge_gateway.forwarding.snapshot_query import DEFLATE
 from baobabhinge_platform.answers import MAX_ANSWER_BYTES, read_bounded
 
 FETCH_TIMEOUT = timedelta(seconds=1)
-# RFC 9110, section 8.4.1.2: zlib format.
-DEFLATE = 'deflate'
 ENCODING_HEADER = 'Content-Encoding'
 RETRY_AFTER_HEADER = 'State-Retry-After-Ms'
 MILLISECOND = timedelta(milliseconds=1)
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_fetcher.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_fetcher.py
@@ -96,6 +96,7 @@
             part.ask_since(part.read(updater.known_to)),
             self._core.state.configuration.version,
             updater.servers.revisions.progress.complete_to,
+            is_inflatable=True,
         )
         lag = part.find_lag(updater.lag)
         try:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_query.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_query.py
@@ -12,6 +12,8 @@
 )
 
 NO_CHANGES = -1
+# RFC 9110, section 8.4.1.2: zlib format.
+DEFLATE = 'deflate'
 
 
 class SnapshotQuery(msgspec.Struct, frozen=True):
@@ -42,7 +44,7 @@
             **msgspec.structs.asdict(self.since),
             'version': self.version,
             'changes-from': self.changes_from,
-            'accepts': 'deflate',
+            'accepts': DEFLATE if self.is_inflatable else '',
         }
         return f'{SNAPSHOT_PATH}?{urlencode(query)}'
 
@@ -57,5 +59,5 @@
         ),
         parse_revision(query.get('version', '')),
         int(changes_from) if changes_from.isdecimal() else NO_CHANGES,
-        query.get('accepts') == 'deflate',
+        query.get('accepts') == DEFLATE,
     )
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_state_sharing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_state_sharing.py
@@ -295,7 +295,13 @@
         7,
     )
     sender = StateSharing(source, StateExchange().fetch, list).sender
-    query = dict(parse_qsl(urlsplit(ask(build_core()).format_target()).query))
+    query = dict(
+        parse_qsl(
+            urlsplit(
+                ask(build_core(), is_inflatable=True).format_target()
+            ).query
+        )
+    )
     plain = {**query, 'accepts': ''}
     assert not sender.answer(plain, 'old').is_deflated
     answers = [sender.answer(query, 'new') for _ in range(1000)]
