--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/fetching.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/fetching.py
@@ -95,15 +95,21 @@
         Session for the requests; it is not closed here.
     memory : MemoryBudget
         Bound on the bytes of all answers.
+    limit : timedelta, optional
+        Upper bound of the time for one exchange.
     """
 
-    __slots__ = ('_http', '_memory')
+    __slots__ = ('_http', '_limit', '_memory')
 
     def __init__(
-        self, http: aiohttp.ClientSession, memory: MemoryBudget
+        self,
+        http: aiohttp.ClientSession,
+        memory: MemoryBudget,
+        limit: timedelta = FETCH_TIMEOUT,
     ) -> None:
         """Store the collaborators."""
         self._http = http
+        self._limit = limit
         self._memory = memory
 
     async def fetch(self, address: str, target: str) -> StateAnswer:
@@ -111,9 +117,7 @@
 
         Raises as `open_exchange` does.
         """
-        outbound = OutboundRequest(
-            'GET', address, target, (), b'', FETCH_TIMEOUT
-        )
+        outbound = OutboundRequest('GET', address, target, (), b'', self._limit)
         with self._memory.open_use() as memory:
             async with open_exchange(self._http, outbound) as response:
                 body = await read_bounded(
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_fetcher.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_fetcher.py
@@ -75,18 +75,12 @@
             await self.sleep(choose_delay(core).total_seconds())
             # Heartbeats that arrive from here on set the event again.
             has_news.clear()
-            await self._leave_to_watchers(part)
+            if self._sources.are_for_watchers(part):
+                await self._pause(REMOTE_DELAY)
             source = self._sources.choose(part)
             while source is not None and not self.should_stop:
                 source = await self._fetch(source, part)
 
-    async def _leave_to_watchers(self, part: StatePart) -> None:
-        """Wait while only other regions know a change."""
-        source = self._sources.choose(part)
-        is_remote = source is not None and not self._sources.is_local(source)
-        if is_remote and not self._core.is_watcher():
-            await self._pause(REMOTE_DELAY)
-
     async def _fetch(
         self, source: Heartbeat, part: StatePart
     ) -> Heartbeat | None:
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_sources.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/snapshot_sources.py
@@ -5,6 +5,7 @@
 
 from baobabhinge_gateway.forwarding.core import GatewayCore
 from baobabhinge_gateway.forwarding.state_parts import StatePart
+from baobabhinge_gateway.forwarding.watchers import list_watchers
 from baobabhinge_gateway.neighbours import Heartbeat
 
 # A gateway that did not answer in time may be cut off, or its link may be full.
@@ -66,6 +67,20 @@
         ]
         return self._core.ingress.random.choice(answering or candidates)
 
+    def are_for_watchers(self, part: StatePart) -> bool:
+        """Return whether only other regions know a change, and others watch.
+
+        Parameters
+        ----------
+        part : StatePart
+            Part of the state that has changed.
+        """
+        newer = self.list_newer(part)
+        if not newer or any(map(self.is_local, newer)):
+            return False
+        gateways = self._core.gateways
+        return gateways.own.name not in list_watchers(gateways)
+
     def is_local(self, source: Heartbeat) -> bool:
         """Return whether a gateway is in the region of this one."""
         return source.region == self._core.settings.own.region
--- a/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_state_sharing.py
+++ b/packages/baobabhinge-gateway/src/baobabhinge_gateway/forwarding/tests/test_state_sharing.py
@@ -19,7 +19,6 @@
 from baobabhinge_gateway.deployment import RequestLimits, Revision
 from baobabhinge_gateway.errors import NotReachedError
 from baobabhinge_gateway.forwarding.connector import build_strict_session
-from baobabhinge_gateway.forwarding.core import GatewayCore
 from baobabhinge_gateway.forwarding.failures import (
     TimeLimitError,
     UnknownOutcomeError,
@@ -267,19 +266,26 @@
         assert exchanged.asked.count(('a:2', 'servers')) <= 1
 
 
-@pytest.mark.parametrize('is_watcher', [True, False])
+@pytest.mark.parametrize(
+    ('others', 'is_watcher'), [('', True), ('bc', True), ('bcd', False)]
+)
 async def test_watchers_fetch_first_what_only_other_regions_know(
-    monkeypatch, is_watcher
+    others, is_watcher
 ):
-    """All gateways of a region asked the same gateway of another one."""
-    monkeypatch.setattr(GatewayCore, 'is_watcher', lambda core: is_watcher)
+    """All gateways of a region asked the same gateway of another one.
+
+    One that has just started waits for nobody if nobody else watches.
+    """
     async with open_exchange() as exchanged:
+        for name in others:
+            exchanged.core.gateways.record_heartbeat(build_heartbeat(name))
+        exchanged.core.gateways.stalls._settled_from = timedelta()
         exchanged.add_source('a', 'east')
         clock = exchanged.core.ingress.clock
         begun = clock.read_monotonic()
         await wait_until(lambda: exchanged.knows('servers'))
         elapsed = clock.read_monotonic() - begun
-        assert is_watcher or elapsed >= REMOTE_DELAY
+        assert (elapsed >= REMOTE_DELAY) != is_watcher
         assert bool(exchanged.notified) == is_watcher
 
 
